--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! The administration API's messages.
--- /dev/null
+++ b/src/consensus.rs
@@ -0,0 +1,1 @@
+//! Agreement between replicas: a state machine without I/O.
--- /dev/null
+++ b/src/crash.rs
@@ -0,0 +1,1 @@
+//! Requests that crash the targets that run them.
--- /dev/null
+++ b/src/disk.rs
@@ -0,0 +1,1 @@
+//! Files that survive: synced, checksummed, under one data folder.
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,74 @@
+//! Numbered log events; `docs/EVENTS.md` is the catalogue for people.
+//!
+//! Each part of the system has a file of its own and a hundred numbers.
+
+pub mod agreement;
+pub mod links;
+pub mod lists;
+pub mod path;
+pub mod placement;
+pub mod product;
+
+use std::fmt;
+
+use slog::{KV, Key, Logger, Record, Serializer};
+
+/// A kind of log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The number, unique and never used again.
+    pub number: u16,
+    /// The severity.
+    pub severity: Severity,
+    /// What happened, in a few words.
+    pub text: &'static str,
+}
+
+/// The severity of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// Worth a look only when searching.
+    Info,
+    /// Something that the system mends by itself.
+    Warning,
+    /// Something that an operator has to mend.
+    Error,
+}
+
+/// One field of an event: its name and its value.
+pub type Field<'a> = (&'static str, &'a dyn fmt::Display);
+
+impl Event {
+    /// Writes the event with its fields to `logger`.
+    ///
+    /// ```
+    /// use pomelogate::event::{Event, Severity};
+    ///
+    /// const STARTED: Event = Event { number: 1, severity: Severity::Info, text: "started" };
+    /// let logger = slog::Logger::root(slog::Discard, slog::o!());
+    /// STARTED.emit(&logger, &[("vm", &"jakarta-1")]);
+    /// ```
+    pub fn emit(&self, logger: &Logger, fields: &[Field<'_>]) {
+        let fields = Fields(fields);
+        match self.severity {
+            Severity::Info => slog::info!(logger, "{}", self.text; "event" => self.number, fields),
+            Severity::Warning => {
+                slog::warn!(logger, "{}", self.text; "event" => self.number, fields);
+            }
+            Severity::Error => {
+                slog::error!(logger, "{}", self.text; "event" => self.number, fields);
+            }
+        }
+    }
+}
+
+struct Fields<'a>(&'a [Field<'a>]);
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        for (name, value) in self.0 {
+            serializer.emit_arguments(Key::from(*name), &format_args!("{value}"))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/event/path.rs
@@ -0,0 +1,6 @@
+//! Events 500 to 599.
+
+use super::Event;
+
+/// Every event of this part.
+pub const ALL: &[Event] = &[];
--- /dev/null
+++ b/src/event/product.rs
@@ -0,0 +1,6 @@
+//! Events 600 to 699.
+
+use super::Event;
+
+/// Every event of this part.
+pub const ALL: &[Event] = &[];
--- /dev/null
+++ b/src/figure.rs
@@ -0,0 +1,1 @@
+//! Figures: counters and histograms for each customer and class.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! Pomelogate: a multi-region inference gateway.
+//!
+//! Decisions are state machines without I/O: input and time in, actions out. Shells carry them
+//! over sockets and disk.
+
+pub mod admin;
+pub mod claim;
+pub mod clock;
+pub mod consensus;
+pub mod crash;
+pub mod disk;
+pub mod event;
+pub mod figure;
+pub mod id;
+pub mod limit;
+pub mod link;
+pub mod list;
+pub mod member;
+pub mod name;
+pub mod order;
+pub mod outcome;
+pub mod path;
+pub mod place;
+pub mod replica;
+pub mod settings;
+pub mod standin;
+pub mod target;
+pub mod tool;
+pub mod vm;
+pub mod wire;
--- /dev/null
+++ b/src/limit.rs
@@ -0,0 +1,1 @@
+//! Limits and queues of customers and classes.
--- /dev/null
+++ b/src/name.rs
@@ -0,0 +1,5 @@
+//! Names: three schemes that name the same regions, models and services.
+
+mod scheme;
+
+pub use self::scheme::Scheme;
--- /dev/null
+++ b/src/order.rs
@@ -0,0 +1,1 @@
+//! Orders to targets, with fencing numbers and leases.
--- /dev/null
+++ b/src/path.rs
@@ -0,0 +1,1 @@
+//! The request path: authenticate, resolve, check, admit, place, dispatch, relay.
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,1 @@
+//! Placement: which target, or which other region, takes a request.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of a VM, read from JSON.
--- /dev/null
+++ b/src/tool.rs
@@ -0,0 +1,1 @@
+//! The commands of the tool `pomelogate`.
--- /dev/null
+++ b/src/vm.rs
@@ -0,0 +1,1 @@
+//! The shell of one VM: sockets and tasks around the decisions.
--- /dev/null
+++ b/src/wire/body.rs
@@ -0,0 +1,182 @@
+use prost::{Message, Oneof};
+
+/// What a frame says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// The first frame each way on a connection.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// A sign of life.
+    #[prost(message, tag = "3")]
+    Heartbeat(Heartbeat),
+    /// A message that wants no reply.
+    #[prost(message, tag = "4")]
+    Notice(Notice),
+    /// A message that wants one reply.
+    #[prost(message, tag = "5")]
+    Call(Call),
+    /// The reply to a call.
+    #[prost(message, tag = "6")]
+    Reply(Reply),
+    /// A caller's request, handed to another VM.
+    #[prost(message, tag = "7")]
+    Handover(Handover),
+    /// The head of the answer to a request.
+    #[prost(message, tag = "8")]
+    Head(Head),
+    /// A piece of a body.
+    #[prost(message, tag = "9")]
+    Chunk(Chunk),
+    /// The end of a whole body.
+    #[prost(message, tag = "10")]
+    End(End),
+    /// The end of an exchange that failed.
+    #[prost(message, tag = "11")]
+    Abort(Abort),
+    /// The caller has gone; the work is to stop.
+    #[prost(message, tag = "12")]
+    Cancel(End),
+}
+
+/// The first frame each way on a connection: who speaks.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// The VM that speaks.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// The incarnation of the speaking process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The number of this connection within the speaking process.
+    #[prost(uint64, tag = "3")]
+    pub connection: u64,
+    /// The speaker's region.
+    #[prost(string, tag = "4")]
+    pub region: String,
+}
+
+/// A sign of life.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Heartbeat {}
+
+/// A message that wants no reply.
+#[derive(Clone, PartialEq, Message)]
+pub struct Notice {
+    /// The part of the system that the message is for: a [`Topic`](super::Topic).
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub payload: prost::bytes::Bytes,
+}
+
+/// A message that wants one reply.
+#[derive(Clone, PartialEq, Message)]
+pub struct Call {
+    /// The part of the system that the message is for: a [`Topic`](super::Topic).
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub payload: prost::bytes::Bytes,
+}
+
+/// The reply to a call.
+#[derive(Clone, PartialEq, Message)]
+pub struct Reply {
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: prost::bytes::Bytes,
+}
+
+/// A caller's request, handed to another VM. Its body follows as chunks.
+#[derive(Clone, PartialEq, Message)]
+pub struct Handover {
+    /// The request's identifier.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// The customer, as the first VM authenticated it.
+    #[prost(string, tag = "2")]
+    pub customer: String,
+    /// The HTTP method.
+    #[prost(string, tag = "3")]
+    pub method: String,
+    /// The HTTP path and query.
+    #[prost(string, tag = "4")]
+    pub path: String,
+    /// The headers that concern the target or the decision.
+    #[prost(message, repeated, tag = "5")]
+    pub headers: Vec<Pair>,
+    /// Hand-overs between regions so far, this one included.
+    #[prost(uint32, tag = "6")]
+    pub between_regions: u32,
+    /// Hand-overs within the receiver's region so far, this one included.
+    #[prost(uint32, tag = "7")]
+    pub within_region: u32,
+    /// Milliseconds left until the caller's deadline when the frame was written.
+    #[prost(uint64, tag = "8")]
+    pub deadline_ms: u64,
+    /// The VMs that the request has crossed, in order.
+    #[prost(string, repeated, tag = "9")]
+    pub way: Vec<String>,
+    /// The version of the plans under which the first VM decided.
+    #[prost(uint64, tag = "10")]
+    pub plans: u64,
+    /// The version of the allowances under which the first VM decided.
+    #[prost(uint64, tag = "11")]
+    pub allowances: u64,
+}
+
+/// The head of the answer to a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Head {
+    /// The HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// The headers.
+    #[prost(message, repeated, tag = "2")]
+    pub headers: Vec<Pair>,
+}
+
+/// A header: its name and its value.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pair {
+    /// The name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The value.
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+}
+
+/// A piece of a body.
+#[derive(Clone, PartialEq, Message)]
+pub struct Chunk {
+    /// The bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: prost::bytes::Bytes,
+}
+
+/// The end of a whole body.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct End {}
+
+/// The end of an exchange that failed.
+#[derive(Clone, PartialEq, Message)]
+pub struct Abort {
+    /// Whether the request is known not to have run.
+    #[prost(bool, tag = "1")]
+    pub did_not_run: bool,
+    /// The [`Reason`](crate::outcome::Reason) of a refusal, in its JSON form.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// What was found.
+    #[prost(string, tag = "3")]
+    pub detail: String,
+    /// What the caller can do about it.
+    #[prost(string, tag = "4")]
+    pub remedy: String,
+    /// Milliseconds to wait before trying again; zero where there is no advice.
+    #[prost(uint64, tag = "5")]
+    pub retry_after_ms: u64,
+}
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,28 @@
+use prost::Message;
+
+use super::Body;
+
+/// The unit that crosses a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// The exchange, unique on its connection; zero for frames outside any exchange.
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    /// What the frame says.
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    pub body: Option<Body>,
+}
+
+impl Frame {
+    /// Creates a frame.
+    ///
+    /// ```
+    /// use pomelogate::wire::{Body, Frame, Heartbeat};
+    ///
+    /// let frame = Frame::new(0, Body::Heartbeat(Heartbeat {}));
+    /// assert_eq!(frame.exchange, 0);
+    /// ```
+    pub fn new(exchange: u64, body: Body) -> Self {
+        Self { exchange, body: Some(body) }
+    }
+}
