Serve a request through the thin whole path

Cause: nothing ran yet. Change: VMs as processes with JSON settings, announcements of targets, a directory, chat completions (plain and streamed) and plain services; a request for what only another permitted region serves is handed over one multiplexed link to a VM there, which chooses its own target. Stand-ins, a tour and a test with processes of the real daemon. Not yet: names, limits, placement, claims, agreement, membership; a call that may not be repeated is dispatched once but not yet claimed.

--- a/src/bin/pomelogate.rs
+++ b/src/bin/pomelogate.rs
@@ -1,2 +1,3 @@
-//! d
+//! The command-line tool for operators.
+
 fn main() {}
--- a/src/event.rs
+++ b/src/event.rs
@@ -11,7 +11,9 @@
 
 use std::fmt;
 
-use slog::{KV, Key, Logger, Record, Serializer};
+use slog::{Drain, KV, Key, Logger, Record, Serializer, o};
+
+use crate::id;
 
 /// A kind of log event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,13 @@
     Error,
 }
 
+/// A logger that writes JSON lines to standard error, each with the name of the VM.
+pub fn logger(vm: &id::Vm) -> Logger {
+    let drain = slog_json::Json::default(std::io::stderr()).fuse();
+    let drain = slog_async::Async::new(drain).build().fuse();
+    Logger::root(drain, o!("vm" => vm.to_string()))
+}
+
 /// One field of an event: its name and its value.
 pub type Field<'a> = (&'static str, &'a dyn fmt::Display);
 
--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -1,6 +1,16 @@
-//! Events 500 to 599.
+//! Events 500 to 599: the request path and the VM's shell.
 
-use super::Event;
+use super::{Event, Severity};
+
+/// The VM takes callers.
+pub const STARTED: Event = Event { number: 500, severity: Severity::Info, text: "started" };
+/// The VM has stopped.
+pub const STOPPED: Event = Event { number: 501, severity: Severity::Info, text: "stopped" };
+/// A request ended.
+pub const REQUEST: Event = Event { number: 502, severity: Severity::Info, text: "request ended" };
+/// A target announced itself for the first time.
+pub const TARGET: Event =
+    Event { number: 503, severity: Severity::Info, text: "target announced itself" };
 
 /// Every event of this part.
-pub const ALL: &[Event] = &[];
+pub const ALL: &[Event] = &[STARTED, STOPPED, REQUEST, TARGET];
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,12 @@
+//! HTTP towards callers, targets and operators: `hyper` over `smol`.
+
+mod body;
+mod client;
+mod server;
+mod tap;
+
+pub use self::{
+    body::{Body, Broken, Incomplete, channel, collect, empty, full},
+    client::{Failure, open},
+    server::{Limits, serve},
+};
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,74 @@
+use std::{convert::Infallible, fmt};
+
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::BoxBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use smol::channel::Receiver;
+
+/// A body that this program sends.
+pub type Body = BoxBody<Bytes, Broken>;
+
+/// The sender of a body failed before its end; the connection is cut so that the receiver sees
+/// that the body is not whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body ended before it was whole; ask again")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl From<Infallible> for Broken {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// A body without bytes.
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// A body that is known whole.
+///
+/// ```
+/// use http_body_util::BodyExt;
+/// use pomelogate::http;
+///
+/// let body = smol::block_on(http::full("pong").collect()).unwrap();
+/// assert_eq!(body.to_bytes(), "pong");
+/// ```
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(Broken::from).boxed()
+}
+
+/// A body whose pieces come through a channel; a closed channel ends it.
+pub fn channel(pieces: Receiver<Result<Bytes, Broken>>) -> Body {
+    let frames = pieces.map(|piece| piece.map(Frame::data));
+    BodyExt::boxed(StreamBody::new(frames))
+}
+
+/// Why a body could not be read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Incomplete {
+    /// It is larger than the limit.
+    TooLarge,
+    /// It ended before it was whole.
+    Broken,
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Where the body is larger, or ends before it is whole.
+pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes, Incomplete> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(cause) if cause.is::<http_body_util::LengthLimitError>() => Err(Incomplete::TooLarge),
+        Err(_) => Err(Incomplete::Broken),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod disk;
 pub mod event;
 pub mod figure;
+pub mod http;
 pub mod id;
 pub mod limit;
 pub mod link;
--- /dev/null
+++ b/src/list/book.rs
@@ -0,0 +1,97 @@
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::{Allowance, Plan};
+use crate::id;
+
+/// One version of one list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct List<T> {
+    /// The version; zero before any list was accepted.
+    pub version: u64,
+    /// The entries.
+    pub entries: Vec<T>,
+}
+
+impl<T> Default for List<T> {
+    fn default() -> Self {
+        Self { version: 0, entries: Vec::new() }
+    }
+}
+
+/// Both lists at one moment. A request is decided under one book from end to end.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    plans: List<Plan>,
+    allowances: List<Allowance>,
+    keys: HashMap<String, usize>,
+}
+
+impl Book {
+    /// Creates a book from the two lists.
+    pub fn new(plans: List<Plan>, allowances: List<Allowance>) -> Self {
+        let keys = plans
+            .entries
+            .iter()
+            .enumerate()
+            .flat_map(|(place, plan)| plan.keys.iter().map(move |key| (key.clone(), place)))
+            .collect();
+        Self { plans, allowances, keys }
+    }
+
+    /// The list of plans.
+    pub fn plans(&self) -> &List<Plan> {
+        &self.plans
+    }
+
+    /// The list of allowances.
+    pub fn allowances(&self) -> &List<Allowance> {
+        &self.allowances
+    }
+
+    /// The plan of the customer who holds `key`.
+    ///
+    /// ```
+    /// use pomelogate::list::{Book, List, Plan, digest};
+    ///
+    /// let plan = Plan {
+    ///     customer: "crew".into(),
+    ///     plan: "gold".into(),
+    ///     home: "jakarta".into(),
+    ///     scheme: None,
+    ///     keys: vec![digest("secret")],
+    /// };
+    /// let book = Book::new(List { version: 1, entries: vec![plan] }, List::default());
+    /// assert!(book.holder("secret").is_some());
+    /// assert!(book.holder("guess").is_none());
+    /// ```
+    pub fn holder(&self, key: &str) -> Option<&Plan> {
+        let digest = digest(key);
+        let (known, place) = self.keys.get_key_value(&digest)?;
+        let same = known.as_bytes().ct_eq(digest.as_bytes());
+        bool::from(same).then(|| &self.plans.entries[*place])
+    }
+
+    /// The plan of `customer`.
+    pub fn plan(&self, customer: &id::Customer) -> Option<&Plan> {
+        self.plans.entries.iter().find(|plan| plan.customer == *customer)
+    }
+
+    /// What `plan` may use.
+    pub fn allowance(&self, plan: &id::Plan) -> Option<&Allowance> {
+        self.allowances.entries.iter().find(|allowance| allowance.plan == *plan)
+    }
+}
+
+/// The SHA-256 digest of a key, in hexadecimal: what the lists and settings hold of it.
+///
+/// ```
+/// assert!(pomelogate::list::digest("secret").starts_with("2bb80d537b1da3e3"));
+/// ```
+pub fn digest(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/src/path/allow.rs
@@ -0,0 +1,56 @@
+use super::{Request, Resolved};
+use crate::{
+    list::{Allowance, Grant},
+    outcome::{Reason, Refusal},
+    target::Need,
+};
+
+/// The fourth stage: the plan allows what the request needs.
+#[derive(Debug)]
+pub struct Allowed {
+    /// The request, resolved.
+    pub resolved: Resolved,
+}
+
+impl Request<Resolved> {
+    /// Checks the request against its plan's allowance.
+    ///
+    /// # Errors
+    ///
+    /// Where the plan does not allow the model, version, adapter or service.
+    pub fn allow(self) -> Result<Request<Allowed>, Refusal> {
+        let Resolved { plan, allowance, need, idempotent, key, .. } = &self.stage;
+        if !permits(allowance, need) {
+            return Err(Refusal::new(
+                Reason::NotAllowed,
+                format!("plan `{}` does not allow {need}", plan.plan),
+                "ask the operator to add it to the list of allowances",
+            ));
+        }
+        if !idempotent && key.is_none() {
+            return Err(Refusal::new(
+                Reason::KeyRequired,
+                "the call may not be repeated, and it has no idempotency key",
+                "send the header `Idempotency-Key` with a text unique to this call",
+            ));
+        }
+        let (request, resolved) = self.split();
+        Ok(request.at(Allowed { resolved }))
+    }
+}
+
+fn permits(allowance: &Allowance, need: &Need) -> bool {
+    match need {
+        Need::Service { service } => allowance.services.contains(service),
+        Need::Model { .. } => allowance.models.iter().any(|grant| covers(grant, need)),
+    }
+}
+
+fn covers(grant: &Grant, need: &Need) -> bool {
+    let Need::Model { model, version, adapter } = need else { return false };
+    grant.model == *model
+        && version
+            .as_ref()
+            .is_none_or(|version| grant.versions.is_empty() || grant.versions.contains(version))
+        && adapter.as_ref().is_none_or(|adapter| grant.adapters.contains(adapter))
+}
--- /dev/null
+++ b/src/settings/vm.rs
@@ -0,0 +1,101 @@
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Error, Peer};
+use crate::id;
+
+/// The settings of one VM.
+///
+/// ```
+/// use pomelogate::{id, settings::Settings};
+///
+/// let settings = Settings { vm: id::Vm::from("jakarta-1"), ..Settings::default() };
+/// assert_eq!(settings.region.as_str(), "local");
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// This VM.
+    pub vm: id::Vm,
+    /// Its region.
+    pub region: id::Region,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where it takes callers, targets and operators, over HTTP.
+    pub callers: SocketAddr,
+    /// Where it takes links from other VMs.
+    pub links: SocketAddr,
+    /// The VMs to ask for all others; their own entries may stand among them.
+    pub peers: Vec<Peer>,
+    /// The catalogue of names.
+    pub names: Option<PathBuf>,
+    /// The plans to begin with, where no accepted list is known.
+    pub plans: Option<PathBuf>,
+    /// The allowances to begin with, where no accepted list is known.
+    pub allowances: Option<PathBuf>,
+    /// The data folder, on VMs that have a disk.
+    pub data: Option<PathBuf>,
+    /// The VMs that hold the lists, when the deployment first starts.
+    pub replicas: Vec<id::Vm>,
+    /// SHA-256 digests of the operators' keys, in hexadecimal.
+    pub operators: Vec<String>,
+    /// The largest body of a request, in bytes.
+    pub body_limit: usize,
+    /// Milliseconds until a request's deadline where the caller names none.
+    pub deadline_ms: u64,
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Where the file cannot be read or is not valid.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).map_err(|cause| Error::read(path, &cause))?;
+        serde_json::from_str(&text).map_err(|cause| Error::parse(path, &cause))
+    }
+
+    /// The time until a request's deadline where the caller names none.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// This VM, as others reach it.
+    pub fn this(&self) -> Peer {
+        Peer {
+            vm: self.vm.clone(),
+            region: self.region.clone(),
+            zone: self.zone.clone(),
+            callers: self.callers,
+            links: self.links,
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            vm: id::Vm::from("local-1"),
+            region: id::Region::from("local"),
+            zone: id::Zone::from("local-a"),
+            callers: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            links: SocketAddr::from(([127, 0, 0, 1], 9080)),
+            peers: Vec::new(),
+            names: None,
+            plans: None,
+            allowances: None,
+            data: None,
+            replicas: Vec::new(),
+            operators: Vec::new(),
+            body_limit: 8 * 1024 * 1024,
+            deadline_ms: 120_000,
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,86 @@
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use hyper::{Request, Response, body::Incoming};
+use smol::{Task, Timer, net::TcpListener};
+
+use crate::http::{self, Body, Limits};
+
+const BODY_LIMIT: usize = 1024 * 1024;
+
+/// A stand-in of a plain service: notes each call that it runs, and echoes its body.
+#[derive(Debug)]
+pub struct Service {
+    address: SocketAddr,
+    calls: Arc<Mutex<Vec<Call>>>,
+    _task: Task<()>,
+}
+
+/// A call that a stand-in service ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The HTTP method.
+    pub method: String,
+    /// The HTTP path and query.
+    pub path: String,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// The body.
+    pub body: String,
+}
+
+impl Service {
+    /// Starts a service on a free port; each call takes `delay`.
+    ///
+    /// # Errors
+    ///
+    /// Where no port can be taken.
+    pub async fn start(delay: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let calls = Arc::<Mutex<Vec<Call>>>::default();
+        let noted = Arc::clone(&calls);
+        let task = smol::spawn(async move {
+            let handler = move |request| run(request, Arc::clone(&noted), delay);
+            let _ = http::serve(listener, Limits::default(), handler).await;
+        });
+        Ok(Self { address, calls, _task: task })
+    }
+
+    /// Where the service takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The calls that ran, in order.
+    pub fn calls(&self) -> Vec<Call> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+async fn run(
+    request: Request<Incoming>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    delay: Duration,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let body = http::collect(body, BODY_LIMIT).await.unwrap_or_default();
+    let call = Call {
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        key: head
+            .headers
+            .get("idempotency-key")
+            .and_then(|value| value.to_str().ok())
+            .map(ToOwned::to_owned),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    let answer = format!("{} {} {}", call.method, call.path, call.body);
+    calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+    Timer::after(delay).await;
+    Response::new(http::full(answer))
+}
--- a/src/target.rs
+++ b/src/target.rs
@@ -2,6 +2,8 @@
 
 mod announcement;
 mod load;
+mod need;
 mod offer;
+mod view;
 
-pub use self::{announcement::Announcement, load::Load, offer::Offer};
+pub use self::{announcement::Announcement, load::Load, need::Need, offer::Offer, view::View};
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -1,1 +1,13 @@
 //! The shell of one VM: sockets and tasks around the decisions.
+
+mod directory;
+mod handover;
+mod inbound;
+mod node;
+mod routes;
+mod serve;
+
+pub use self::{
+    directory::{Directory, Entry},
+    node::{Error, Running, Vm},
+};
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,9 @@
 mod topic;
 
 pub use self::{
-    body::{Abort, Body, Call, Chunk, End, Handover, Head, Heartbeat, Hello, Notice, Pair, Reply},
+    body::{
+        Abort, Body, Call, Chunk, End, Handover, Head, Heartbeat, Hello, Need, Notice, Pair, Reply,
+    },
     frame::Frame,
     topic::Topic,
 };
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -20,7 +20,7 @@
     Reply(Reply),
     /// A caller's request, handed to another VM.
     #[prost(message, tag = "7")]
-    Handover(Handover),
+    Handover(Box<Handover>),
     /// The head of the answer to a request.
     #[prost(message, tag = "8")]
     Head(Head),
@@ -125,6 +125,35 @@
     /// The version of the allowances under which the first VM decided.
     #[prost(uint64, tag = "11")]
     pub allowances: u64,
+    /// What the request needs of a target, in canonical names.
+    #[prost(message, optional, tag = "12")]
+    pub need: Option<Need>,
+    /// The path at the target.
+    #[prost(string, tag = "13")]
+    pub target_path: String,
+    /// The idempotency key; empty where there is none.
+    #[prost(string, tag = "14")]
+    pub key: String,
+    /// Whether the request is of the class that may wait.
+    #[prost(bool, tag = "15")]
+    pub batch: bool,
+}
+
+/// What a request needs of a target; an empty text stands for none.
+#[derive(Clone, PartialEq, Message)]
+pub struct Need {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version of the model.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// The adapter of the model.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// The plain service.
+    #[prost(string, tag = "4")]
+    pub service: String,
 }
 
 /// The head of the answer to a request.
