--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,10 +2,14 @@
 
 use std::{
     fmt::Debug,
+    pin::pin,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant, SystemTime},
 };
 
+use futures_util::future::{Either, select};
+use smol::Timer;
+
 /// A source of time.
 pub trait Clock: Debug + Send + Sync {
     /// The monotonic time.
@@ -29,6 +33,22 @@
     }
 }
 
+/// Waits for `work`, at most for `limit`; nothing where the time ran out.
+///
+/// ```
+/// use std::time::Duration;
+/// use pomelogate::clock::within;
+///
+/// let done = smol::block_on(within(Duration::from_secs(1), async { 7 }));
+/// assert_eq!(done, Some(7));
+/// ```
+pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    match select(pin!(work), Timer::after(limit)).await {
+        Either::Left((done, _)) => Some(done),
+        Either::Right(_) => None,
+    }
+}
+
 /// A clock that moves only when told to.
 ///
 /// ```
--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -6,6 +6,8 @@
 pub const STARTED: Event = Event { number: 500, severity: Severity::Info, text: "started" };
 /// The VM has stopped.
 pub const STOPPED: Event = Event { number: 501, severity: Severity::Info, text: "stopped" };
+/// The VM takes no new request and waits for those in flight.
+pub const STOPPING: Event = Event { number: 504, severity: Severity::Info, text: "stopping" };
 /// A request ended.
 pub const REQUEST: Event = Event { number: 502, severity: Severity::Info, text: "request ended" };
 /// A target announced itself for the first time.
@@ -13,4 +15,4 @@
     Event { number: 503, severity: Severity::Info, text: "target announced itself" };
 
 /// Every event of this part.
-pub const ALL: &[Event] = &[STARTED, STOPPED, REQUEST, TARGET];
+pub const ALL: &[Event] = &[STARTED, STOPPED, REQUEST, TARGET, STOPPING];
--- a/src/http.rs
+++ b/src/http.rs
@@ -8,5 +8,5 @@
 pub use self::{
     body::{Body, Broken, Incomplete, channel, collect, empty, full},
     client::{Failure, open},
-    server::{Limits, serve},
+    server::{Limits, Stop, Stopped, serve},
 };
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,14 +1,20 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use futures_util::future::{Either, select};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use smol::{Task, Timer, net::TcpStream};
+use smol::{Task, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
+use socket2::{SockRef, TcpKeepalive};
 
 use super::{
     Body,
     tap::{Tap, Written},
 };
+use crate::clock::within;
+
+/// How long sent bytes may stay unacknowledged, and how long a silent peer may leave probes
+/// unanswered, before the connection counts as lost.
+const SILENCE: Duration = Duration::from_secs(3);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a request over HTTP got no head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,24 +58,33 @@
     let driver = smol::spawn(async move {
         let _ = connection.await;
     });
-    match select(std::pin::pin!(sender.send_request(request)), Timer::after(first_byte)).await {
-        Either::Left((Ok(response), _)) => Ok((response, driver)),
-        Either::Left((Err(cause), _)) => Err(failure(&written, &cause.to_string())),
-        Either::Right(_) => Err(failure(&written, "no first byte in time")),
+    match within(first_byte, sender.send_request(request)).await {
+        Some(Ok(response)) => Ok((response, driver)),
+        Some(Err(cause)) => Err(failure(&written, &cause.to_string())),
+        None => Err(failure(&written, "no first byte in time")),
     }
 }
 
 async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream, Failure> {
-    match select(std::pin::pin!(TcpStream::connect(address)), Timer::after(limit)).await {
-        Either::Left((Ok(stream), _)) => {
-            let _ = stream.set_nodelay(true);
+    match within(limit, TcpStream::connect(address)).await {
+        Some(Ok(stream)) => {
+            let _ = watch(&stream);
             Ok(stream)
         }
-        Either::Left((Err(cause), _)) => Err(Failure::NotSent(format!("{address}: {cause}"))),
-        Either::Right(_) => Err(Failure::NotSent(format!("{address}: no connection in time"))),
+        Some(Err(cause)) => Err(Failure::NotSent(format!("{address}: {cause}"))),
+        None => Err(Failure::NotSent(format!("{address}: no connection in time"))),
     }
 }
 
+/// Has the operating system end the connection when the other side falls silent.
+fn watch(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))
+}
+
 fn failure(written: &Written, cause: &str) -> Failure {
     if written.get() {
         Failure::Unknown(cause.to_owned())
--- a/src/outcome/refusal.rs
+++ b/src/outcome/refusal.rs
@@ -13,6 +13,8 @@
     pub remedy: String,
     /// How long to wait before trying again, where that may help.
     pub retry_after: Option<Duration>,
+    /// Where the caller should send the same request, where another VM has to take it.
+    pub location: Option<String>,
 }
 
 impl Refusal {
@@ -25,10 +27,23 @@
     /// assert_eq!(refusal.to_string(), "no engine serves `plum`; try again later");
     /// ```
     pub fn new(reason: Reason, detail: impl Into<String>, remedy: impl Into<String>) -> Self {
-        Self { reason, detail: detail.into(), remedy: remedy.into(), retry_after: None }
+        Self {
+            reason,
+            detail: detail.into(),
+            remedy: remedy.into(),
+            retry_after: None,
+            location: None,
+        }
+    }
+
+    /// The same refusal with the place to send the request to.
+    #[must_use]
+    pub fn location(self, location: String) -> Self {
+        Self { location: Some(location), ..self }
     }
 
     /// The same refusal with advice to wait for `delay`.
+    #[must_use]
     pub fn retry_after(self, delay: Duration) -> Self {
         Self { retry_after: Some(delay), ..self }
     }
--- /dev/null
+++ b/src/path/attempts.rs
@@ -0,0 +1,104 @@
+use std::{collections::BTreeSet, ops::ControlFlow};
+
+use super::Answer;
+use crate::{
+    id,
+    outcome::{Outcome, Reason, Refusal},
+};
+
+/// The attempts at one request: what was tried, and what may still be said of the request.
+///
+/// Once an attempt may have run, the request is never again said not to have run.
+///
+/// ```
+/// use std::ops::ControlFlow;
+/// use pomelogate::{outcome::{Outcome, Reason, Refusal}, path::Attempts};
+///
+/// let mut attempts = Attempts::new(true, 3);
+/// let lost = attempts.note(Outcome::Unknown("the target closed the connection".to_owned()));
+/// assert!(matches!(lost, ControlFlow::Continue(())));
+/// let refusal = Refusal::new(Reason::NoTarget, "no target is left", "try again later");
+/// assert!(matches!(attempts.end(refusal), Outcome::Unknown(_)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    idempotent: bool,
+    left: u32,
+    targets: BTreeSet<id::Target>,
+    vms: BTreeSet<id::Vm>,
+    refusal: Option<Refusal>,
+    doubt: Option<String>,
+}
+
+impl Attempts {
+    /// Begins with no attempt made and `limit` permitted.
+    pub fn new(idempotent: bool, limit: u32) -> Self {
+        Self {
+            idempotent,
+            left: limit,
+            targets: BTreeSet::new(),
+            vms: BTreeSet::new(),
+            refusal: None,
+            doubt: None,
+        }
+    }
+
+    /// Whether another attempt may be made.
+    pub fn may_try(&self) -> bool {
+        self.left > 0
+    }
+
+    /// Notes that `target` is tried.
+    pub fn target(&mut self, target: &id::Target) {
+        self.left = self.left.saturating_sub(1);
+        self.targets.insert(target.clone());
+    }
+
+    /// Notes that `vm` is tried.
+    pub fn vm(&mut self, vm: &id::Vm) {
+        self.left = self.left.saturating_sub(1);
+        self.vms.insert(vm.clone());
+    }
+
+    /// The targets tried.
+    pub fn targets(&self) -> &BTreeSet<id::Target> {
+        &self.targets
+    }
+
+    /// The VMs tried.
+    pub fn vms(&self) -> &BTreeSet<id::Vm> {
+        &self.vms
+    }
+
+    /// Notes the outcome of an attempt: breaks with the request's outcome, or asks for another.
+    pub fn note(&mut self, outcome: Outcome<Answer>) -> ControlFlow<Outcome<Answer>> {
+        match outcome {
+            Outcome::Answered(answer) => ControlFlow::Break(Outcome::Answered(answer)),
+            Outcome::Unknown(cause) if self.idempotent => {
+                self.doubt = Some(cause);
+                ControlFlow::Continue(())
+            }
+            Outcome::Unknown(cause) => ControlFlow::Break(Outcome::Unknown(cause)),
+            Outcome::Refused(refusal) if helps_elsewhere(refusal.reason) => {
+                self.refusal = Some(refusal);
+                ControlFlow::Continue(())
+            }
+            Outcome::Refused(refusal) => ControlFlow::Break(self.clone().end(refusal)),
+        }
+    }
+
+    /// The outcome of the request when no other attempt is made; `fallback` says why where no
+    /// attempt was.
+    pub fn end(self, fallback: Refusal) -> Outcome<Answer> {
+        match (self.doubt, self.refusal) {
+            (Some(cause), _) => Outcome::Unknown(cause),
+            (None, Some(refusal)) => Outcome::Refused(refusal),
+            (None, None) => Outcome::Refused(fallback),
+        }
+    }
+}
+
+/// Whether another target or VM may take what one refused for this reason.
+fn helps_elsewhere(reason: Reason) -> bool {
+    matches!(reason, Reason::NoTarget | Reason::Stopping | Reason::Overloaded | Reason::WrongRegion)
+}
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -1,26 +1,23 @@
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use http_body_util::BodyStream;
 use hyper::{
-    HeaderMap, Response,
-    body::{Body as _, Bytes, Incoming},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
+    HeaderMap, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::HOST,
 };
 use smol::{Task, channel::Sender};
 
-use super::{Admitted, Answer, Part, Request, header};
+use super::{Admitted, Answer, Part, Request, header, source::Source};
 use crate::{
+    clock::within,
     http::{self, Failure},
     outcome::{Outcome, Reason, Refusal},
     target::Announcement,
     wire::{Head, Pair},
 };
 
-const STREAM: &str = "text/event-stream";
-const STREAM_END: &[u8] = b"data: [DONE]";
-const HOP_BY_HOP: [&str; 6] =
-    ["connection", "keep-alive", "transfer-encoding", "upgrade", "te", "trailer"];
+const HOP_BY_HOP: [&str; 7] =
+    ["connection", "keep-alive", "transfer-encoding", "upgrade", "te", "trailer", header::RESUME];
 
 /// Limits on an exchange with a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,34 +26,52 @@
     pub connect: Duration,
     /// How long the first byte of the answer may take.
     pub first_byte: Duration,
+    /// How long the answer may pause.
+    pub idle: Duration,
+    /// How often a stream may be resumed.
+    pub resumptions: u32,
+    /// The bytes of an answer that is no stream which are read before the caller sees any of it,
+    /// so that an answer cut short can still be had from another target.
+    pub buffer: usize,
     /// The pieces of an answer that may wait for a slow caller.
     pub window: usize,
 }
 
 impl Default for Dispatch {
     fn default() -> Self {
-        Self { connect: Duration::from_secs(1), first_byte: Duration::from_secs(60), window: 32 }
+        Self {
+            connect: Duration::from_secs(1),
+            first_byte: Duration::from_secs(60),
+            idle: Duration::from_secs(10),
+            resumptions: 3,
+            buffer: 1024 * 1024,
+            window: 32,
+        }
     }
 }
 
-/// Sends an admitted request to `target` and gives its answer as it comes.
+/// Sends an admitted request to `target` within `left`, and gives its answer once the first piece
+/// of a stream, or the whole of a small answer, has come.
+///
+/// Only a request of which no byte was written is given as refused.
 pub async fn dispatch(
     request: &Request<Admitted>,
     target: &Announcement,
     limits: Dispatch,
+    left: Duration,
 ) -> Outcome<Answer> {
     let message = match message(request, target) {
         Ok(message) => message,
         Err(cause) => return Outcome::Refused(malformed(&cause.to_string())),
     };
-    match http::open(target.address, message, limits.connect, limits.first_byte).await {
+    let first_byte = limits.first_byte.min(left);
+    match http::open(target.address, message, limits.connect, first_byte).await {
         Ok((response, driver)) => {
-            Outcome::Answered(answer(request, target, response, driver, limits))
+            let answer = settle(request, target, response, driver, limits);
+            within(left, answer).await.unwrap_or_else(|| Outcome::Unknown(late(target)))
         }
         Err(Failure::NotSent(cause)) => Outcome::Refused(unreachable_target(target, &cause)),
-        Err(Failure::Unknown(cause)) => {
-            Outcome::Unknown(format!("target `{}`: {cause}", target.target))
-        }
+        Err(Failure::Unknown(cause)) => Outcome::Unknown(doubt(target, &cause)),
     }
 }
 
@@ -76,93 +91,63 @@
     message.body(http::full(resolved.body.clone()))
 }
 
-fn answer(
+async fn settle(
     request: &Request<Admitted>,
     target: &Announcement,
     response: Response<Incoming>,
     driver: Task<()>,
     limits: Dispatch,
-) -> Answer {
-    let (head, body) = response.into_parts();
-    let (sender, parts) = smol::channel::bounded(limits.window);
-    let framing = Framing::of(&head.headers, &body);
-    smol::spawn(forward(body, framing, driver, sender)).detach();
+) -> Outcome<Answer> {
+    let status = response.status();
+    if request.stage.resolved.idempotent && is_overload(status) {
+        return Outcome::Unknown(doubt(target, &format!("it answered {status}")));
+    }
+    let head = Head { status: u32::from(status.as_u16()), headers: pairs(response.headers()) };
+    let mut source = Source::new(target.address, response, driver, limits);
+    let mut pieces = Vec::new();
+    let mut size = 0;
+    let whole = loop {
+        match source.next().await {
+            Part::Chunk(bytes) => {
+                size += bytes.len();
+                pieces.push(bytes);
+                if source.is_stream() || size > limits.buffer {
+                    break false;
+                }
+            }
+            Part::End => break true,
+            Part::Abort(cause) => return Outcome::Unknown(doubt(target, &cause)),
+        }
+    };
+    let (sender, body) = smol::channel::bounded(limits.window);
+    smol::spawn(forward(pieces, whole, source, sender)).detach();
     let mut way: Vec<String> = request.way.iter().map(ToString::to_string).collect();
     way.push(target.target.to_string());
-    let head = Head { status: u32::from(head.status.as_u16()), headers: pairs(&head.headers) };
-    Answer { head, body: parts, way }
+    Outcome::Answered(Answer { head, body, way })
 }
 
-/// How the end of a whole body is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// By HTTP: a length, or the last chunk.
-    Http,
-    /// By the last event of a stream.
-    Stream,
-    /// Not at all: the body ends where the connection does.
-    Close,
-}
-
-impl Framing {
-    fn of(headers: &HeaderMap, body: &Incoming) -> Self {
-        let stream = headers
-            .get(CONTENT_TYPE)
-            .is_some_and(|value| value.as_bytes().starts_with(STREAM.as_bytes()));
-        let framed = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || body.is_end_stream();
-        match (stream, framed) {
-            (true, _) => Self::Stream,
-            (false, true) => Self::Http,
-            (false, false) => Self::Close,
+/// Passes the body on; ends early when nobody takes it any more.
+async fn forward(pieces: Vec<Bytes>, whole: bool, mut source: Source, parts: Sender<Part>) {
+    for bytes in pieces {
+        if parts.send(Part::Chunk(bytes)).await.is_err() {
+            return;
         }
     }
-}
-
-/// Reads the body of an answer into `parts`; ends early when nobody takes them any more, and
-/// then closes the connection, which tells the target to stop.
-async fn forward(body: Incoming, framing: Framing, driver: Task<()>, parts: Sender<Part>) {
-    let mut frames = BodyStream::new(body);
-    let mut tail = Tail::default();
-    while let Some(frame) = frames.next().await {
-        let Ok(frame) = frame else {
-            let _ = parts.send(Part::Abort("the target cut its answer short".to_owned())).await;
-            return;
-        };
-        let Ok(bytes) = frame.into_data() else { continue };
-        tail.push(&bytes);
-        if parts.send(Part::Chunk(bytes)).await.is_err() {
+    if whole {
+        let _ = parts.send(Part::End).await;
+        return;
+    }
+    loop {
+        let part = source.next().await;
+        let last = !matches!(part, Part::Chunk(_));
+        if parts.send(part).await.is_err() || last {
             return;
         }
     }
-    let whole = match framing {
-        Framing::Http => true,
-        Framing::Stream => tail.ended(),
-        Framing::Close => false,
-    };
-    let last =
-        if whole { Part::End } else { Part::Abort("the target's answer has no end".to_owned()) };
-    let _ = parts.send(last).await;
-    drop(driver);
 }
 
-/// The last bytes of a stream, enough to tell whether its last event is the end.
-#[derive(Debug, Default)]
-struct Tail(Vec<u8>);
-
-impl Tail {
-    const LENGTH: usize = STREAM_END.len() + 4;
-
-    fn push(&mut self, bytes: &Bytes) {
-        self.0.extend_from_slice(&bytes[bytes.len().saturating_sub(Self::LENGTH)..]);
-        let surplus = self.0.len().saturating_sub(Self::LENGTH);
-        self.0.drain(..surplus);
-    }
-
-    fn ended(&self) -> bool {
-        self.0.trim_ascii_end().ends_with(STREAM_END)
-    }
+fn is_overload(status: StatusCode) -> bool {
+    matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
 }
 
 fn pairs(headers: &HeaderMap) -> Vec<Pair> {
@@ -176,6 +161,14 @@
         .collect()
 }
 
+fn doubt(target: &Announcement, cause: &str) -> String {
+    format!("target `{}`: {cause}", target.target)
+}
+
+fn late(target: &Announcement) -> String {
+    doubt(target, "no answer before the deadline")
+}
+
 fn malformed(cause: &str) -> Refusal {
     Refusal::new(
         Reason::Malformed,
--- a/src/path/header.rs
+++ b/src/path/header.rs
@@ -16,6 +16,11 @@
 pub const WAY: &str = "pomelogate-way";
 /// Says what became of the request: `answered`, `refused` or `unknown`.
 pub const OUTCOME: &str = "pomelogate-outcome";
+/// On a target's answer: the path under which the rest of a broken stream can be had, by `GET`
+/// with a `Range` in bytes, and by `DELETE` be given up.
+pub const RESUME: &str = "pomelogate-resume";
+/// The milliseconds after which the caller no longer wants the answer.
+pub const TIMEOUT_MS: &str = "pomelogate-timeout-ms";
 /// Names a call that must run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -1,10 +1,12 @@
+use std::time::Duration;
+
 use hyper::{
     Response, StatusCode,
     body::Bytes,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, LOCATION, RETRY_AFTER},
 };
 use serde::Serialize;
-use smol::channel::Sender;
+use smol::{Timer, channel::Sender};
 
 use super::{Answer, Part, header};
 use crate::{
@@ -14,6 +16,7 @@
 };
 
 const WINDOW: usize = 4;
+const FLUSH: Duration = Duration::from_millis(50);
 
 /// Turns an answer into a response to the caller.
 ///
@@ -57,6 +60,8 @@
         let problem = Problem::new("unknown", cause, "the answer is not whole; ask again");
         let event = format!("event: error\ndata: {}\n\n", problem.json());
         let _ = pieces.send(Ok(Bytes::from(event))).await;
+        // A connection is cut without flushing what it buffers, so the event goes out first.
+        Timer::after(FLUSH).await;
     }
     let _ = pieces.send(Err(Broken)).await;
 }
@@ -78,6 +83,9 @@
         let seconds = delay.as_secs().max(1).to_string();
         append(&mut response, RETRY_AFTER.as_str(), seconds.as_bytes());
     }
+    if let Some(location) = &refusal.location {
+        append(&mut response, LOCATION.as_str(), location.as_bytes());
+    }
     response
 }
 
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Error, Peer};
-use crate::id;
+use crate::{id, path::Dispatch};
 
 /// The settings of one VM.
 ///
@@ -67,6 +67,11 @@
         Duration::from_millis(self.deadline_ms)
     }
 
+    /// The limits on exchanges with targets.
+    pub fn dispatch(&self) -> Dispatch {
+        Dispatch::default()
+    }
+
     /// This VM, as others reach it.
     pub fn this(&self) -> Peer {
         Peer {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -3,13 +3,16 @@
 mod caller;
 mod deployment;
 mod engine;
+mod fault;
 mod reporter;
 mod service;
+mod stream;
 
 pub use self::{
     caller::{Caller, Reply},
     deployment::{deployment, free_address},
     engine::{Engine, Pace},
+    fault::Fault,
     reporter::Reporter,
     service::{Call, Service},
 };
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,28 +1,33 @@
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode,
     body::{Bytes, Incoming},
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RANGE},
 };
 use serde_json::{Value, json};
 use smol::{Task, Timer, channel::Sender, net::TcpListener};
 
+use super::{Fault, stream::Stream};
 use crate::{
-    http::{self, Body, Broken, Limits},
+    http::{self, Body, Broken, Limits, Stop},
     id,
+    path::RESUME,
     target::Load,
 };
 
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
+const STREAMS: &str = "/v1/streams/";
+const SLOTS: u32 = 16;
 
 /// How fast a stand-in engine answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +36,7 @@
     pub first: Duration,
     /// The time between tokens.
     pub between: Duration,
-    /// The tokens of an answer.
+    /// The tokens of an answer that is no stream.
     pub tokens: u32,
 }
 
@@ -56,9 +61,13 @@
 struct State {
     name: id::Target,
     pace: Pace,
+    fault: Fault,
+    crash: Sender<()>,
     running: AtomicU32,
+    started: AtomicU64,
     served: AtomicU64,
     cancelled: AtomicU64,
+    streams: Mutex<HashMap<String, Stream>>,
 }
 
 impl Engine {
@@ -68,19 +77,36 @@
     ///
     /// Where no port can be taken.
     pub async fn start(name: id::Target, pace: Pace) -> io::Result<Self> {
+        Self::faulty(name, pace, Fault::None).await
+    }
+
+    /// Starts an engine that misbehaves as `fault` says.
+    ///
+    /// # Errors
+    ///
+    /// Where no port can be taken.
+    pub async fn faulty(name: id::Target, pace: Pace, fault: Fault) -> io::Result<Self> {
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
+        let (crash, crashed) = smol::channel::bounded(1);
         let state = Arc::new(State {
             name,
             pace,
+            fault,
+            crash,
             running: AtomicU32::new(0),
+            started: AtomicU64::new(0),
             served: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
+            streams: Mutex::default(),
         });
         let shared = Arc::clone(&state);
         let task = smol::spawn(async move {
+            let (_stop, stopped) = Stop::new();
             let handler = move |request| Arc::clone(&shared).answer(request);
-            let _ = http::serve(listener, Limits::default(), handler).await;
+            let serve = http::serve(listener, Limits::default(), stopped, handler);
+            futures_util::future::select(std::pin::pin!(serve), std::pin::pin!(crashed.recv()))
+                .await;
         });
         Ok(Self { address, state, _task: task })
     }
@@ -90,16 +116,20 @@
         self.address
     }
 
-    /// The engine's load at this moment, and a way to read it later.
+    /// A way to read the engine's load at any time.
     pub fn load(&self) -> impl Fn() -> Load + Send + use<> {
         let state = Arc::clone(&self.state);
-        move || Load {
-            running: state.running.load(Ordering::Relaxed),
-            slots: 16,
-            ..Load::default()
+        move || {
+            let running = state.running.load(Ordering::Relaxed);
+            Load { running, slots: SLOTS, ..Load::default() }
         }
     }
 
+    /// The requests whose bodies the engine has read whole.
+    pub fn started(&self) -> u64 {
+        self.state.started.load(Ordering::Relaxed)
+    }
+
     /// The requests answered whole.
     pub fn served(&self) -> u64 {
         self.state.served.load(Ordering::Relaxed)
@@ -113,19 +143,38 @@
 
 impl State {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        if let Some(number) = request.uri().path().strip_prefix(STREAMS) {
+            return self.resume(request.method(), number, request.headers());
+        }
         let Ok(body) = http::collect(request.into_body(), BODY_LIMIT).await else {
             return problem(StatusCode::BAD_REQUEST, "the body is not whole");
         };
         let Ok(json) = serde_json::from_slice::<Value>(&body) else {
             return problem(StatusCode::BAD_REQUEST, "the body is not JSON");
         };
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
         let text = last_message(&json);
+        match &self.fault {
+            Fault::Silent => std::future::pending().await,
+            Fault::Overloaded => {
+                return problem(StatusCode::SERVICE_UNAVAILABLE, "the batch is full");
+            }
+            Fault::CrashOn(marker) if text.contains(marker.as_str()) => {
+                self.crash.close();
+                std::future::pending().await
+            }
+            _ => {}
+        }
         let model = json["model"].as_str().unwrap_or_default().to_owned();
         if json["stream"].as_bool().unwrap_or_default() {
-            return self.stream(model, &text);
+            self.stream(number, model, &text)
+        } else {
+            self.plain(&model, &text).await
         }
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let guard = Guard { state: Arc::clone(&self), whole: false };
+    }
+
+    async fn plain(self: Arc<Self>, model: &str, text: &str) -> Response<Body> {
+        let guard = Guard::new(&self);
         Timer::after(self.pace.first + self.pace.between * self.pace.tokens).await;
         guard.finish();
         let message = json!({ "role": "assistant", "content": text });
@@ -136,24 +185,34 @@
             "system_fingerprint": self.name.as_str(),
             "choices": [choice],
         });
-        respond("application/json", http::full(answer.to_string()))
+        let answer = answer.to_string();
+        if self.fault == Fault::Truncate {
+            return truncated(&answer);
+        }
+        respond("application/json", http::full(answer))
     }
 
-    fn stream(self: Arc<Self>, model: String, text: &str) -> Response<Body> {
-        let (sender, pieces) = smol::channel::bounded(1);
-        let words: Vec<String> = text.split_inclusive(' ').map(ToOwned::to_owned).collect();
-        smol::spawn(self.write(model, words, sender)).detach();
-        respond("text/event-stream", http::channel(pieces))
+    fn stream(self: Arc<Self>, number: u64, model: String, text: &str) -> Response<Body> {
+        let words = text.split_inclusive(' ').map(ToOwned::to_owned).collect();
+        let stream = Stream::default();
+        let (limit, resumable) = match self.fault {
+            Fault::CutStream { after } => (Some(after), true),
+            Fault::LoseStream { after } => (Some(after), false),
+            _ => (None, true),
+        };
+        let pieces = stream.read(0, limit, resumable);
+        let mut response = respond("text/event-stream", http::channel(pieces));
+        if resumable {
+            let path = HeaderValue::from_str(&format!("{STREAMS}{number}"));
+            response.headers_mut().extend(path.map(|path| (RESUME_NAME, path)));
+            self.streams().insert(number.to_string(), stream.clone());
+        }
+        smol::spawn(self.write(number, model, words, stream)).detach();
+        response
     }
 
-    async fn write(
-        self: Arc<Self>,
-        model: String,
-        words: Vec<String>,
-        pieces: Sender<Result<Bytes, Broken>>,
-    ) {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let guard = Guard { state: Arc::clone(&self), whole: false };
+    async fn write(self: Arc<Self>, number: u64, model: String, words: Vec<String>, to: Stream) {
+        let guard = Guard::new(&self);
         Timer::after(self.pace.first).await;
         for word in words {
             let choice = json!({ "index": 0, "delta": { "content": word } });
@@ -162,17 +221,43 @@
                 "model": model,
                 "choices": [choice],
             });
-            if pieces.send(Ok(Bytes::from(format!("data: {event}\n\n")))).await.is_err() {
+            if !to.push(Bytes::from(format!("data: {event}\n\n"))) {
+                self.streams().remove(&number.to_string());
                 return;
             }
             Timer::after(self.pace.between).await;
         }
-        if pieces.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await.is_ok() {
-            guard.finish();
+        to.push(Bytes::from_static(b"data: [DONE]\n\n"));
+        to.finish();
+        guard.finish();
+    }
+
+    fn resume(&self, method: &Method, number: &str, headers: &HeaderMap) -> Response<Body> {
+        let stream = self.streams().get(number).cloned();
+        let Some(stream) = stream else {
+            return problem(StatusCode::NOT_FOUND, "no such stream");
+        };
+        if method == Method::DELETE {
+            stream.cancel();
+            self.streams().remove(number);
+            return problem(StatusCode::NO_CONTENT, "");
         }
+        let Some(offset) = headers.get(RANGE).and_then(offset) else {
+            return problem(StatusCode::RANGE_NOT_SATISFIABLE, "name a range `bytes=N-`");
+        };
+        let body = http::channel(stream.read(offset, None, true));
+        let mut response = respond("text/event-stream", body);
+        *response.status_mut() = StatusCode::PARTIAL_CONTENT;
+        response
+    }
+
+    fn streams(&self) -> MutexGuard<'_, HashMap<String, Stream>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+const RESUME_NAME: hyper::header::HeaderName = hyper::header::HeaderName::from_static(RESUME);
+
 /// Counts a request as running until it ends, whole or not.
 struct Guard {
     state: Arc<State>,
@@ -180,6 +265,11 @@
 }
 
 impl Guard {
+    fn new(state: &Arc<State>) -> Self {
+        state.running.fetch_add(1, Ordering::Relaxed);
+        Self { state: Arc::clone(state), whole: false }
+    }
+
     fn finish(mut self) {
         self.whole = true;
     }
@@ -199,6 +289,20 @@
     last.and_then(|message| message["content"].as_str()).unwrap_or_default().to_owned()
 }
 
+fn offset(range: &HeaderValue) -> Option<usize> {
+    range.to_str().ok()?.strip_prefix("bytes=")?.strip_suffix('-')?.parse().ok()
+}
+
+fn truncated(answer: &str) -> Response<Body> {
+    let (sender, pieces) = smol::channel::bounded(2);
+    let half = Bytes::copy_from_slice(&answer.as_bytes()[..answer.len() / 2]);
+    let _ = sender.try_send(Ok(half));
+    let _ = sender.try_send(Err(Broken));
+    let mut response = respond("application/json", http::channel(pieces));
+    response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(answer.len()));
+    response
+}
+
 fn respond(kind: &'static str, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, body::Incoming};
 use smol::{Task, Timer, net::TcpListener};
 
-use crate::http::{self, Body, Limits};
+use crate::http::{self, Body, Limits, Stop};
 
 const BODY_LIMIT: usize = 1024 * 1024;
 
@@ -45,8 +45,9 @@
         let calls = Arc::<Mutex<Vec<Call>>>::default();
         let noted = Arc::clone(&calls);
         let task = smol::spawn(async move {
+            let (_stop, stopped) = Stop::new();
             let handler = move |request| run(request, Arc::clone(&noted), delay);
-            let _ = http::serve(listener, Limits::default(), handler).await;
+            let _ = http::serve(listener, Limits::default(), stopped, handler).await;
         });
         Ok(Self { address, calls, _task: task })
     }
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -1,10 +1,12 @@
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
+use futures_util::future::{Either, select};
 use hyper::{Method, body::Bytes};
 use smol::channel::Sender;
 
-use super::Vm;
+use super::{Vm, serve::stopping};
 use crate::{
+    clock::within,
     id,
     link::Exchange,
     outcome::{Outcome, Reason, Refusal},
@@ -22,49 +24,39 @@
 const WINDOW: usize = 32;
 
 impl Vm {
-    /// Hands the request to a VM of another permitted region; nothing where there is none.
+    /// Whether the request may still be handed to another region.
+    pub(super) fn may_hand_over(&self, request: &path::Request<Admitted>) -> bool {
+        request.between_regions < BETWEEN_REGIONS_LIMIT
+    }
+
+    /// Hands the request to `peer`, a VM of another permitted region.
     pub(super) async fn hand_over(
         &self,
         request: &path::Request<Admitted>,
-    ) -> Option<Outcome<Answer>> {
-        if request.between_regions >= BETWEEN_REGIONS_LIMIT {
-            return None;
-        }
-        let peer = self.elsewhere(request)?;
-        let message = self.handover(request);
+        peer: &Peer,
+        left: Duration,
+    ) -> Outcome<Answer> {
+        let message = self.handover(request, left);
         let body = request.stage.resolved.body.clone();
         let exchange = match self.hub.hand_over(peer.links, message).await {
             Ok(exchange) => exchange,
-            Err(cause) => return Some(Outcome::Refused(unreachable_vm(&peer, &cause.to_string()))),
+            Err(cause) => return Outcome::Refused(unreachable_vm(peer, &cause.to_string())),
         };
-        Some(ask(exchange, body).await)
-    }
-
-    fn elsewhere(&self, request: &path::Request<Admitted>) -> Option<Peer> {
-        let resolved = &request.stage.resolved;
-        let now = self.clock.now();
-        let region = self
-            .targets()
-            .capable(&resolved.need, now)
-            .map(|announcement| announcement.region.clone())
-            .find(|region| {
-                *region != self.settings.region && resolved.allowance.regions.contains(region)
-            })?;
-        self.others().find(|peer| peer.region == region).cloned()
+        let answer = within(left, ask(exchange, body)).await;
+        answer.unwrap_or_else(|| Outcome::Unknown("no answer before the deadline".to_owned()))
     }
 
-    fn handover(&self, request: &path::Request<Admitted>) -> Handover {
+    fn handover(&self, request: &path::Request<Admitted>, left: Duration) -> Handover {
         let resolved = &request.stage.resolved;
-        let left = request.left(self.clock.now()).as_millis();
         Handover {
             request: request.id.to_string(),
             customer: resolved.plan.customer.to_string(),
             method: request.method.to_string(),
             path: request.path.clone(),
             headers: resolved.headers.clone(),
-            between_regions: request.between_regions + 1,
-            within_region: 0,
-            deadline_ms: u64::try_from(left).unwrap_or(u64::MAX),
+            between_regions: request.between_regions,
+            within_region: request.within_region,
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             way: request.way.iter().map(ToString::to_string).collect(),
             plans: request.book.plans().version,
             allowances: request.book.allowances().version,
@@ -75,25 +67,30 @@
         }
     }
 
-    /// Serves a request that another VM handed over.
+    /// Serves a request that another VM handed over. The work stops when that VM gives it up.
     pub(super) async fn take_over(
         self: Arc<Self>,
         _from: id::Vm,
-        _region: id::Region,
+        region: id::Region,
         handover: Handover,
         mut exchange: Exchange,
     ) {
-        let outcome = match read_body(&mut exchange, self.settings.body_limit).await {
-            Some(body) => self.run(handover, body).await,
-            None => return,
+        let _busy = self.busy();
+        let limit = self.settings.body_limit;
+        let time = Duration::from_millis(handover.deadline_ms);
+        let Some(Some(body)) = within(time, read_body(&mut exchange, limit)).await else { return };
+        let work = pin!(self.run(&region, handover, body));
+        let outcome = match select(work, pin!(exchange.receive())).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) => return,
         };
         answer(exchange, outcome).await;
     }
 
-    async fn run(&self, handover: Handover, body: Bytes) -> Outcome<Answer> {
+    async fn run(&self, from: &id::Region, handover: Handover, body: Bytes) -> Outcome<Answer> {
         let allowed = self
-            .check(&handover)
-            .and_then(|()| self.restore(handover, body))
+            .check(from, handover)
+            .and_then(|handover| self.restore(handover, body))
             .and_then(path::Request::allow)
             .and_then(path::Request::admit);
         match allowed {
@@ -102,7 +99,17 @@
         }
     }
 
-    fn check(&self, handover: &Handover) -> Result<(), Refusal> {
+    /// Counts the hand-over that brought the request here, and refuses one too many.
+    fn check(&self, from: &id::Region, mut handover: Handover) -> Result<Handover, Refusal> {
+        if self.is_stopping() {
+            return Err(stopping());
+        }
+        if *from == self.settings.region {
+            handover.within_region += 1;
+        } else {
+            handover.between_regions += 1;
+            handover.within_region = 0;
+        }
         let circles = handover.way.iter().any(|vm| vm == self.settings.vm.as_str());
         if circles
             || handover.between_regions > BETWEEN_REGIONS_LIMIT
@@ -114,7 +121,7 @@
                 "try again; report it if it comes back",
             ));
         }
-        Ok(())
+        Ok(handover)
     }
 
     fn restore(&self, handover: Handover, body: Bytes) -> Result<path::Request<Resolved>, Refusal> {
@@ -122,6 +129,9 @@
         let customer = id::Customer::from(handover.customer);
         let plan = book.plan(&customer).cloned().ok_or_else(|| not_known(&customer))?;
         let allowance = book.allowance(&plan.plan).cloned().ok_or_else(|| not_known(&customer))?;
+        if !allowance.regions.contains(&self.settings.region) {
+            return Err(outside(&plan.plan, &self.settings.region));
+        }
         let need = handover.need.as_ref().and_then(decode).ok_or_else(malformed)?;
         let method: Method = handover.method.parse().map_err(|_| malformed())?;
         let idempotent = method.is_safe() || matches!(need, Need::Model { .. });
@@ -186,19 +196,24 @@
     if exchange.send(Body::Head(head)).await.is_err() {
         return;
     }
-    while let Ok(part) = answer.body.recv().await {
-        let sent = match part {
-            Part::Chunk(bytes) => exchange.send(Body::Chunk(Chunk { bytes })).await,
-            Part::End => {
-                let _ = exchange.send(Body::End(End {})).await;
-                exchange.finish();
-                return;
-            }
-            Part::Abort(cause) => exchange.send(Body::Abort(doubt(cause))).await,
+    loop {
+        let part = match select(pin!(answer.body.recv()), pin!(exchange.receive())).await {
+            Either::Left((Ok(part), _)) => part,
+            Either::Left((Err(_), _)) => Part::Abort("the answer was lost on its way".to_owned()),
+            Either::Right(_) => return,
         };
-        if sent.is_err() {
+        let last = !matches!(part, Part::Chunk(_));
+        let body = match part {
+            Part::Chunk(bytes) => Body::Chunk(Chunk { bytes }),
+            Part::End => Body::End(End {}),
+            Part::Abort(cause) => Body::Abort(doubt(cause)),
+        };
+        if exchange.send(body).await.is_err() {
             return;
         }
+        if last {
+            return exchange.finish();
+        }
     }
 }
 
@@ -322,6 +337,14 @@
     )
 }
 
+fn outside(plan: &id::Plan, region: &id::Region) -> Refusal {
+    Refusal::new(
+        Reason::WrongRegion,
+        format!("plan `{plan}` does not permit region `{region}`"),
+        "try again when the change is in force everywhere",
+    )
+}
+
 fn unreachable_vm(peer: &Peer, cause: &str) -> Refusal {
     Refusal::new(
         Reason::NoTarget,
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -1,4 +1,5 @@
 use std::{
+    convert::Infallible,
     fmt, fs, io,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -11,12 +12,16 @@
 };
 use serde::de::DeserializeOwned;
 use slog::Logger;
-use smol::{Task, channel::Receiver, net::TcpListener};
+use smol::{
+    Task,
+    channel::{Receiver, Sender},
+    net::TcpListener,
+};
 
 use crate::{
-    clock::Clock,
+    clock::{Clock, within},
     event,
-    http::{self, Limits},
+    http::{self, Limits, Stop, Stopped},
     id,
     link::{self, Hub, Inbound},
     list::{Book, List},
@@ -37,6 +42,8 @@
     pub(super) targets: Mutex<View>,
     book: Mutex<Arc<Book>>,
     random: Mutex<StdRng>,
+    stopped: Stopped,
+    busy: Mutex<Option<Sender<Infallible>>>,
 }
 
 /// A VM whose tasks run; dropping it stops them.
@@ -44,6 +51,9 @@
 pub struct Running {
     vm: Arc<Vm>,
     tasks: Vec<Task<()>>,
+    server: Task<()>,
+    stop: Stop,
+    idle: Receiver<Infallible>,
 }
 
 /// Why a VM cannot start.
@@ -101,6 +111,8 @@
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
         let hub = Hub::new(hello(&settings, random.random()), link::Settings::default(), sender);
+        let (stop, stopped) = Stop::new();
+        let (busy, idle) = smol::channel::bounded(1);
         let vm = Arc::new(Self {
             settings,
             clock,
@@ -109,29 +121,27 @@
             targets: Mutex::default(),
             book: Mutex::new(Arc::new(book)),
             random: Mutex::new(random),
+            stopped: stopped.clone(),
+            busy: Mutex::new(Some(busy)),
         });
         event::path::STARTED.emit(&vm.logger, &[("callers", &vm.settings.callers)]);
-        let tasks = vm.tasks(callers, links, inbound);
-        Ok(Running { vm, tasks })
+        let server = smol::spawn(Arc::clone(&vm).listen(callers, stopped));
+        let tasks = vm.tasks(links, inbound);
+        Ok(Running { vm, tasks, server, stop, idle })
+    }
+
+    async fn listen(self: Arc<Self>, callers: TcpListener, stopped: Stopped) {
+        let handler = move |request| Arc::clone(&self).route(request);
+        let _ = http::serve(callers, Limits::default(), stopped, handler).await;
     }
 
-    fn tasks(
-        self: &Arc<Self>,
-        callers: TcpListener,
-        links: TcpListener,
-        inbound: Receiver<Inbound>,
-    ) -> Vec<Task<()>> {
+    fn tasks(self: &Arc<Self>, links: TcpListener, inbound: Receiver<Inbound>) -> Vec<Task<()>> {
         let hub = Arc::clone(&self.hub);
         let accept = async move {
             let _ = hub.accept(links).await;
         };
-        let vm = Arc::clone(self);
-        let serve = async move {
-            let handler = move |request| Arc::clone(&vm).route(request);
-            let _ = http::serve(callers, Limits::default(), handler).await;
-        };
         let receive = Arc::clone(self).receive(inbound);
-        vec![smol::spawn(accept), smol::spawn(serve), smol::spawn(receive)]
+        vec![smol::spawn(accept), smol::spawn(receive)]
     }
 
     /// The lists in force at this moment.
@@ -144,6 +154,16 @@
         lock(&self.targets)
     }
 
+    /// Whether the VM was told to stop.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopped.is_stopped()
+    }
+
+    /// Counts as work in flight until dropped; nothing where the VM no longer waits for work.
+    pub(super) fn busy(&self) -> Option<Sender<Infallible>> {
+        lock(&self.busy).clone()
+    }
+
     /// A new identifier for a request.
     pub(super) fn request_id(&self) -> id::Request {
         let number: u64 = lock(&self.random).random();
@@ -162,18 +182,33 @@
         &self.vm
     }
 
-    /// Stops the VM's tasks.
+    /// Stops at once, as a failure would.
     pub async fn stop(self) {
+        self.server.cancel().await;
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+
+    /// Stops gracefully: takes no new request, lets those in flight end, at most for the time
+    /// that a request may take.
+    pub async fn drain(self) {
+        event::path::STOPPING.emit(&self.vm.logger, &[]);
+        self.stop.stop();
+        let limit = self.vm.settings.deadline();
+        let _ = within(limit, self.server).await;
+        drop(lock(&self.vm.busy).take());
+        let _ = within(limit, self.idle.recv()).await;
         for task in self.tasks {
             task.cancel().await;
         }
+        event::path::STOPPED.emit(&self.vm.logger, &[]);
     }
 
-    /// Runs until `signal` says to stop, then stops.
+    /// Runs until `signal` says to stop, then stops gracefully.
     pub async fn until(self, signal: impl Future<Output = ()>) {
         signal.await;
-        event::path::STOPPED.emit(&self.vm.logger, &[("vm", &self.vm.settings.vm)]);
-        self.stop().await;
+        self.drain().await;
     }
 }
 
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -1,21 +1,38 @@
-use std::sync::Arc;
+use std::{
+    fmt,
+    ops::ControlFlow,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::{Bytes, Incoming},
-    header::{HeaderValue, LOCATION},
 };
 
 use super::Vm;
 use crate::{
+    clock::within,
     event,
     http::{self, Body, Incomplete},
     id,
     outcome::{Outcome, Reason, Refusal},
-    path::{self, Admitted, Answer, Authenticated, Class, Dispatch, Received},
+    path::{self, Admitted, Answer, Attempts, Authenticated, Class, Received},
+    settings::Peer,
     target::Announcement,
 };
 
+/// Attempts at one request on one VM.
+const ATTEMPTS: u32 = 3;
+
+/// Where to send a request next.
+enum Choice {
+    /// To a target of this region.
+    Target(Announcement),
+    /// To a VM of another region.
+    Vm(Peer),
+}
+
 impl Vm {
     /// Serves a caller's request.
     pub(super) async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -41,6 +58,9 @@
         id: id::Request,
         request: Request<Incoming>,
     ) -> Result<path::Request<Admitted>, Refusal> {
+        if self.is_stopping() {
+            return Err(stopping());
+        }
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let received = path::Request {
@@ -49,21 +69,47 @@
             method: head.method,
             path,
             class: Class::default(),
-            deadline: self.clock.now() + self.settings.deadline(),
+            deadline: self.deadline(&head.headers)?,
             way: vec![self.settings.vm.clone()],
             between_regions: 0,
             within_region: 0,
             stage: Received { headers: head.headers },
         };
         let request = received.authenticate()?;
-        request.permit_region(&self.settings.region)?;
-        let body = self.read(body).await?;
+        request
+            .permit_region(&self.settings.region)
+            .map_err(|refusal| self.redirect(refusal, &request))?;
+        let body = self.read(body, request.left(self.clock.now())).await?;
         self.admit(request, body)
     }
 
-    async fn read(&self, body: Incoming) -> Result<Bytes, Refusal> {
+    fn deadline(&self, headers: &HeaderMap) -> Result<Instant, Refusal> {
+        let Some(value) = headers.get(path::TIMEOUT_MS) else {
+            return Ok(self.clock.now() + self.settings.deadline());
+        };
+        let timeout = value.to_str().ok().and_then(|text| text.parse().ok()).ok_or_else(|| {
+            Refusal::new(
+                Reason::Malformed,
+                format!("the header `{}` is no number", path::TIMEOUT_MS),
+                "give milliseconds, or leave it out",
+            )
+        })?;
+        Ok(self.clock.now() + Duration::from_millis(timeout).min(self.settings.deadline()))
+    }
+
+    /// Names a VM that stands in a permitted region, where one is known.
+    fn redirect(&self, refusal: Refusal, request: &path::Request<Authenticated>) -> Refusal {
+        let regions = &request.stage.allowance.regions;
+        match self.others().find(|peer| regions.contains(&peer.region)) {
+            Some(peer) => refusal.location(format!("http://{}{}", peer.callers, request.path)),
+            None => refusal,
+        }
+    }
+
+    async fn read(&self, body: Incoming, left: Duration) -> Result<Bytes, Refusal> {
         let limit = self.settings.body_limit;
-        http::collect(body, limit).await.map_err(|incomplete| match incomplete {
+        let read = within(left, http::collect(body, limit)).await.ok_or_else(late)?;
+        read.map_err(|incomplete| match incomplete {
             Incomplete::TooLarge => Refusal::new(
                 Reason::TooLarge,
                 format!("the body is larger than {limit} bytes"),
@@ -83,28 +129,54 @@
         request.resolve(body)?.allow()?.admit()
     }
 
-    /// Finds a target here or in another region, and gives its answer.
+    /// Finds a target here or in another region, and gives its answer; what failed is tried
+    /// elsewhere as long as that can do no harm.
     pub(super) async fn place(&self, request: path::Request<Admitted>) -> Outcome<Answer> {
-        let mut last = None;
-        for target in self.candidates(&request) {
-            match path::dispatch(&request, &target, Dispatch::default()).await {
-                Outcome::Refused(refusal) => last = Some(refusal),
-                outcome => return outcome,
+        let mut attempts = Attempts::new(request.stage.resolved.idempotent, ATTEMPTS);
+        while attempts.may_try() {
+            let left = request.left(self.clock.now());
+            if left.is_zero() {
+                return attempts.end(late());
+            }
+            let Some(choice) = self.choose(&request, &attempts) else { break };
+            let outcome = match choice {
+                Choice::Target(target) => {
+                    attempts.target(&target.target);
+                    path::dispatch(&request, &target, self.settings.dispatch(), left).await
+                }
+                Choice::Vm(peer) => {
+                    attempts.vm(&peer.vm);
+                    self.hand_over(&request, &peer, left).await
+                }
+            };
+            if let ControlFlow::Break(outcome) = attempts.note(outcome) {
+                return outcome;
             }
         }
-        match self.hand_over(&request).await {
-            Some(outcome) => outcome,
-            None => Outcome::Refused(last.unwrap_or_else(|| no_target(&request))),
-        }
+        attempts.end(no_target(&request))
     }
 
-    fn candidates(&self, request: &path::Request<Admitted>) -> Vec<Announcement> {
+    fn choose(&self, request: &path::Request<Admitted>, attempts: &Attempts) -> Option<Choice> {
+        let resolved = &request.stage.resolved;
         let now = self.clock.now();
-        self.targets()
-            .capable(&request.stage.resolved.need, now)
-            .filter(|announcement| announcement.region == self.settings.region)
-            .cloned()
-            .collect()
+        let targets = self.targets();
+        let (here, elsewhere): (Vec<_>, Vec<_>) = targets
+            .capable(&resolved.need, now)
+            .filter(|target| resolved.allowance.regions.contains(&target.region))
+            .partition(|target| target.region == self.settings.region);
+        let fresh = here.into_iter().filter(|target| !attempts.targets().contains(&target.target));
+        if let Some(target) = fresh.min_by_key(|target| target.load.running) {
+            return Some(Choice::Target(target.clone()));
+        }
+        if !self.may_hand_over(request) {
+            return None;
+        }
+        let regions: Vec<_> = elsewhere.into_iter().map(|target| &target.region).collect();
+        let peer = self
+            .others()
+            .filter(|peer| regions.contains(&&peer.region))
+            .find(|peer| !attempts.vms().contains(&peer.vm))?;
+        Some(Choice::Vm(peer.clone()))
     }
 }
 
@@ -114,12 +186,27 @@
         format!("no target in the permitted regions serves {}", request.stage.resolved.need),
         "try again later",
     )
+    .retry_after(Duration::from_secs(1))
+}
+
+fn late() -> Refusal {
+    Refusal::new(
+        Reason::DeadlinePassed,
+        "the deadline passed before the request was sent to a target",
+        "allow more time",
+    )
+}
+
+/// The refusal of a VM that is stopping.
+pub(super) fn stopping() -> Refusal {
+    Refusal::new(Reason::Stopping, "this VM is stopping", "use another VM that the directory names")
+        .retry_after(Duration::from_secs(1))
 }
 
 struct Word<'a>(&'a Outcome<Answer>);
 
-impl std::fmt::Display for Word<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for Word<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self.0 {
             Outcome::Answered(_) => "answered",
             Outcome::Refused(_) => "refused",
@@ -127,11 +214,3 @@
         })
     }
 }
-
-/// Names `address` as the place to send the same request to.
-#[allow(dead_code)]
-fn redirect(response: &mut Response<Body>, address: std::net::SocketAddr, path: &str) {
-    if let Ok(value) = HeaderValue::from_str(&format!("http://{address}{path}")) {
-        response.headers_mut().insert(LOCATION, value);
-    }
-}
--- a/tests/support/targets.rs
+++ b/tests/support/targets.rs
@@ -4,7 +4,7 @@
 
 use pomelogate::{
     id,
-    standin::{Engine, Pace, Reporter, Service},
+    standin::{Engine, Fault, Pace, Reporter, Service},
     target::{Announcement, Load, Offer},
 };
 
@@ -42,7 +42,19 @@
     vms: &[SocketAddr],
     pace: Pace,
 ) -> (Engine, Reporter) {
-    let engine = Engine::start(name.into(), pace).await.expect("the engine starts");
+    faulty(name, region, serves, vms, pace, Fault::None).await
+}
+
+/// Starts an engine that misbehaves and announces it to `vms`.
+pub async fn faulty(
+    name: &str,
+    region: &str,
+    serves: &str,
+    vms: &[SocketAddr],
+    pace: Pace,
+    fault: Fault,
+) -> (Engine, Reporter) {
+    let engine = Engine::faulty(name.into(), pace, fault).await.expect("the engine starts");
     let announcement = announcement(name, region, engine.address(), model(serves));
     let load = engine.load();
     let announce = move || Announcement { load: load(), ..announcement.clone() };
