--- a/src/path/resolve.rs
+++ b/src/path/resolve.rs
@@ -42,7 +42,17 @@
     ///
     /// Where the request is malformed or a name is unknown or ambiguous.
     pub fn resolve(self, body: Bytes) -> Result<Request<Resolved>, Refusal> {
-        if self.path == CHAT { self.resolve_chat(&body) } else { self.resolve_service(body) }
+        if self.path == CHAT {
+            self.resolve_chat(&body)
+        } else if self.path.starts_with(SERVICES) {
+            self.resolve_service(body)
+        } else {
+            Err(Refusal::new(
+                Reason::UnknownName,
+                format!("there is nothing at `{}`", self.path),
+                "use a path that docs/API.md describes",
+            ))
+        }
     }
 
     fn resolve_chat(self, body: &[u8]) -> Result<Request<Resolved>, Refusal> {
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -100,8 +100,10 @@
             .method(method)
             .uri(path)
             .header("host", vm.to_string())
-            .header("authorization", format!("Bearer {}", self.key))
             .header("content-type", "application/json");
+        if !self.key.is_empty() {
+            request = request.header("authorization", format!("Bearer {}", self.key));
+        }
         for (name, value) in &self.headers {
             request = request.header(name, value);
         }
