Resolve names under three schemes and never guess

Cause: names went to targets as the caller sent them. Change: name::Catalogue reads canonical names, schemes and aliases, checks them whole, and resolves a name under the scheme of the header or plan; without a scheme only a name of one meaning resolves. Ruled out: an order of schemes (guesses) and a required scheme (breaks clients without need).

--- /dev/null
+++ b/src/name/document.rs
@@ -0,0 +1,69 @@
+use serde::{Deserialize, Serialize};
+
+use super::{Alias, Kind, Scheme};
+use crate::id;
+
+/// The catalogue as it stands in a JSON file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// The regions.
+    pub regions: Vec<id::Region>,
+    /// The models.
+    pub models: Vec<Entry>,
+    /// The plain services.
+    pub services: Vec<id::Service>,
+    /// The naming schemes.
+    pub schemes: Vec<Section>,
+}
+
+/// One model, with what can be asked of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The model.
+    pub model: id::Model,
+    /// The versions of its weights.
+    #[serde(default)]
+    pub versions: Vec<id::Version>,
+    /// Its adapters.
+    #[serde(default)]
+    pub adapters: Vec<id::Adapter>,
+}
+
+/// One naming scheme.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Section {
+    /// The scheme.
+    pub scheme: Scheme,
+    /// Its aliases of regions.
+    #[serde(default)]
+    pub regions: Vec<Alias>,
+    /// Its aliases of models.
+    #[serde(default)]
+    pub models: Vec<Alias>,
+    /// Its aliases of plain services.
+    #[serde(default)]
+    pub services: Vec<Alias>,
+}
+
+impl Document {
+    pub(super) fn names(&self, kind: Kind) -> Vec<&str> {
+        match kind {
+            Kind::Region => self.regions.iter().map(id::Region::as_str).collect(),
+            Kind::Model => self.models.iter().map(|entry| entry.model.as_str()).collect(),
+            Kind::Service => self.services.iter().map(id::Service::as_str).collect(),
+        }
+    }
+}
+
+impl Section {
+    pub(super) fn aliases(&self, kind: Kind) -> &[Alias] {
+        match kind {
+            Kind::Region => &self.regions,
+            Kind::Model => &self.models,
+            Kind::Service => &self.services,
+        }
+    }
+}
