Put names and limits on the path

Cause: names were taken as they came, and nothing bounded a customer's requests. Change: the catalogue resolves names once, before any decision; a request waits for its place in its customer's limits as a future and holds it until its answer has passed; batch requests wait for a target until their deadline. Fleets of tests use a loopback address each. A fleet's test failed once before: ports that were free when chosen were taken by another test's process before the VM started; with an address a fleet they stay free.

--- a/src/limit.rs
+++ b/src/limit.rs
@@ -5,19 +5,23 @@
 //! bounds the retries of each customer.
 
 mod account;
+mod admission;
 mod bucket;
 mod budget;
 mod decision;
 mod gate;
+mod permit;
 mod queue;
 mod request;
 mod settings;
 mod ticket;
 
 pub use self::{
+    admission::{Admission, Load},
     budget::Budget,
     decision::{Change, Decision},
     gate::Gate,
+    permit::Permit,
     request::Request,
     settings::Settings,
     ticket::Ticket,
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -1,17 +1,19 @@
 use hyper::body::Bytes;
 use smol::channel::Receiver;
 
-use crate::wire::Head;
+use super::admit::estimate;
+use crate::{limit::Permit, wire::Head};
 
 /// The answer to a request: its head, and its body piece by piece.
 #[derive(Debug)]
 pub struct Answer {
     /// The head.
     pub head: Head,
-    /// The pieces of the body; the last is [`Part::End`] where the body is whole.
-    pub body: Receiver<Part>,
     /// The VMs and the target that the answer comes through.
     pub way: Vec<String>,
+    body: Receiver<Part>,
+    bytes: usize,
+    permit: Option<Permit>,
 }
 
 /// A piece of the body of an answer.
@@ -24,3 +26,35 @@
     /// The body will not become whole; says why.
     Abort(String),
 }
+
+impl Answer {
+    /// Creates an answer whose pieces come through `body`; the last is [`Part::End`] where the
+    /// body is whole.
+    pub fn new(head: Head, way: Vec<String>, body: Receiver<Part>) -> Self {
+        Self { head, way, body, bytes: 0, permit: None }
+    }
+
+    /// The same answer with the request's place in its customer's limits, which is given back
+    /// when the answer has passed.
+    #[must_use]
+    pub fn holding(self, permit: Permit) -> Self {
+        Self { permit: Some(permit), ..self }
+    }
+
+    /// Waits for the next piece of the body.
+    pub async fn next(&mut self) -> Part {
+        let lost = |_| Part::Abort("the answer was lost on its way".to_owned());
+        let part = self.body.recv().await.unwrap_or_else(lost);
+        match &part {
+            Part::Chunk(bytes) => self.bytes += bytes.len(),
+            Part::End | Part::Abort(_) => self.release(),
+        }
+        part
+    }
+
+    fn release(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish(estimate(self.bytes));
+        }
+    }
+}
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -123,7 +123,7 @@
     smol::spawn(forward(pieces, whole, source, sender)).detach();
     let mut way: Vec<String> = request.way.iter().map(ToString::to_string).collect();
     way.push(target.target.to_string());
-    Outcome::Answered(Answer { head, body, way })
+    Outcome::Answered(Answer::new(head, way, body))
 }
 
 /// Passes the body on; ends early when nobody takes it any more.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -40,17 +40,16 @@
     response
 }
 
-async fn copy(answer: Answer, stream: bool, pieces: Sender<Result<Bytes, Broken>>) {
+async fn copy(mut answer: Answer, stream: bool, pieces: Sender<Result<Bytes, Broken>>) {
     loop {
-        match answer.body.recv().await {
-            Ok(Part::Chunk(bytes)) => {
+        match answer.next().await {
+            Part::Chunk(bytes) => {
                 if pieces.send(Ok(bytes)).await.is_err() {
                     return;
                 }
             }
-            Ok(Part::End) => return,
-            Ok(Part::Abort(cause)) => return abort(stream, &cause, &pieces).await,
-            Err(_) => return abort(stream, "the answer was lost on its way", &pieces).await,
+            Part::End => return,
+            Part::Abort(cause) => return abort(stream, &cause, &pieces).await,
         }
     }
 }
--- a/src/path/resolve.rs
+++ b/src/path/resolve.rs
@@ -3,8 +3,8 @@
 
 use super::{Authenticated, Request, header};
 use crate::{
-    id,
     list::{Allowance, Plan},
+    name::{Catalogue, Scheme},
     outcome::{Reason, Refusal},
     target::Need,
     wire::Pair,
@@ -33,19 +33,25 @@
     pub key: Option<String>,
     /// Whether running the request more than once does no harm.
     pub idempotent: bool,
+    /// The most tokens that the answer may have, where the request says so.
+    pub answer_tokens: Option<u32>,
 }
 
 impl Request<Authenticated> {
-    /// Resolves the names in the request.
+    /// Resolves the names in the request, once and for all.
     ///
     /// # Errors
     ///
     /// Where the request is malformed or a name is unknown or ambiguous.
-    pub fn resolve(self, body: Bytes) -> Result<Request<Resolved>, Refusal> {
+    pub fn resolve(self, names: &Catalogue, body: Bytes) -> Result<Request<Resolved>, Refusal> {
+        let scheme = match text(&self.stage.headers, header::SCHEME)? {
+            Some(name) => Some(names.scheme(name)?),
+            None => self.stage.plan.scheme.clone(),
+        };
         if self.path == CHAT {
-            self.resolve_chat(&body)
+            self.resolve_chat(names, scheme.as_ref(), &body)
         } else if self.path.starts_with(SERVICES) {
-            self.resolve_service(body)
+            self.resolve_service(names, scheme.as_ref(), body)
         } else {
             Err(Refusal::new(
                 Reason::UnknownName,
@@ -55,52 +61,64 @@
         }
     }
 
-    fn resolve_chat(self, body: &[u8]) -> Result<Request<Resolved>, Refusal> {
+    fn resolve_chat(
+        self,
+        names: &Catalogue,
+        scheme: Option<&Scheme>,
+        body: &[u8],
+    ) -> Result<Request<Resolved>, Refusal> {
         let mut json: Value = serde_json::from_slice(body).map_err(|cause| {
             malformed(&format!("the body is not JSON: {cause}"), "send a JSON object")
         })?;
         let name = json.get("model").and_then(Value::as_str).ok_or_else(|| {
             malformed("the body names no model", "set `model` to the name of a model")
         })?;
+        let model = names.model(scheme, name)?;
         let headers = &self.stage.headers;
-        let need = Need::Model {
-            model: id::Model::from(name),
-            version: text(headers, header::VERSION)?.map(id::Version::from),
-            adapter: text(headers, header::ADAPTER)?.map(id::Adapter::from),
-        };
-        if let Need::Model { model, .. } = &need {
-            json["model"] = Value::from(model.as_str());
-        }
-        let target_path = self.path.clone();
-        Ok(self.resolved(need, target_path, Bytes::from(json.to_string()), true))
+        let version = text(headers, header::VERSION)?;
+        let version = version.map(|name| names.version(&model, name)).transpose()?;
+        let adapter = text(headers, header::ADAPTER)?;
+        let adapter = adapter.map(|name| names.adapter(&model, name)).transpose()?;
+        json["model"] = Value::from(model.as_str());
+        let answer_tokens = json["max_tokens"].as_u64().and_then(|count| count.try_into().ok());
+        let need = Need::Model { model, version, adapter };
+        let body = Bytes::from(json.to_string());
+        let resolved = self.resolved(need, self.path.clone(), body);
+        let stage = Resolved { answer_tokens, ..resolved };
+        Ok(self.at(stage))
     }
 
-    fn resolve_service(self, body: Bytes) -> Result<Request<Resolved>, Refusal> {
+    fn resolve_service(
+        self,
+        names: &Catalogue,
+        scheme: Option<&Scheme>,
+        body: Bytes,
+    ) -> Result<Request<Resolved>, Refusal> {
         let rest = self.path.strip_prefix(SERVICES).unwrap_or_default();
         let end = rest.find(['/', '?']).unwrap_or(rest.len());
         let (name, path) = rest.split_at(end);
         if name.is_empty() {
             return Err(malformed("the path names no service", "use `/v1/services/<name>/<path>`"));
         }
-        let need = Need::Service { service: id::Service::from(name) };
-        let target_path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
-        let idempotent = self.method.is_safe();
-        Ok(self.resolved(need, target_path, body, idempotent))
+        let service = names.service(scheme, name)?;
+        let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
+        let stage = self.resolved(Need::Service { service }, path, body);
+        Ok(self.at(stage))
     }
 
-    fn resolved(
-        self,
-        need: Need,
-        target_path: String,
-        body: Bytes,
-        idempotent: bool,
-    ) -> Request<Resolved> {
-        let headers = header::forwarded(&self.stage.headers);
+    fn resolved(&self, need: Need, target_path: String, body: Bytes) -> Resolved {
         let key = text(&self.stage.headers, header::IDEMPOTENCY_KEY).ok().flatten();
-        let key = key.map(str::to_owned);
-        let plan = self.stage.plan.clone();
-        let allowance = self.stage.allowance.clone();
-        self.at(Resolved { plan, allowance, need, target_path, headers, body, key, idempotent })
+        Resolved {
+            plan: self.stage.plan.clone(),
+            allowance: self.stage.allowance.clone(),
+            idempotent: self.method.is_safe() || matches!(need, Need::Model { .. }),
+            need,
+            target_path,
+            headers: header::forwarded(&self.stage.headers),
+            body,
+            key: key.map(str::to_owned),
+            answer_tokens: None,
+        }
     }
 }
 
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -2,6 +2,7 @@
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::Path,
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use crate::{
@@ -18,9 +19,10 @@
 /// Where no port is free.
 pub fn deployment(samples: &Path, regions: &[(&str, usize)]) -> io::Result<Vec<Settings>> {
     let mut peers = Vec::new();
+    let address = own_address();
     for (region, count) in regions {
         for number in 1..=*count {
-            peers.push(peer(region, number)?);
+            peers.push(peer(address, region, number)?);
         }
     }
     let settings = |peer: &Peer| Settings {
@@ -30,6 +32,7 @@
         callers: peer.callers,
         links: peer.links,
         peers: peers.clone(),
+        names: Some(samples.join("names.json")),
         plans: Some(samples.join("plans.json")),
         allowances: Some(samples.join("allowances.json")),
         ..Settings::default()
@@ -37,21 +40,30 @@
     Ok(peers.iter().map(settings).collect())
 }
 
-fn peer(region: &str, number: usize) -> io::Result<Peer> {
+fn peer(address: Ipv4Addr, region: &str, number: usize) -> io::Result<Peer> {
     Ok(Peer {
         vm: id::Vm::from(format!("{region}-{number}")),
         region: id::Region::from(region),
         zone: id::Zone::from(format!("{region}-a")),
-        callers: free_address()?,
-        links: free_address()?,
+        callers: free_address(address)?,
+        links: free_address(address)?,
     })
 }
 
-/// A loopback address whose port was free a moment ago.
+/// A loopback address that no other deployment on this machine uses, so that a port that is free
+/// now stays free until its VM starts.
+fn own_address() -> Ipv4Addr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + process[2] % 128, process[3], 1 + count[3] % 254)
+}
+
+/// An address at `address` whose port was free a moment ago.
 ///
 /// # Errors
 ///
 /// Where no port is free.
-pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+pub fn free_address(address: Ipv4Addr) -> io::Result<SocketAddr> {
+    TcpListener::bind((address, 0))?.local_addr()
 }
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -91,9 +91,12 @@
         let allowed = self
             .check(from, handover)
             .and_then(|handover| self.restore(handover, body))
-            .and_then(path::Request::allow)
-            .and_then(path::Request::admit);
-        match allowed {
+            .and_then(path::Request::allow);
+        let admitted = match allowed {
+            Ok(request) => request.admit(&self.admission).await,
+            Err(refusal) => Err(refusal),
+        };
+        match admitted {
             Ok(request) => self.place(request).await,
             Err(refusal) => Outcome::Refused(refusal),
         }
@@ -146,6 +149,7 @@
             body,
             key: Some(handover.key).filter(|key| !key.is_empty()),
             idempotent,
+            answer_tokens: None,
         };
         Ok(path::Request {
             id: id::Request::from(handover.request),
@@ -177,7 +181,7 @@
 
 /// Sends the outcome back, stopping the work when the other VM's caller goes away.
 async fn answer(mut exchange: Exchange, outcome: Outcome<Answer>) {
-    let answer = match outcome {
+    let mut answer = match outcome {
         Outcome::Answered(answer) => answer,
         Outcome::Refused(refusal) => {
             let _ = exchange.send(Body::Abort(abort(&refusal))).await;
@@ -188,7 +192,7 @@
             return;
         }
     };
-    let mut head = answer.head;
+    let mut head = std::mem::take(&mut answer.head);
     head.headers.push(wire::Pair {
         name: path::WAY.to_owned(),
         value: answer.way.join(" > ").into_bytes(),
@@ -197,9 +201,8 @@
         return;
     }
     loop {
-        let part = match select(pin!(answer.body.recv()), pin!(exchange.receive())).await {
-            Either::Left((Ok(part), _)) => part,
-            Either::Left((Err(_), _)) => Part::Abort("the answer was lost on its way".to_owned()),
+        let part = match select(pin!(answer.next()), pin!(exchange.receive())).await {
+            Either::Left((part, _)) => part,
             Either::Right(_) => return,
         };
         let last = !matches!(part, Part::Chunk(_));
@@ -242,7 +245,7 @@
     let way = place.map(|place| head.headers.remove(place).value).unwrap_or_default();
     let (sender, body) = smol::channel::bounded(WINDOW);
     smol::spawn(copy(exchange, sender)).detach();
-    Answer { head, body, way: vec![String::from_utf8_lossy(&way).into_owned()] }
+    Answer::new(head, vec![String::from_utf8_lossy(&way).into_owned()], body)
 }
 
 async fn copy(mut exchange: Exchange, parts: Sender<Part>) {
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -23,8 +23,10 @@
     event,
     http::{self, Limits, Stop, Stopped},
     id,
+    limit::{self, Admission},
     link::{self, Hub, Inbound},
     list::{Book, List},
+    name::{self, Catalogue},
     settings::{Peer, Settings},
     target::View,
     wire::Hello,
@@ -40,6 +42,8 @@
     pub(super) logger: Logger,
     pub(super) hub: Arc<Hub>,
     pub(super) targets: Mutex<View>,
+    pub(super) names: Catalogue,
+    pub(super) admission: Arc<Admission>,
     book: Mutex<Arc<Book>>,
     random: Mutex<StdRng>,
     stopped: Stopped,
@@ -65,6 +69,8 @@
     Random(rand::rngs::SysError),
     /// A file cannot be read.
     Read(std::path::PathBuf, io::Error),
+    /// The catalogue of names cannot be used.
+    Names(name::Error),
     /// A file does not hold what it should.
     Parse(std::path::PathBuf, String),
 }
@@ -75,6 +81,7 @@
             Self::Listen(address, cause) => {
                 write!(f, "cannot listen on {address}: {cause}; set a free address of this VM")
             }
+            Self::Names(cause) => cause.fmt(f),
             Self::Random(cause) => {
                 write!(f, "no random numbers: {cause}; check the operating system")
             }
@@ -106,6 +113,8 @@
         logger: Logger,
     ) -> Result<Running, Error> {
         let book = first_book(&settings)?;
+        let names = names(&settings)?;
+        let (admission, expire) = Admission::new(limit::Settings::default(), Arc::clone(&clock));
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
@@ -119,6 +128,8 @@
             logger,
             hub,
             targets: Mutex::default(),
+            names,
+            admission,
             book: Mutex::new(Arc::new(book)),
             random: Mutex::new(random),
             stopped: stopped.clone(),
@@ -126,7 +137,8 @@
         });
         event::path::STARTED.emit(&vm.logger, &[("callers", &vm.settings.callers)]);
         let server = smol::spawn(Arc::clone(&vm).listen(callers, stopped));
-        let tasks = vm.tasks(links, inbound);
+        let mut tasks = vm.tasks(links, inbound);
+        tasks.push(smol::spawn(expire));
         Ok(Running { vm, tasks, server, stop, idle })
     }
 
@@ -232,6 +244,13 @@
     TcpListener::bind(address).await.map_err(|cause| Error::Listen(address, cause))
 }
 
+fn names(settings: &Settings) -> Result<Catalogue, Error> {
+    match &settings.names {
+        Some(path) => Catalogue::read(path).map_err(Error::Names),
+        None => Catalogue::new(name::Document::default()).map_err(Error::Names),
+    }
+}
+
 fn first_book(settings: &Settings) -> Result<Book, Error> {
     let plans = settings.plans.as_deref().map(read).transpose()?;
     let allowances = settings.allowances.as_deref().map(read).transpose()?;
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -9,6 +9,7 @@
     HeaderMap, Request, Response,
     body::{Bytes, Incoming},
 };
+use smol::Timer;
 
 use super::Vm;
 use crate::{
@@ -24,6 +25,8 @@
 
 /// Attempts at one request on one VM.
 const ATTEMPTS: u32 = 3;
+/// How long a request that may wait does so before it looks for a target again.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
 
 /// Where to send a request next.
 enum Choice {
@@ -80,7 +83,7 @@
             .permit_region(&self.settings.region)
             .map_err(|refusal| self.redirect(refusal, &request))?;
         let body = self.read(body, request.left(self.clock.now())).await?;
-        self.admit(request, body)
+        request.resolve(&self.names, body)?.allow()?.admit(&self.admission).await
     }
 
     fn deadline(&self, headers: &HeaderMap) -> Result<Instant, Refusal> {
@@ -121,39 +124,52 @@
         })
     }
 
-    fn admit(
-        &self,
-        request: path::Request<Authenticated>,
-        body: Bytes,
-    ) -> Result<path::Request<Admitted>, Refusal> {
-        request.resolve(body)?.allow()?.admit()
+    /// Gives the request's answer. A request of the class that may wait does so while no target
+    /// takes it.
+    pub(super) async fn place(&self, request: path::Request<Admitted>) -> Outcome<Answer> {
+        loop {
+            let outcome = self.attempt(&request).await;
+            let waits = request.class == Class::Batch
+                && matches!(&outcome, Outcome::Refused(refusal) if may_pass(refusal.reason))
+                && request.left(self.clock.now()) > BATCH_PAUSE
+                && !self.is_stopping();
+            if !waits {
+                return match outcome {
+                    Outcome::Answered(answer) => {
+                        Outcome::Answered(answer.holding(request.stage.permit))
+                    }
+                    outcome => outcome,
+                };
+            }
+            Timer::after(BATCH_PAUSE).await;
+        }
     }
 
-    /// Finds a target here or in another region, and gives its answer; what failed is tried
-    /// elsewhere as long as that can do no harm.
-    pub(super) async fn place(&self, request: path::Request<Admitted>) -> Outcome<Answer> {
+    /// Finds a target here or in another region; what failed is tried elsewhere as long as that
+    /// can do no harm.
+    async fn attempt(&self, request: &path::Request<Admitted>) -> Outcome<Answer> {
         let mut attempts = Attempts::new(request.stage.resolved.idempotent, ATTEMPTS);
         while attempts.may_try() {
             let left = request.left(self.clock.now());
             if left.is_zero() {
                 return attempts.end(late());
             }
-            let Some(choice) = self.choose(&request, &attempts) else { break };
+            let Some(choice) = self.choose(request, &attempts) else { break };
             let outcome = match choice {
                 Choice::Target(target) => {
                     attempts.target(&target.target);
-                    path::dispatch(&request, &target, self.settings.dispatch(), left).await
+                    path::dispatch(request, &target, self.settings.dispatch(), left).await
                 }
                 Choice::Vm(peer) => {
                     attempts.vm(&peer.vm);
-                    self.hand_over(&request, &peer, left).await
+                    self.hand_over(request, &peer, left).await
                 }
             };
             if let ControlFlow::Break(outcome) = attempts.note(outcome) {
                 return outcome;
             }
         }
-        attempts.end(no_target(&request))
+        attempts.end(no_target(request))
     }
 
     fn choose(&self, request: &path::Request<Admitted>, attempts: &Attempts) -> Option<Choice> {
@@ -180,6 +196,11 @@
     }
 }
 
+/// Whether waiting may mend what a request was refused for.
+fn may_pass(reason: Reason) -> bool {
+    matches!(reason, Reason::NoTarget | Reason::Overloaded)
+}
+
 fn no_target(request: &path::Request<Admitted>) -> Refusal {
     Refusal::new(
         Reason::NoTarget,
