Hold lists, stops and fencing numbers in a replicated machine

Cause: a change of a list had no version rule and no check before acceptance. Change: state::Machine (versions, resends by digest, conflicts, gaps, stops, fencing numbers, incarnations), list::check with every fault at its line and column, state::Follower and state::Progress, stop::Plan. Conclusion: versions stand as a register under resends and rebuilt replicas; the follower is not tested yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod replica;
 pub mod settings;
 pub mod standin;
+pub mod state;
+pub mod stop;
 pub mod target;
 pub mod tool;
 pub mod vm;
--- a/src/list.rs
+++ b/src/list.rs
@@ -2,14 +2,25 @@
 
 mod allowance;
 mod book;
+mod check;
+mod fault;
 mod grant;
+mod kind;
+mod known;
 mod limits;
 mod plan;
+mod position;
 
+pub(crate) use self::check::join;
 pub use self::{
     allowance::Allowance,
     book::{Book, List, digest},
+    check::{Draft, agree, check},
+    fault::Fault,
     grant::Grant,
+    kind::Kind,
+    known::Known,
     limits::Limits,
     plan::Plan,
+    position::Position,
 };
--- /dev/null
+++ b/src/list/check.rs
@@ -0,0 +1,347 @@
+use std::collections::{HashMap, HashSet};
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_path_to_error::Segment;
+
+use super::{
+    Allowance, Book, Fault, Kind, Known, Plan, Position,
+    position::{Step, path},
+};
+use crate::id;
+
+const DIGEST_CHARACTERS: usize = 64;
+
+/// A draft of a list that passed the check, ready to be proposed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Draft {
+    /// The list.
+    pub kind: Kind,
+    /// The version that the change makes.
+    pub version: u64,
+    /// The entries as a canonical JSON array, sorted by name.
+    pub content: Vec<u8>,
+}
+
+/// Checks the text of a new version of a list whole, against the known names and the other list.
+///
+/// # Errors
+///
+/// Every fault that was found, each with its place in the text and the remedy.
+///
+/// ```
+/// use pomelogate::list::{Book, Kind, Known, check};
+///
+/// let known = Known { regions: ["jakarta".into()].into(), ..Known::default() };
+/// let text = r#"{ "version": 1, "entries": [{ "plan": "crew", "regions": ["jakart"] }] }"#;
+/// let faults = check(Kind::Allowances, text, &known, &Book::default()).unwrap_err();
+/// assert_eq!(faults[0].path, "entries[0].regions[0]");
+/// assert_eq!(faults[0].position.unwrap().column, 60);
+/// ```
+pub fn check(kind: Kind, text: &str, known: &Known, book: &Book) -> Result<Draft, Vec<Fault>> {
+    let document: Value = serde_json::from_str(text).map_err(|error| vec![syntax(&error)])?;
+    let mut report = Report { text, faults: Vec::new() };
+    let version = report.version(&document);
+    match kind {
+        Kind::Plans => {
+            let plans = report.entries::<Plan>(&document);
+            report.plans(&plans, known);
+            report.take(agree(&owned(&plans), &book.allowances().entries), Kind::Plans, &plans);
+        }
+        Kind::Allowances => {
+            let allowances = report.entries::<Allowance>(&document);
+            report.allowances(&allowances, known);
+            if report.faults.is_empty() {
+                let faults = agree(&book.plans().entries, &owned(&allowances));
+                report.take(faults, Kind::Allowances, &allowances);
+            }
+        }
+    }
+    if !report.faults.is_empty() {
+        report.faults.sort_by_key(|fault| fault.position);
+        return Err(report.faults);
+    }
+    let entries = serde_json::to_vec(&document["entries"]).unwrap_or_default();
+    let content = kind.split(&entries).map_err(|problem| vec![whole(problem)])?;
+    Ok(Draft { kind, version, content: join(content.values()) })
+}
+
+/// What keeps the two lists from standing beside each other.
+///
+/// A path `plans[2].home` names the third plan; one without a place names a whole list.
+///
+/// ```
+/// use pomelogate::list::{Plan, agree};
+///
+/// let plan = Plan {
+///     customer: "crew".into(),
+///     plan: "gold".into(),
+///     home: "jakarta".into(),
+///     scheme: None,
+///     keys: Vec::new(),
+/// };
+/// assert_eq!(agree(&[plan], &[]).len(), 1);
+/// ```
+pub fn agree(plans: &[Plan], allowances: &[Allowance]) -> Vec<Fault> {
+    let named: HashMap<&id::Plan, &Allowance> =
+        allowances.iter().map(|allowance| (&allowance.plan, allowance)).collect();
+    let mut faults = Vec::new();
+    for (place, plan) in plans.iter().enumerate() {
+        match named.get(&plan.plan) {
+            None => faults.push(Fault {
+                position: None,
+                path: format!("plans[{place}].plan"),
+                problem: format!(
+                    "customer `{}` is on plan `{}`, which has no allowance",
+                    plan.customer, plan.plan
+                ),
+                remedy: "add the allowance first, or move the customer to another plan".to_owned(),
+            }),
+            Some(allowance) if !allowance.regions.contains(&plan.home) => faults.push(Fault {
+                position: None,
+                path: format!("plans[{place}].home"),
+                problem: format!(
+                    "home `{}` of customer `{}` is outside the regions of plan `{}`",
+                    plan.home, plan.customer, plan.plan
+                ),
+                remedy: "choose a home among the plan's regions".to_owned(),
+            }),
+            Some(_) => {}
+        }
+    }
+    faults
+}
+
+/// Joins canonical entries into a canonical array.
+pub(crate) fn join<'a>(entries: impl Iterator<Item = &'a Vec<u8>>) -> Vec<u8> {
+    let mut content = vec![b'['];
+    for entry in entries {
+        if content.len() > 1 {
+            content.push(b',');
+        }
+        content.extend_from_slice(entry);
+    }
+    content.push(b']');
+    content
+}
+
+/// Entries that could be read, each with its place in the text.
+type Placed<T> = Vec<(usize, T)>;
+
+fn owned<T: Clone>(entries: &Placed<T>) -> Vec<T> {
+    entries.iter().map(|(_, entry)| entry.clone()).collect()
+}
+
+fn syntax(error: &serde_json::Error) -> Fault {
+    Fault {
+        position: Some(Position { line: error.line(), column: error.column() }),
+        path: "text".to_owned(),
+        problem: error.to_string(),
+        remedy: "mend the JSON".to_owned(),
+    }
+}
+
+fn whole(problem: String) -> Fault {
+    Fault {
+        position: None,
+        path: "entries".to_owned(),
+        problem,
+        remedy: "mend the entry".to_owned(),
+    }
+}
+
+fn entry(place: usize) -> Vec<Step> {
+    vec![Step::Field("entries".to_owned()), Step::Element(place)]
+}
+
+fn field(place: usize, name: &str) -> Vec<Step> {
+    let mut steps = entry(place);
+    steps.push(Step::Field(name.to_owned()));
+    steps
+}
+
+fn element(place: usize, name: &str, at: usize) -> Vec<Step> {
+    let mut steps = field(place, name);
+    steps.push(Step::Element(at));
+    steps
+}
+
+struct Report<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+impl Report<'_> {
+    fn add(&mut self, steps: &[Step], problem: String, remedy: &str) {
+        self.faults.push(Fault {
+            position: Some(Position::find(self.text, steps)),
+            path: path(steps),
+            problem,
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    fn version(&mut self, document: &Value) -> u64 {
+        let steps = [Step::Field("version".to_owned())];
+        let version = document["version"].as_u64().filter(|version| *version > 0);
+        if version.is_none() {
+            let problem = "the version that the change makes is missing or no whole number above 0";
+            self.add(&steps, problem.to_owned(), "name the version in force plus one");
+        }
+        for name in document.as_object().into_iter().flat_map(|object| object.keys()) {
+            if name != "version" && name != "entries" {
+                let problem = format!("unknown field `{name}`");
+                self.add(&[Step::Field(name.clone())], problem, "remove it");
+            }
+        }
+        version.unwrap_or_default()
+    }
+
+    fn entries<T: DeserializeOwned>(&mut self, document: &Value) -> Placed<T> {
+        let Some(values) = document["entries"].as_array() else {
+            let steps = [Step::Field("entries".to_owned())];
+            self.add(&steps, "there is no array of entries".to_owned(), "add `\"entries\": []`");
+            return Vec::new();
+        };
+        let mut entries = Vec::new();
+        for (place, value) in values.iter().enumerate() {
+            match serde_path_to_error::deserialize(value) {
+                Ok(read) => entries.push((place, read)),
+                Err(error) => {
+                    let mut steps = entry(place);
+                    steps.extend(error.path().iter().filter_map(step));
+                    self.add(&steps, error.inner().to_string(), "mend the field");
+                }
+            }
+        }
+        entries
+    }
+
+    fn take<T>(&mut self, faults: Vec<Fault>, kind: Kind, entries: &Placed<T>) {
+        for fault in faults {
+            let place = fault.path.strip_prefix("plans[").and_then(|rest| rest.split_once("]."));
+            let steps = match (kind, place) {
+                (Kind::Plans, Some((place, name))) => {
+                    let place = place.parse().ok().and_then(|place: usize| entries.get(place));
+                    place.map(|(place, _)| field(*place, name)).unwrap_or_default()
+                }
+                _ => vec![Step::Field("entries".to_owned())],
+            };
+            self.add(&steps, fault.problem, &fault.remedy);
+        }
+    }
+
+    fn plans(&mut self, plans: &Placed<Plan>, known: &Known) {
+        let mut customers = HashSet::new();
+        let mut holders: HashMap<&str, &id::Customer> = HashMap::new();
+        for (place, plan) in plans {
+            if !customers.insert(&plan.customer) {
+                let problem = format!("customer `{}` is listed twice", plan.customer);
+                self.add(&field(*place, "customer"), problem, "keep one entry");
+            }
+            self.region(&field(*place, "home"), &plan.home, known);
+            if let Some(scheme) = &plan.scheme
+                && !known.schemes.contains(scheme.as_str())
+            {
+                let problem = format!("unknown naming scheme `{scheme}`");
+                self.add(&field(*place, "scheme"), problem, "use a scheme of the catalogue");
+            }
+            for (at, key) in plan.keys.iter().enumerate() {
+                let steps = element(*place, "keys", at);
+                self.key(&steps, key);
+                if let Some(holder) = holders.insert(key, &plan.customer) {
+                    let problem = format!("the key is held by customer `{holder}` already");
+                    self.add(&steps, problem, "give each customer keys of its own");
+                }
+            }
+        }
+    }
+
+    fn allowances(&mut self, allowances: &Placed<Allowance>, known: &Known) {
+        let mut plans = HashSet::new();
+        for (place, allowance) in allowances {
+            if !plans.insert(&allowance.plan) {
+                let problem = format!("plan `{}` is listed twice", allowance.plan);
+                self.add(&field(*place, "plan"), problem, "keep one entry");
+            }
+            if allowance.regions.is_empty() {
+                let problem = "a plan needs at least one region".to_owned();
+                self.add(&field(*place, "regions"), problem, "name the permitted regions");
+            }
+            for (at, region) in allowance.regions.iter().enumerate() {
+                self.region(&element(*place, "regions", at), region, known);
+            }
+            self.unique(*place, "regions", &allowance.regions);
+            let models: Vec<_> = allowance.models.iter().map(|grant| grant.model.clone()).collect();
+            self.unique(*place, "models", &models);
+            for (at, model) in models.iter().enumerate() {
+                if !known.models.contains(model) {
+                    let mut steps = element(*place, "models", at);
+                    steps.push(Step::Field("model".to_owned()));
+                    let problem = format!("unknown model `{model}`");
+                    self.add(&steps, problem, "use a canonical name of the catalogue");
+                }
+            }
+            self.unique(*place, "services", &allowance.services);
+            for (at, service) in allowance.services.iter().enumerate() {
+                if !known.services.contains(service) {
+                    let problem = format!("unknown service `{service}`");
+                    let steps = element(*place, "services", at);
+                    self.add(&steps, problem, "use a canonical name of the catalogue");
+                }
+            }
+            self.limits(*place, allowance);
+        }
+    }
+
+    fn limits(&mut self, place: usize, allowance: &Allowance) {
+        let limits = &allowance.limits;
+        let values =
+            [("concurrency", limits.concurrency), ("tokens_per_minute", limits.tokens_per_minute)];
+        for (name, value) in values {
+            if value == 0 {
+                let mut steps = field(place, "limits");
+                steps.push(Step::Field(name.to_owned()));
+                self.add(&steps, format!("`{name}` is zero"), "use at least 1");
+            }
+        }
+    }
+
+    fn region(&mut self, steps: &[Step], region: &id::Region, known: &Known) {
+        if !known.regions.contains(region) {
+            let problem = format!("region `{region}` does not exist");
+            self.add(steps, problem, "use a canonical name of the catalogue");
+        }
+    }
+
+    fn key(&mut self, steps: &[Step], key: &str) {
+        let digits = key.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        if key.len() != DIGEST_CHARACTERS || !digits {
+            let problem = "no SHA-256 digest in lower-case hexadecimal".to_owned();
+            self.add(steps, problem, "store the digest of the key, never the key");
+        }
+    }
+
+    fn unique<T: std::hash::Hash + Eq + std::fmt::Display>(
+        &mut self,
+        place: usize,
+        name: &str,
+        values: &[T],
+    ) {
+        let mut seen = HashSet::new();
+        for (at, value) in values.iter().enumerate() {
+            if !seen.insert(value) {
+                let problem = format!("`{value}` is listed twice");
+                self.add(&element(place, name, at), problem, "keep one");
+            }
+        }
+    }
+}
+
+fn step(segment: &Segment) -> Option<Step> {
+    match segment {
+        Segment::Seq { index } => Some(Step::Element(*index)),
+        Segment::Map { key } => Some(Step::Field(key.clone())),
+        Segment::Enum { .. } | Segment::Unknown => None,
+    }
+}
--- /dev/null
+++ b/src/list/fault.rs
@@ -0,0 +1,29 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::Position;
+
+/// One thing that is wrong with a draft of a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Where in the text, if the fault stands in it.
+    pub position: Option<Position>,
+    /// The place in the list, such as `entries[3].home`.
+    pub path: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What the operator can do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(position) = self.position {
+            write!(f, "{position}: ")?;
+        }
+        write!(f, "{}: {}; {}", self.path, self.problem, self.remedy)
+    }
+}
+
+impl std::error::Error for Fault {}
--- /dev/null
+++ b/src/state/answer.rs
@@ -0,0 +1,75 @@
+use super::{Conflict, Progress, Reply, Subject, Verdict};
+use crate::id;
+
+/// What an operator hears of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The version stands and is in force in every region.
+    Accepted {
+        /// The version.
+        version: u64,
+    },
+    /// The version stands and never reverts, but some regions have not reported it in force.
+    Committed {
+        /// The version.
+        version: u64,
+        /// The regions that have not reported it.
+        waiting_for: Vec<id::Region>,
+    },
+    /// Other content stands under the version.
+    Conflict {
+        /// What stands.
+        stands: Conflict,
+    },
+    /// The version skips others.
+    Gap {
+        /// The version that the next change has to make.
+        next: u64,
+    },
+    /// The change cannot stand.
+    Invalid {
+        /// What is wrong.
+        faults: Vec<String>,
+    },
+    /// The version is too old to tell a resend from a conflict; nothing was applied.
+    Forgotten {
+        /// The oldest version that can be told.
+        oldest: u64,
+    },
+}
+
+impl Answer {
+    /// The answer to a change of `subject`, from the machine's reply and what regions reported.
+    ///
+    /// ```
+    /// use pomelogate::state::{Accepted, Answer, Progress, Subject, Verdict};
+    ///
+    /// let mut progress = Progress::default();
+    /// progress.expect("surabaya-1".into(), "surabaya".into());
+    /// let reply = Verdict::Accepted(Accepted { version: 1 }).into();
+    /// let answer = Answer::new(Subject::Plans, reply, &progress);
+    /// let waiting_for = vec!["surabaya".into()];
+    /// assert_eq!(answer, Answer::Committed { version: 1, waiting_for });
+    /// ```
+    pub fn new(subject: Subject, reply: Reply, progress: &Progress) -> Self {
+        match reply.verdict {
+            Some(Verdict::Accepted(accepted)) => {
+                let version = accepted.version;
+                let waiting_for = progress.waiting_for(subject, version);
+                if waiting_for.is_empty() {
+                    Self::Accepted { version }
+                } else {
+                    Self::Committed { version, waiting_for }
+                }
+            }
+            Some(Verdict::Conflict(stands)) => Self::Conflict { stands },
+            Some(Verdict::Gap(gap)) => Self::Gap { next: gap.next },
+            Some(Verdict::Invalid(invalid)) => Self::Invalid { faults: invalid.faults },
+            Some(Verdict::Forgotten(forgotten)) => Self::Forgotten { oldest: forgotten.oldest },
+            Some(Verdict::Issued(_)) | None => {
+                let fault = "the reply cannot be read; upgrade this VM".to_owned();
+                Self::Invalid { faults: vec![fault] }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/follower.rs
@@ -0,0 +1,367 @@
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use prost::Message;
+use rand::{RngExt, rngs::StdRng};
+
+use super::{Fetch, Peer, Refused, Served, Store, Update, Versions, source};
+use crate::{id, list::Book, stop};
+
+/// The settings of a follower.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The VM.
+    pub vm: id::Vm,
+    /// Its region.
+    pub region: id::Region,
+    /// Whether the VM has a disk: versions are served only once they are saved.
+    pub disk: bool,
+    /// The time from one fetch to the next, on average.
+    pub period: Duration,
+    /// How long a fetch may take.
+    pub timeout: Duration,
+    /// How many recent books are kept for requests that were decided under them.
+    pub books: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            vm: "vm".into(),
+            region: "region".into(),
+            disk: false,
+            period: Duration::from_secs(3),
+            timeout: Duration::from_secs(2),
+            books: 64,
+        }
+    }
+}
+
+/// What the shell has to do for a follower.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a fetch; its reply or its failure is passed back.
+    Fetch {
+        /// The VM to ask.
+        to: id::Vm,
+        /// The message.
+        fetch: Fetch,
+    },
+    /// Save the image with [`save`](super::save), then call [`Follower::saved`].
+    Save(Vec<u8>),
+    /// New versions are in force.
+    InForce(Versions),
+}
+
+/// Keeps the lists of one VM as new as its peers', and never older than it served them.
+#[derive(Debug)]
+pub struct Follower {
+    settings: Settings,
+    rng: StdRng,
+    store: Store,
+    saving: Option<Store>,
+    books: VecDeque<Arc<Book>>,
+    stops: Arc<stop::Plan>,
+    sources: Vec<id::Vm>,
+    near: BTreeSet<id::Vm>,
+    asked: Option<Asked>,
+    attempt: usize,
+    next: Instant,
+    heard: Option<Instant>,
+    starting: Starting,
+    served: BTreeMap<id::Vm, (Served, Instant)>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    peer: id::Vm,
+    until: Instant,
+}
+
+/// What a VM without saved versions has learnt before it serves any.
+#[derive(Debug, Default)]
+struct Starting {
+    done: bool,
+    answered: bool,
+    tried: BTreeSet<id::Vm>,
+}
+
+/// Periods after which a VM that has neither heard nor failed must ask before it serves on.
+const STALE_PERIODS: u32 = 4;
+/// Periods for which a follower's report is passed on.
+const REPORT_PERIODS: u32 = 4;
+
+impl Follower {
+    /// Creates a follower, from the saved image where there is one.
+    ///
+    /// # Errors
+    ///
+    /// Where the image cannot be read; the message names the remedy.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use pomelogate::state::{Action, Follower, Peer, Settings};
+    /// use rand::{SeedableRng, rngs::StdRng};
+    ///
+    /// let now = Instant::now();
+    /// let settings = Settings { vm: "a-1".into(), region: "a".into(), ..Settings::default() };
+    /// let mut follower = Follower::new(settings, None, StdRng::seed_from_u64(1), now)?;
+    /// follower.peers(&[Peer { vm: "a-2".into(), region: "a".into(), replica: true }]);
+    /// assert!(follower.book().is_none());
+    /// assert!(matches!(&follower.tick(now)[..], [Action::Fetch { .. }]));
+    /// # Ok::<(), String>(())
+    /// ```
+    pub fn new(
+        settings: Settings,
+        image: Option<&[u8]>,
+        rng: StdRng,
+        now: Instant,
+    ) -> Result<Self, String> {
+        let mut follower = Self {
+            settings,
+            rng,
+            store: Store::default(),
+            saving: None,
+            books: VecDeque::new(),
+            stops: Arc::default(),
+            sources: Vec::new(),
+            near: BTreeSet::new(),
+            asked: None,
+            attempt: 0,
+            next: now,
+            heard: None,
+            starting: Starting::default(),
+            served: BTreeMap::new(),
+        };
+        if let Some(image) = image {
+            let update = Update::decode(image).map_err(|error| error.to_string())?;
+            let mut store = Store::default();
+            store.take(&update).map_err(|error| error.to_string())?;
+            follower.starting.done = true;
+            follower.install(store)?;
+        }
+        Ok(follower)
+    }
+
+    /// Names the VMs that are believed alive.
+    pub fn peers(&mut self, peers: &[Peer]) {
+        let (vm, region) = (&self.settings.vm, &self.settings.region);
+        self.sources = source::order(vm, region, peers);
+        let near = peers.iter().filter(|peer| peer.region == *region && peer.vm != *vm);
+        self.near = near.map(|peer| peer.vm.clone()).collect();
+    }
+
+    /// Passes time; call it a few times a period and at [`Follower::deadline`].
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        if let Some(asked) = self.asked.take_if(|asked| asked.until <= now) {
+            self.missed(&asked.peer, now);
+        }
+        let mut actions = self.begin();
+        if self.asked.is_some() || now < self.next {
+            return actions;
+        }
+        let Some(peer) = self.choose() else {
+            self.next = now + self.settings.period;
+            return actions;
+        };
+        self.asked = Some(Asked { peer: peer.clone(), until: now + self.settings.timeout });
+        actions.push(Action::Fetch { to: peer, fetch: self.fetch(now) });
+        actions
+    }
+
+    /// When [`Follower::tick`] has something to do.
+    pub fn deadline(&self) -> Instant {
+        self.asked.as_ref().map_or(self.next, |asked| asked.until)
+    }
+
+    /// Takes the reply to a fetch.
+    ///
+    /// # Errors
+    ///
+    /// Where the update is older than what this VM serves or doesn't fit; it changes nothing.
+    pub fn answered(
+        &mut self,
+        from: &id::Vm,
+        update: &Update,
+        now: Instant,
+    ) -> Result<Vec<Action>, Refused> {
+        if self.asked.take_if(|asked| asked.peer == *from).is_some() {
+            self.next = now + self.pause();
+        }
+        let mut after = self.saving.clone().unwrap_or_else(|| self.store.clone());
+        match after.take(update) {
+            Ok(changed) => {
+                self.attempt = 0;
+                self.heard = Some(now);
+                self.starting.answered = true;
+                self.starting.tried.insert(from.clone());
+                let mut actions = if changed { self.adopt(after)? } else { Vec::new() };
+                actions.extend(self.begin());
+                Ok(actions)
+            }
+            Err(refused) => {
+                self.missed(from, now);
+                Err(refused)
+            }
+        }
+    }
+
+    /// Takes the failure of a fetch.
+    pub fn failed(&mut self, from: &id::Vm, now: Instant) {
+        if self.asked.take_if(|asked| asked.peer == *from).is_some() {
+            self.missed(from, now);
+        }
+    }
+
+    /// Takes the state of the replica on this VM, which needs no fetch.
+    ///
+    /// # Errors
+    ///
+    /// Where the replica is behind what this VM serves.
+    pub fn local(&mut self, store: &Store, now: Instant) -> Result<Vec<Action>, Refused> {
+        self.heard = Some(now);
+        self.starting.done = true;
+        let own = self.saving.as_ref().unwrap_or(&self.store).versions();
+        if !store.versions().covers(&own) {
+            return Err(Refused::Older(store.versions()));
+        }
+        if store.versions() == own && !self.books.is_empty() {
+            return Ok(Vec::new());
+        }
+        self.adopt(store.clone())
+    }
+
+    /// Takes the news that the image of the last [`Action::Save`] is synced.
+    ///
+    /// # Errors
+    ///
+    /// Where the lists cannot be read.
+    pub fn saved(&mut self) -> Result<Vec<Action>, Refused> {
+        let Some(store) = self.saving.take() else { return Ok(Vec::new()) };
+        let mut actions = self.put_in_force(store)?;
+        actions.extend(self.begin());
+        Ok(actions)
+    }
+
+    /// Serves a peer's fetch from what this VM serves itself, and notes what the peer serves.
+    pub fn serve(&mut self, fetch: &Fetch, now: Instant) -> Update {
+        let own =
+            Served { vm: fetch.vm.clone(), region: fetch.region.clone(), versions: fetch.versions };
+        for served in fetch.served.iter().cloned().chain([own]) {
+            self.served.insert(id::Vm::from(served.vm.as_str()), (served, now));
+        }
+        self.store.serve(fetch)
+    }
+
+    /// The lists in force on this VM; none before it has learnt them.
+    pub fn book(&self) -> Option<Arc<Book>> {
+        let book = self.books.back().filter(|_| self.starting.done);
+        book.cloned()
+    }
+
+    /// The lists under which another VM decided, if they are or were in force here.
+    pub fn at(&self, plans: u64, allowances: u64) -> Option<Arc<Book>> {
+        let mut books = self.books.iter().rev().filter(|_| self.starting.done);
+        let same = books
+            .find(|book| book.plans().version == plans && book.allowances().version == allowances);
+        same.cloned()
+    }
+
+    /// The planned stops in force on this VM.
+    pub fn stops(&self) -> Arc<stop::Plan> {
+        Arc::clone(&self.stops)
+    }
+
+    /// The versions in force on this VM.
+    pub fn versions(&self) -> Versions {
+        self.store.versions()
+    }
+
+    /// Whether this VM must hear from a peer, or fail to, before it decides anything: it has
+    /// done neither for long, as after a freeze.
+    pub fn stale(&self, now: Instant) -> bool {
+        let limit = self.settings.period * STALE_PERIODS + self.settings.timeout;
+        self.books.is_empty() || (!self.sources.is_empty() && now > self.deadline() + limit)
+    }
+
+    /// When a peer's state was last found to be no newer than this VM's.
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard
+    }
+
+    fn choose(&self) -> Option<id::Vm> {
+        let untried = self.near.iter().find(|vm| !self.starting.tried.contains(*vm));
+        if !self.starting.done
+            && let Some(vm) = untried
+        {
+            return Some(vm.clone());
+        }
+        let place = self.attempt.checked_rem(self.sources.len())?;
+        self.sources.get(place).cloned()
+    }
+
+    fn fetch(&mut self, now: Instant) -> Fetch {
+        let limit = self.settings.period * REPORT_PERIODS;
+        self.served.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
+        Fetch {
+            vm: self.settings.vm.to_string(),
+            region: self.settings.region.to_string(),
+            versions: self.versions(),
+            served: self.served.values().map(|(served, _)| served.clone()).collect(),
+        }
+    }
+
+    fn missed(&mut self, peer: &id::Vm, now: Instant) {
+        self.attempt += 1;
+        self.starting.tried.insert(peer.clone());
+        self.next = now + self.settings.period / 4;
+    }
+
+    /// Ends the start once each peer of the region was asked and one answered.
+    fn begin(&mut self) -> Vec<Action> {
+        let asked = self.near.iter().all(|vm| self.starting.tried.contains(vm));
+        let learnt = asked && self.starting.answered && self.saving.is_none();
+        if self.starting.done || !learnt {
+            return Vec::new();
+        }
+        self.starting.done = true;
+        vec![Action::InForce(self.versions())]
+    }
+
+    fn pause(&mut self) -> Duration {
+        if !self.starting.done {
+            return Duration::ZERO;
+        }
+        self.settings.period.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+
+    fn adopt(&mut self, store: Store) -> Result<Vec<Action>, Refused> {
+        if !self.settings.disk {
+            return self.put_in_force(store);
+        }
+        let image = store.whole().encode_to_vec();
+        self.saving = Some(store);
+        Ok(vec![Action::Save(image)])
+    }
+
+    fn put_in_force(&mut self, store: Store) -> Result<Vec<Action>, Refused> {
+        self.install(store).map_err(Refused::Unfit)?;
+        let begun = self.starting.done.then(|| Action::InForce(self.versions()));
+        Ok(begun.into_iter().collect())
+    }
+
+    fn install(&mut self, store: Store) -> Result<(), String> {
+        let book = store.book()?;
+        self.stops = Arc::new(store.stops());
+        self.store = store;
+        self.books.push_back(Arc::new(book));
+        while self.books.len() > self.settings.books.max(1) {
+            self.books.pop_front();
+        }
+        Ok(())
+    }
+}
