--- /dev/null
+++ b/src/claim/image.rs
@@ -0,0 +1,14 @@
+use prost::Message;
+
+use super::record::Record;
+
+/// The whole state of the machine, encoded.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct Image {
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<Record>,
+    #[prost(uint64, tag = "2")]
+    pub now_ms: u64,
+    #[prost(uint64, optional, tag = "3")]
+    pub complete_since_ms: Option<u64>,
+}
--- /dev/null
+++ b/src/claim/record.rs
@@ -0,0 +1,55 @@
+use prost::{Message, Oneof, bytes::Bytes};
+
+use super::{Answer, Run};
+
+/// What is kept of one key of one customer.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct Record {
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    #[prost(string, tag = "2")]
+    pub key: String,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub digest: Bytes,
+    #[prost(string, tag = "4")]
+    pub request: String,
+    #[prost(string, tag = "5")]
+    pub vm: String,
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "7")]
+    pub claimed_ms: u64,
+    #[prost(uint64, tag = "8")]
+    pub deadline_ms: u64,
+    #[prost(oneof = "State", tags = "9, 10, 11")]
+    pub state: Option<State>,
+}
+
+/// How far a call has come.
+#[derive(Clone, PartialEq, Oneof)]
+pub(super) enum State {
+    #[prost(message, tag = "9")]
+    Running(Run),
+    #[prost(message, tag = "10")]
+    Answered(Answer),
+    #[prost(message, tag = "11")]
+    Unknown(Run),
+}
+
+/// Bytes that a record takes besides its texts and its answer.
+const OVERHEAD: usize = 128;
+
+impl Record {
+    pub fn running(&self) -> bool {
+        matches!(self.state, Some(State::Running(_)))
+    }
+
+    pub fn size(&self) -> usize {
+        let answer = match &self.state {
+            Some(State::Answered(answer)) => answer.size(),
+            _ => 0,
+        };
+        let texts = self.customer.len() + self.key.len() + self.request.len() + self.vm.len();
+        OVERHEAD + texts + self.digest.len() + answer
+    }
+}
