--- a/tests/list_cost.rs
+++ b/tests/list_cost.rs
@@ -1,11 +1,11 @@
 //! What following the lists costs a VM at the size to design for, from measured message sizes.
 
-use std::io::Write;
+use std::{io::Write, time::Instant};
 
 use pomelogate::{
     list::{Draft, Kind},
     replica::Machine as _,
-    state::{Command, Fetch, Machine, Served, Settings, Versions},
+    state::{Command, Fetch, Machine, Served, Settings, Store, Versions},
 };
 use prost::Message;
 
@@ -55,7 +55,23 @@
     let relay = report + delta * changes + (region - RELAYS) / RELAYS * plain;
     let replica = RELAYS * REGIONS / REPLICAS * (report + delta * changes)
         + command as f64 * changes * (REPLICAS - 1.0);
+    let rounds = 50;
+    let begin = Instant::now();
+    for version in 3..3 + rounds {
+        let command = Command::difference(plans(version), machine.store()).encode_to_vec();
+        machine.apply(version, &command);
+    }
+    let apply = begin.elapsed() / u32::try_from(rounds).expect("few");
+    let mut follower = Store::default();
+    let snapshot = machine.snapshot().len();
+    let begin = Instant::now();
+    follower.take(&machine.store().whole()).expect("update");
+    let book = follower.book().expect("book");
+    let take = begin.elapsed();
+    assert_eq!(book.plans().entries.len(), CUSTOMERS);
     let out = &mut std::io::stdout();
+    writeln!(out, "difference and apply {apply:?}, take a whole list {take:?}").ok();
+    writeln!(out, "snapshot of the machine {snapshot} B").ok();
     writeln!(
         out,
         "delta {delta} B, fetch {} B, fetch with reports {} B, empty update {} B, whole {whole} B, \
