--- /dev/null
+++ b/src/consensus/core.rs
@@ -0,0 +1,321 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use prost::bytes::Bytes;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{
+    Body, Hard, Membership, Message, Outgoing, Output, Peer, Record, Settings, Snapshot,
+    leader::Lead, tail::Tail,
+};
+use crate::id;
+
+/// What a replica needs in order to start.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The timings and bounds.
+    pub settings: Settings,
+    /// The replica itself.
+    pub me: Peer,
+    /// The VMs that the settings name as the first voters.
+    pub voters: Vec<id::Vm>,
+    /// What was durable; empty at the first start and after the disk was lost.
+    pub durable: Record,
+    /// The seed of the election jitter.
+    pub seed: u64,
+}
+
+/// What a replica does in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// It belongs to no group: it neither votes nor accepts until it is admitted.
+    Outsider,
+    /// It follows a leader, or waits for one.
+    Follower,
+    /// It asks for votes.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// What a replica knows of itself and its group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Status {
+    /// What it does.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The leader of that term, where it is known.
+    pub leader: Option<id::Vm>,
+    /// The last index of its log.
+    pub last: u64,
+    /// The last index that it knows as committed.
+    pub commit: u64,
+    /// The index of its snapshot.
+    pub snapshot: u64,
+    /// The members that it knows.
+    pub membership: Membership,
+    /// Empty replicas that wait to be admitted.
+    pub announced: Vec<Peer>,
+}
+
+#[derive(Debug)]
+pub(super) enum State {
+    Follower,
+    Candidate { pre: bool, votes: BTreeSet<Peer> },
+    Leader(Lead),
+}
+
+/// One replica of one group.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use pomelogate::consensus::{Core, Peer, Record, Role, Settings, Start};
+///
+/// let start = Start {
+///     settings: Settings::default(),
+///     me: Peer { vm: "jakarta-1".into(), disk: 7 },
+///     voters: vec!["jakarta-1".into()],
+///     durable: Record::default(),
+///     seed: 1,
+/// };
+/// let now = Instant::now();
+/// let mut core = Core::new(start, now);
+/// core.tick(now + Duration::from_millis(1));
+/// let output = core.take();
+/// assert!(!output.record.is_empty());
+/// core.synced(now + Duration::from_millis(2));
+/// assert_eq!(core.status().role, Role::Leader);
+/// ```
+#[derive(Debug)]
+pub struct Core {
+    pub(super) settings: Settings,
+    pub(super) me: Peer,
+    pub(super) first: Vec<id::Vm>,
+    rng: StdRng,
+    pub(super) now: Instant,
+    pub(super) hard: Hard,
+    pub(super) tail: Tail,
+    pub(super) commit: u64,
+    pub(super) applied: u64,
+    pub(super) durable: u64,
+    pub(super) membership: Membership,
+    pub(super) membership_index: u64,
+    pub(super) state: State,
+    pub(super) leader: Option<Peer>,
+    pub(super) heard: Option<Instant>,
+    pub(super) election_at: Instant,
+    pub(super) announce_at: Instant,
+    pub(super) announced: BTreeMap<id::Vm, u64>,
+    pub(super) blank: BTreeMap<id::Vm, u64>,
+    pub(super) out: Output,
+}
+
+impl Core {
+    /// Starts a replica from what was durable.
+    pub fn new(start: Start, now: Instant) -> Self {
+        let durable = start.durable;
+        let tail = Tail::new(durable.snapshot.unwrap_or_default(), durable.entries);
+        let (membership_index, membership) = tail.membership(u64::MAX);
+        let index = tail.snapshot.index;
+        let hard = durable.hard.unwrap_or_default();
+        let blank = hard.formation == 0;
+        let mut core = Self {
+            settings: start.settings,
+            me: start.me,
+            first: start.voters,
+            rng: StdRng::seed_from_u64(start.seed),
+            now,
+            hard,
+            commit: index,
+            applied: index,
+            durable: tail.last().0,
+            tail,
+            membership,
+            membership_index,
+            state: State::Follower,
+            leader: None,
+            heard: (!blank).then_some(now),
+            election_at: now,
+            announce_at: now,
+            announced: BTreeMap::new(),
+            blank: BTreeMap::new(),
+            out: Output::default(),
+        };
+        core.first.sort();
+        if index > 0 {
+            core.out.restore = Some(core.tail.snapshot.clone());
+        }
+        core.put_off_election();
+        core
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        self.now = self.now.max(now);
+        if self.is_blank() {
+            self.form();
+            self.announce();
+            return;
+        }
+        if !self.hears_leader() && !matches!(self.state, State::Leader(_)) {
+            self.announce();
+        }
+        match &self.state {
+            State::Leader(_) => self.lead(),
+            _ if self.alone() || self.now >= self.election_at => self.campaign(),
+            _ => {}
+        }
+    }
+
+    /// Takes a message of the replica of `from`.
+    pub fn receive(&mut self, now: Instant, from: &id::Vm, message: Message) {
+        self.now = self.now.max(now);
+        let from = Peer { vm: from.clone(), disk: message.from_disk };
+        let Some(body) = message.body else { return };
+        if let Body::Announce(announce) = body {
+            self.on_announce(from, message.formation, announce);
+            return;
+        }
+        if message.to_disk != self.me.disk || !self.joins(message.formation) {
+            return;
+        }
+        let term = message.term;
+        match body {
+            Body::Announce(_) => {}
+            Body::VoteAsk(ask) => self.on_vote_ask(from, term, ask),
+            Body::VoteReply(reply) => self.on_vote_reply(from, term, reply),
+            Body::Append(append) => self.on_append(from, term, append),
+            Body::Install(install) => self.on_install(from, term, install),
+            Body::Appended(appended) => self.on_appended(from, term, appended),
+            Body::ReadAsk(ask) => self.on_read_ask(from, ask),
+            Body::ReadReply(reply) => self.out.reads.push((reply.token, reply.index)),
+        }
+    }
+
+    /// What has to be done since the last call.
+    pub fn take(&mut self) -> Output {
+        self.flush();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Hears that the record of the last [`Self::take`] is durable.
+    pub fn synced(&mut self, now: Instant) {
+        self.now = self.now.max(now);
+        self.durable = self.tail.last().0;
+        self.advance();
+        if self.alone() {
+            self.tick(now);
+        }
+    }
+
+    /// Replaces the log up to `index`, which must have been applied, by a snapshot.
+    pub fn compact(&mut self, index: u64, state: Bytes) {
+        let Some(term) = self.tail.term(index).filter(|_| index <= self.applied) else { return };
+        if index <= self.tail.snapshot.index {
+            return;
+        }
+        let membership = self.tail.membership(index).1;
+        let snapshot = Snapshot { index, term, membership, state };
+        let trailing = self.settings.trailing;
+        self.tail.compact(snapshot.clone(), trailing);
+        self.out.record.absorb(Record { snapshot: Some(snapshot), ..Record::default() });
+        let kept = self.tail.range(index + 1, usize::MAX);
+        self.out.record.absorb(Record { entries: kept, ..Record::default() });
+    }
+
+    /// What the replica knows.
+    pub fn status(&self) -> Status {
+        let role = match &self.state {
+            _ if !self.membership.has(&self.me) => Role::Outsider,
+            State::Follower => Role::Follower,
+            State::Candidate { .. } => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        };
+        let announced = self.announced.iter().map(|(vm, &disk)| Peer { vm: vm.clone(), disk });
+        Status {
+            role,
+            term: self.hard.term,
+            leader: self.leader.as_ref().map(|leader| leader.vm.clone()),
+            last: self.tail.last().0,
+            commit: self.commit,
+            snapshot: self.tail.snapshot.index,
+            membership: self.membership.clone(),
+            announced: announced.filter(|peer| !self.membership.has(peer)).collect(),
+        }
+    }
+
+    /// The replica itself.
+    pub fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    /// How often [`Self::tick`] is to be called.
+    pub fn pace(&self) -> Duration {
+        self.settings.heartbeat / 3
+    }
+
+    pub(super) fn alone(&self) -> bool {
+        self.membership.voters().eq([self.me.clone()]) && !matches!(self.state, State::Leader(_))
+    }
+
+    pub(super) fn put_off_election(&mut self) {
+        let election = self.settings.election;
+        let jitter = self.rng.random_range(0.0..1.0);
+        self.election_at = self.now + election + election.mul_f64(jitter);
+    }
+
+    pub(super) fn save_hard(&mut self) {
+        self.out.record.hard = Some(self.hard.clone());
+    }
+
+    /// Follows `leader` in `term`, which is not lower than the own one.
+    pub(super) fn follow(&mut self, term: u64, leader: Option<Peer>) {
+        if term > self.hard.term {
+            self.hard = Hard { term, formation: self.hard.formation, ..Hard::default() };
+            self.save_hard();
+            self.leader = None;
+        }
+        if let State::Leader(lead) = std::mem::replace(&mut self.state, State::Follower) {
+            self.out.lost_reads.extend(lead.local_reads());
+            self.leader = None;
+            // The lease that it may have handed out rests on its own refusal to vote, too.
+            self.heard = Some(self.now);
+            self.put_off_election();
+        }
+        if leader.is_some() {
+            self.leader = leader;
+        }
+    }
+
+    pub(super) fn message(&self, to: &Peer, term: u64, body: Body) -> Outgoing {
+        let message = Message {
+            formation: self.hard.formation,
+            from_disk: self.me.disk,
+            to_disk: to.disk,
+            term,
+            body: Some(body),
+        };
+        Outgoing { to: to.vm.clone(), message }
+    }
+
+    pub(super) fn send_late(&mut self, to: &Peer, body: Body) {
+        let message = self.message(to, self.hard.term, body);
+        self.out.late.push(message);
+    }
+
+    /// Gives what is committed to the machine.
+    pub(super) fn apply(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.tail.get(self.applied + 1) else { return };
+            self.out.apply.push(entry.clone());
+            self.applied += 1;
+        }
+    }
+
+    pub(super) fn reload_membership(&mut self) {
+        (self.membership_index, self.membership) = self.tail.membership(u64::MAX);
+    }
+}
--- /dev/null
+++ b/src/consensus/election.rs
@@ -0,0 +1,102 @@
+use std::collections::BTreeSet;
+
+use super::{Body, Core, Hard, Peer, VoteAsk, VoteReply, core::State};
+
+impl Core {
+    /// Asks whether votes would be granted, without a new term.
+    pub(super) fn campaign(&mut self) {
+        self.put_off_election();
+        if !self.membership.votes(&self.me) {
+            return;
+        }
+        self.leader = None;
+        self.ask_votes(true);
+    }
+
+    fn ask_votes(&mut self, pre: bool) {
+        self.state = State::Candidate { pre, votes: BTreeSet::from([self.me.clone()]) };
+        if !pre {
+            self.hard = Hard {
+                term: self.hard.term + 1,
+                vote: self.me.vm.to_string(),
+                vote_disk: self.me.disk,
+                formation: self.hard.formation,
+            };
+            self.save_hard();
+        }
+        let (last_index, last_term) = self.tail.last();
+        let ask = Body::VoteAsk(VoteAsk { pre, last_index, last_term });
+        let term = self.hard.term + u64::from(pre);
+        for peer in self.membership.voters().filter(|peer| *peer != self.me) {
+            let message = self.message(&peer, term, ask.clone());
+            self.out.late.push(message);
+        }
+        self.count_votes();
+    }
+
+    pub(super) fn on_vote_ask(&mut self, from: Peer, term: u64, ask: VoteAsk) {
+        if self.hears_leader() || matches!(self.state, State::Leader(_)) {
+            return;
+        }
+        if ask.pre {
+            let granted = term > self.hard.term && self.is_current(&ask);
+            self.reply_vote(&from, if granted { term } else { self.hard.term }, true, granted);
+            return;
+        }
+        if term > self.hard.term {
+            self.follow(term, None);
+        }
+        let free = self.hard.vote.is_empty() || self.voted_for(&from);
+        let granted = term == self.hard.term && free && self.is_current(&ask);
+        if granted {
+            self.hard.vote = from.vm.to_string();
+            self.hard.vote_disk = from.disk;
+            self.save_hard();
+            self.put_off_election();
+        }
+        self.reply_vote(&from, self.hard.term, false, granted);
+    }
+
+    fn reply_vote(&mut self, to: &Peer, term: u64, pre: bool, granted: bool) {
+        let message = self.message(to, term, Body::VoteReply(VoteReply { pre, granted }));
+        self.out.late.push(message);
+    }
+
+    fn voted_for(&self, peer: &Peer) -> bool {
+        self.hard.vote == peer.vm.as_str() && self.hard.vote_disk == peer.disk
+    }
+
+    fn is_current(&self, ask: &VoteAsk) -> bool {
+        let (index, term) = self.tail.last();
+        (ask.last_term, ask.last_index) >= (term, index)
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: Peer, term: u64, reply: VoteReply) {
+        if !reply.granted {
+            if term > self.hard.term {
+                self.follow(term, None);
+            }
+            return;
+        }
+        let State::Candidate { pre, votes } = &mut self.state else { return };
+        if *pre == reply.pre && term == self.hard.term + u64::from(reply.pre) {
+            votes.insert(from);
+            self.count_votes();
+        }
+    }
+
+    /// Counts the votes of voters with the disk that the membership names.
+    fn count_votes(&mut self) {
+        let State::Candidate { pre, votes } = &self.state else { return };
+        let pre = *pre;
+        let counted = self.membership.voters().filter(|voter| votes.contains(voter)).count();
+        if counted < self.membership.quorum() {
+            return;
+        }
+        if pre {
+            self.ask_votes(false);
+        } else {
+            self.take_lead();
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/membership.rs
@@ -0,0 +1,127 @@
+use std::{error, fmt};
+
+use prost::Message;
+
+use super::Peer;
+use crate::id;
+
+/// The members of a group.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Membership {
+    /// Each member.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Member>,
+}
+
+/// One member of a group.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Member {
+    /// The VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// The identity of its disk.
+    #[prost(uint64, tag = "2")]
+    pub disk: u64,
+    /// Whether it votes; a learner only follows.
+    #[prost(bool, tag = "3")]
+    pub voter: bool,
+}
+
+/// A change of the membership, one at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Admits the empty replica that announced itself from this VM as a learner, in place of
+    /// any former member there; it is promoted once it has caught up.
+    Admit(id::Vm),
+    /// Removes the member of this VM.
+    Remove(id::Vm),
+}
+
+/// Why a proposal or a change was not taken; it did not happen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// This replica does not lead; the leader where it is known.
+    NotLeader(Option<id::Vm>),
+    /// Another change is not yet committed, or the leader has committed nothing yet.
+    Busy,
+    /// No empty replica announced itself from the VM.
+    Unannounced(id::Vm),
+    /// The VM is no member.
+    NoMember(id::Vm),
+    /// The change would leave no voter.
+    LastVoter,
+    /// The replica of the VM is a member with its disk.
+    Member(id::Vm),
+}
+
+impl fmt::Display for Denied {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader(Some(vm)) => write!(f, "this replica does not lead; ask {vm}"),
+            Self::NotLeader(None) => {
+                f.write_str("no leader is known; try again once a majority of the voters runs")
+            }
+            Self::Busy => f.write_str("another change of the membership is under way; try again"),
+            Self::Unannounced(vm) => write!(
+                f,
+                "no empty replica announced itself from {vm}; start it with an empty folder first"
+            ),
+            Self::NoMember(vm) => write!(f, "{vm} is no member; see the status for the members"),
+            Self::LastVoter => {
+                f.write_str("the change would leave no voter; admit another replica first")
+            }
+            Self::Member(vm) => {
+                write!(f, "{vm} is a member with the disk that it has; nothing needs to be done")
+            }
+        }
+    }
+}
+
+impl error::Error for Denied {}
+
+impl Member {
+    pub(super) fn peer(&self) -> Peer {
+        Peer { vm: id::Vm::from(self.vm.as_str()), disk: self.disk }
+    }
+}
+
+impl Membership {
+    /// The members that vote.
+    pub fn voters(&self) -> impl Iterator<Item = Peer> {
+        self.members.iter().filter(|member| member.voter).map(Member::peer)
+    }
+
+    /// Every member.
+    pub fn peers(&self) -> impl Iterator<Item = Peer> {
+        self.members.iter().map(Member::peer)
+    }
+
+    /// How many voters make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    pub(super) fn votes(&self, peer: &Peer) -> bool {
+        self.voters().any(|voter| voter == *peer)
+    }
+
+    pub(super) fn has(&self, peer: &Peer) -> bool {
+        self.peers().any(|member| member == *peer)
+    }
+
+    pub(super) fn of_vm(&self, vm: &id::Vm) -> Option<Peer> {
+        self.peers().find(|peer| peer.vm == *vm)
+    }
+
+    pub(super) fn without(&self, vm: &id::Vm) -> Self {
+        let kept = self.members.iter().filter(|member| member.vm != vm.as_str());
+        Self { members: kept.cloned().collect() }
+    }
+
+    pub(super) fn with(&self, peer: &Peer, voter: bool) -> Self {
+        let mut next = self.without(&peer.vm);
+        next.members.push(Member { vm: peer.vm.to_string(), disk: peer.disk, voter });
+        next.members.sort_by(|a, b| a.vm.cmp(&b.vm));
+        next
+    }
+}
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -1,5 +1,17 @@
 //! Replicated groups: the shell that carries [`crate::consensus`] over links and disk.
 
+mod changed;
+mod envelope;
+mod error;
+mod group;
 mod machine;
+mod runner;
+mod settings;
 
-pub use self::machine::Machine;
+pub use self::{
+    envelope::{Envelope, Outgoing},
+    error::{Error, Failure},
+    group::{Group, Status},
+    machine::Machine,
+    settings::Settings,
+};
--- /dev/null
+++ b/src/replica/envelope.rs
@@ -0,0 +1,40 @@
+use prost::{Message, bytes::Bytes};
+
+use crate::{consensus, id};
+
+/// A message between replicas, with the name of its group, as it crosses a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The message.
+    #[prost(message, required, tag = "2")]
+    pub message: consensus::Message,
+}
+
+impl Envelope {
+    /// The name of the group that an encoded envelope is for, so that a VM with several groups
+    /// can deliver it.
+    ///
+    /// ```
+    /// use pomelogate::replica::Envelope;
+    /// use prost::Message;
+    ///
+    /// let envelope = Envelope { group: "lists".to_owned(), ..Envelope::default() };
+    /// assert_eq!(Envelope::group_of(&envelope.encode_to_vec().into()).as_deref(), Some("lists"));
+    /// ```
+    pub fn group_of(payload: &Bytes) -> Option<String> {
+        Self::decode(payload.clone()).ok().map(|envelope| envelope.group)
+    }
+}
+
+/// A payload that the VM's shell carries to another VM as a notice of
+/// [`Topic::Consensus`](crate::wire::Topic::Consensus).
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// The VM.
+    pub to: id::Vm,
+    /// The encoded [`Envelope`].
+    pub payload: Bytes,
+}
--- /dev/null
+++ b/src/replica/error.rs
@@ -0,0 +1,69 @@
+use std::{error, fmt};
+
+use crate::{consensus::Denied, disk, id};
+
+/// Why a group cannot start, or has stopped.
+#[derive(Debug)]
+pub enum Error {
+    /// The folder cannot be used.
+    Disk(disk::Error),
+    /// The machine cannot restore the snapshot that the folder or the leader gave.
+    Snapshot(String),
+    /// The system gave no random number.
+    Random(rand::rngs::SysError),
+}
+
+/// Why a proposal, a change or a barrier was not answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// This replica does not lead: it did not happen. The leader, where it is known.
+    NotLeader(Option<id::Vm>),
+    /// It may have happened or may still happen: ask again with the same identity.
+    Unknown,
+    /// It was refused: it did not happen.
+    Refused(Denied),
+    /// The replica has stopped: nothing was begun. Why is in the log.
+    Stopped,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Disk(source) => source.fmt(f),
+            Self::Snapshot(text) => write!(f, "the snapshot cannot be restored: {text}"),
+            Self::Random(source) => write!(f, "no random number: {source}; start the VM again"),
+        }
+    }
+}
+
+impl error::Error for Error {}
+
+impl From<disk::Error> for Error {
+    fn from(source: disk::Error) -> Self {
+        Self::Disk(source)
+    }
+}
+
+impl From<Denied> for Failure {
+    fn from(denied: Denied) -> Self {
+        match denied {
+            Denied::NotLeader(leader) => Self::NotLeader(leader),
+            denied => Self::Refused(denied),
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader(leader) => Denied::NotLeader(leader.clone()).fmt(f),
+            Self::Unknown => {
+                f.write_str("the outcome is unknown; send the same again to learn what stands")
+            }
+            Self::Refused(denied) => denied.fmt(f),
+            Self::Stopped => f.write_str("the replica has stopped; see the VM's log for the cause"),
+        }
+    }
+}
+
+impl error::Error for Failure {}
--- /dev/null
+++ b/tests/support/cluster.rs
@@ -0,0 +1,476 @@
+//! Replicas of one group over a faulty network and disks that lose what was not synced.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use pomelogate::{
+    consensus::{
+        Change, Core, Denied, Kind, Membership, Outgoing, Peer, Record, Role, Settings, Start,
+    },
+    id,
+};
+use prost::{Message, bytes::Bytes};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const STEP: Duration = Duration::from_millis(10);
+const COMPACT_EVERY: u64 = 20;
+const SETTLE: usize = 20_000;
+
+struct Node {
+    core: Option<Core>,
+    durable: Record,
+    disk: u64,
+    frozen: bool,
+    applied: Vec<u64>,
+    applied_index: u64,
+    confirmed: BTreeMap<u64, u64>,
+}
+
+/// A group, and what must hold of it at every step.
+pub struct Cluster {
+    rng: StdRng,
+    now: Instant,
+    nodes: Vec<Node>,
+    network: Vec<(usize, Outgoing)>,
+    cuts: BTreeSet<(usize, usize)>,
+    identities: bool,
+    faulty: bool,
+    serial: u64,
+    leaders: BTreeMap<u64, usize>,
+    committed: BTreeMap<u64, u64>,
+    members: Membership,
+    members_index: u64,
+    checked: bool,
+    /// Commands that their leader saw applied, each with its index.
+    pub accepted: BTreeMap<u64, u64>,
+    /// Membership changes that were taken.
+    pub changes: usize,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, size: usize, identities: bool) -> Self {
+        let mut cluster = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: Instant::now(),
+            nodes: Vec::new(),
+            network: Vec::new(),
+            cuts: BTreeSet::new(),
+            identities,
+            faulty: false,
+            serial: 1000,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            members: Membership::default(),
+            members_index: 0,
+            checked: identities,
+            accepted: BTreeMap::new(),
+            changes: 0,
+        };
+        for _ in 0..size {
+            let disk = cluster.fresh_disk();
+            cluster.nodes.push(Node {
+                core: None,
+                durable: Record::default(),
+                disk,
+                frozen: false,
+                applied: Vec::new(),
+                applied_index: 0,
+                confirmed: BTreeMap::new(),
+            });
+        }
+        (0..size).for_each(|node| cluster.restart(node));
+        cluster
+    }
+
+    pub fn vm(node: usize) -> id::Vm {
+        id::Vm::from(format!("vm-{node}"))
+    }
+
+    fn fresh_disk(&mut self) -> u64 {
+        self.serial += 1;
+        if self.identities { self.serial } else { 1 }
+    }
+
+    pub fn restart(&mut self, node: usize) {
+        let seed = self.rng.random_range(0..u64::MAX);
+        let start = Start {
+            settings: Settings { batch: 8, trailing: 5, ..Settings::default() },
+            me: Peer { vm: Self::vm(node), disk: self.nodes[node].disk },
+            voters: (0..self.nodes.len()).map(Self::vm).collect(),
+            durable: self.nodes[node].durable.clone(),
+            seed,
+        };
+        let state = &mut self.nodes[node];
+        state.applied.clear();
+        state.applied_index = 0;
+        state.core = Some(Core::new(start, self.now));
+        self.settle_node(node, true);
+    }
+
+    pub fn crash(&mut self, node: usize) {
+        self.nodes[node].core = None;
+        self.nodes[node].frozen = false;
+    }
+
+    pub fn lose_disk(&mut self, node: usize) {
+        self.crash(node);
+        self.nodes[node].disk = self.fresh_disk();
+        self.nodes[node].durable = Record::default();
+        self.restart(node);
+    }
+
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    pub fn thaw(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+    }
+
+    pub fn clear_inbox(&mut self, node: usize) {
+        self.network.retain(|(_, message)| message.to != Self::vm(node));
+    }
+
+    pub fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.extend([(a, b), (b, a)]);
+    }
+
+    pub fn mend(&mut self, a: usize, b: usize) {
+        self.cuts.remove(&(a, b));
+        self.cuts.remove(&(b, a));
+    }
+
+    pub fn isolate(&mut self, node: usize) {
+        (0..self.nodes.len())
+            .filter(|&other| other != node)
+            .for_each(|other| self.cut(node, other));
+    }
+
+    /// Ends every fault.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.faulty = false;
+        for node in 0..self.nodes.len() {
+            self.nodes[node].frozen = false;
+            if self.nodes[node].core.is_none() {
+                self.restart(node);
+            }
+        }
+    }
+
+    pub fn role(&self, node: usize) -> Role {
+        self.nodes[node].core.as_ref().map_or(Role::Outsider, |core| core.status().role)
+    }
+
+    pub fn voters(&self, node: usize) -> usize {
+        self.nodes[node].core.as_ref().map_or(0, |core| core.status().membership.voters().count())
+    }
+
+    pub fn applied_by(&self, node: usize) -> &[u64] {
+        &self.nodes[node].applied
+    }
+
+    pub fn others(&self, node: usize) -> [usize; 2] {
+        let mut others = (0..self.nodes.len()).filter(|&other| other != node);
+        [others.next().expect("another"), others.next().expect("a third")]
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.leader_among(&(0..self.nodes.len()).collect::<Vec<_>>())
+    }
+
+    pub fn leader_among(&self, nodes: &[usize]) -> Option<usize> {
+        nodes.iter().copied().find(|&node| self.role(node) == Role::Leader)
+    }
+
+    pub fn propose(&mut self, node: usize) -> Option<u64> {
+        self.serial += 1;
+        let command = self.serial;
+        let core = self.nodes[node].core.as_mut()?;
+        let bytes = Bytes::copy_from_slice(&command.to_le_bytes());
+        core.propose(self.now, bytes).ok().map(|_| command)
+    }
+
+    pub fn change(&mut self, node: usize, change: Change) -> Result<(), Denied> {
+        let core = self.nodes[node].core.as_mut().expect("the node runs");
+        core.change(self.now, change).map(|_| ())
+    }
+
+    pub fn holds_lease(&mut self, node: usize) -> bool {
+        let now = self.now;
+        self.nodes[node].core.as_mut().is_some_and(|core| core.fence(now).is_some())
+    }
+
+    /// Whether the node gets a read point within a while.
+    pub fn reads(&mut self, node: usize) -> bool {
+        self.serial += 1;
+        let (token, now) = (self.serial, self.now);
+        if let Some(core) = &mut self.nodes[node].core {
+            core.read(now, token);
+        }
+        self.run(400);
+        self.nodes[node].confirmed.contains_key(&token)
+    }
+
+    /// What each replica knows, for the message of a failed test.
+    pub fn describe(&self) -> String {
+        let status = |node: &Node| node.core.as_ref().map(Core::status);
+        let each = self.nodes.iter().map(|node| format!("{}: {:?}\n", node.disk, status(node)));
+        each.collect()
+    }
+
+    pub fn run(&mut self, steps: usize) {
+        (0..steps).for_each(|_| self.step());
+    }
+
+    /// Whether every replica that belongs to the group agrees on a new command within bounds.
+    pub fn settles(&mut self) -> bool {
+        for _ in 0..SETTLE {
+            self.step();
+            self.readmit_one();
+            for node in 0..self.nodes.len() {
+                self.empty_removed(node);
+            }
+            if let Some(leader) = self.leader()
+                && self.leads_all(leader)
+            {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn leads_all(&self, leader: usize) -> bool {
+        let status = |node: usize| self.nodes[node].core.as_ref().map(Core::status);
+        let Some(lead) = status(leader) else { return false };
+        lead.commit == lead.last
+            && (0..self.nodes.len()).all(|node| {
+                status(node).is_some_and(|status| {
+                    status.commit == lead.commit
+                        && status.term == lead.term
+                        && status.membership.voters().count() == self.nodes.len()
+                })
+            })
+    }
+
+    fn readmit_one(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        let core = self.nodes[leader].core.as_mut().expect("it leads");
+        if let Some(peer) = core.status().announced.first() {
+            let _ = core.change(self.now, Change::Admit(peer.vm.clone()));
+        }
+    }
+
+    /// One step with faults at random.
+    pub fn disturb(&mut self) {
+        self.faulty = true;
+        let node = self.rng.random_range(0..self.nodes.len());
+        let other = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..1000) {
+            0..4 => self.crash(node),
+            4..14 if self.nodes[node].core.is_none() => self.restart(node),
+            14..18 => self.freeze(node),
+            18..40 => self.thaw(node),
+            40..44 => self.cut(node, other),
+            44..48 => self.cut_one_way(node, other),
+            48..52 => self.isolate(node),
+            52..66 => self.cuts.clear(),
+            66..67 => self.lose_a_disk(node),
+            67..90 => self.readmit_one(),
+            90..94 => self.remove_one(other),
+            94..200 => {
+                let leader = self.any_leader(node);
+                self.propose(leader);
+            }
+            200..230 => self.read_and_check(node),
+            _ => {}
+        }
+        self.step();
+    }
+
+    fn any_leader(&self, node: usize) -> usize {
+        if self.role(node) == Role::Leader { node } else { self.leader().unwrap_or(node) }
+    }
+
+    /// A disk is lost only while every replica votes with its own, as no group survives the loss
+    /// of a majority.
+    fn lose_a_disk(&mut self, node: usize) {
+        if self.is_whole() {
+            self.lose_disk(node);
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        let own = |membership: &Membership, node: usize| {
+            let disk = self.nodes[node].disk;
+            membership.voters().any(|peer| peer.vm == Self::vm(node) && peer.disk == disk)
+        };
+        let whole = |core: &Core| {
+            let membership = core.status().membership;
+            (0..self.nodes.len()).all(|node| own(&membership, node))
+        };
+        self.nodes.iter().all(|node| node.core.as_ref().is_some_and(whole))
+    }
+
+    /// Removes a member; the folder of one that was removed before is emptied.
+    fn remove_one(&mut self, node: usize) {
+        if self.empty_removed(node) {
+            return;
+        }
+        let Some(leader) = self.leader() else { return };
+        if self.is_whole() && self.change(leader, Change::Remove(Self::vm(node))).is_ok() {
+            self.changes += 1;
+        }
+    }
+
+    /// Empties the folder of a replica whose removal is committed, as an operator would.
+    fn empty_removed(&mut self, node: usize) -> bool {
+        let member = self.members.peers().any(|peer| peer.vm == Self::vm(node));
+        let removed = self.members_index > 0 && !member;
+        let empties = removed && self.nodes[node].durable.hard.is_some();
+        if empties {
+            self.lose_disk(node);
+        }
+        empties
+    }
+
+    /// A confirmed read point covers every command accepted before.
+    fn read_and_check(&mut self, node: usize) {
+        let newest = self.accepted.values().copied().max().unwrap_or(0);
+        self.serial += 1;
+        let (token, now) = (self.serial << 32 | newest, self.now);
+        if !self.nodes[node].frozen
+            && let Some(core) = &mut self.nodes[node].core
+        {
+            core.read(now, token);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for (from, outgoing) in std::mem::take(&mut self.network) {
+            self.deliver(from, outgoing);
+        }
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].frozen {
+                continue;
+            }
+            if let Some(core) = &mut self.nodes[node].core {
+                core.tick(self.now);
+            }
+            self.settle_node(node, false);
+        }
+        self.check_lease();
+    }
+
+    fn deliver(&mut self, from: usize, outgoing: Outgoing) {
+        let to = (0..self.nodes.len()).find(|&node| Self::vm(node) == outgoing.to).expect("a node");
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let fate = if self.faulty { self.rng.random_range(0..100) } else { 100 };
+        match fate {
+            0..5 => return,
+            5..10 => self.network.push((from, outgoing.clone())),
+            10..25 => return self.network.push((from, outgoing)),
+            _ => {}
+        }
+        if self.nodes[to].frozen {
+            self.network.push((from, outgoing));
+        } else if let Some(core) = &mut self.nodes[to].core {
+            core.receive(self.now, &Self::vm(from), outgoing.message);
+        }
+    }
+
+    /// Carries out what the core of `node` wants; a crash may come before or after the sync.
+    fn settle_node(&mut self, node: usize, whole: bool) {
+        for _ in 0..4 {
+            let Some(core) = &mut self.nodes[node].core else { return };
+            let output = core.take();
+            if output.is_empty() {
+                return;
+            }
+            self.network.extend(output.early.into_iter().map(|message| (node, message)));
+            let crash = self.faulty && !whole && self.rng.random_range(0..3000) == 0;
+            if crash && self.rng.random_range(0..2) == 0 {
+                return self.crash(node);
+            }
+            self.nodes[node].durable.absorb(output.record);
+            if crash {
+                return self.crash(node);
+            }
+            self.network.extend(output.late.into_iter().map(|message| (node, message)));
+            let state = &mut self.nodes[node];
+            let core = state.core.as_mut().expect("it runs");
+            core.synced(self.now);
+            if let Some(snapshot) = output.restore {
+                let chunks = snapshot.state.chunks_exact(8);
+                state.applied =
+                    chunks.map(|c| u64::from_le_bytes(c.try_into().expect("eight"))).collect();
+                state.applied_index = snapshot.index;
+            }
+            for (token, index) in output.reads {
+                assert!(index >= token & 0xffff_ffff, "a read point below an accepted command");
+                state.confirmed.insert(token, index);
+            }
+            for entry in output.apply {
+                self.apply(node, entry.index, entry.term, entry.kind(), &entry.payload);
+            }
+            self.compact(node);
+            self.check_leader(node);
+        }
+    }
+
+    fn apply(&mut self, node: usize, index: u64, term: u64, kind: Kind, payload: &[u8]) {
+        let state = &mut self.nodes[node];
+        assert_eq!(index, state.applied_index + 1, "applied in order");
+        state.applied_index = index;
+        let mark = payload.iter().fold(term << 8 | kind as u64, |sum, byte| {
+            sum.wrapping_mul(31).wrapping_add(u64::from(*byte))
+        });
+        let former = *self.committed.entry(index).or_insert(mark);
+        assert!(!self.checked || former == mark, "two entries committed at {index}");
+        if kind == Kind::Membership && index > self.members_index {
+            self.members_index = index;
+            self.members = Membership::decode(payload).expect("a membership");
+        }
+        if kind != Kind::Command {
+            return;
+        }
+        let command = u64::from_le_bytes(payload.try_into().expect("eight bytes"));
+        state.applied.push(command);
+        if self.role(node) == Role::Leader {
+            self.accepted.insert(command, index);
+        }
+    }
+
+    fn compact(&mut self, node: usize) {
+        let state = &mut self.nodes[node];
+        let Some(core) = &mut state.core else { return };
+        if state.applied_index > core.status().snapshot + COMPACT_EVERY {
+            let bytes = state.applied.iter().flat_map(|command| command.to_le_bytes());
+            core.compact(state.applied_index, bytes.collect());
+        }
+    }
+
+    fn check_leader(&mut self, node: usize) {
+        if self.role(node) == Role::Leader {
+            let term = self.nodes[node].core.as_ref().expect("it runs").status().term;
+            let former = *self.leaders.entry(term).or_insert(node);
+            assert!(!self.checked || former == node, "two leaders in term {term}");
+        }
+    }
+
+    /// Two leaders never hold a lease at once.
+    fn check_lease(&mut self) {
+        let nodes = 0..self.nodes.len();
+        let holders = nodes.filter(|&node| self.holds_lease(node)).count();
+        assert!(!self.checked || holders <= 1, "two leases at once");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! What integration tests share: the real daemon as processes, and stand-ins of targets.
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub mod cluster;
 pub mod fleet;
 pub mod targets;
