Run calls at most once, under lists that replicas agree on

Cause: lists came from files, and a call that may not be repeated was dispatched without a claim. Change: VMs with a disk hold replicas of the lists' group, and those of a region its group of claims; every VM follows the lists by deltas; a command goes to whichever replica leads. A call is claimed durably in its customer's home region, dispatched on a fresh connection, its outcome kept, then answered, and the work goes on when the caller leaves. The group of the lists counts the groups of claims of each region, so that one that lost its disks does not vouch for its keys.

--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -14,5 +14,28 @@
 pub const TARGET: Event =
     Event { number: 503, severity: Severity::Info, text: "target announced itself" };
 
+/// The lists could not be saved, so the new version is not served.
+pub const NOT_SAVED: Event =
+    Event { number: 505, severity: Severity::Error, text: "lists not saved" };
+/// A file of lists to begin with has a fault, so it is not proposed.
+pub const FAULTY_LIST: Event =
+    Event { number: 506, severity: Severity::Error, text: "list file has a fault" };
+/// The records of claims of this region were lost.
+pub const CLAIMS_LOST: Event =
+    Event { number: 507, severity: Severity::Error, text: "records of claims lost" };
+/// The outcome of a call could not be kept.
+pub const NOT_SETTLED: Event =
+    Event { number: 508, severity: Severity::Warning, text: "outcome of a call not kept" };
+
 /// Every event of this part.
-pub const ALL: &[Event] = &[STARTED, STOPPED, REQUEST, TARGET, STOPPING];
+pub const ALL: &[Event] = &[
+    STARTED,
+    STOPPED,
+    REQUEST,
+    TARGET,
+    STOPPING,
+    NOT_SAVED,
+    FAULTY_LIST,
+    CLAIMS_LOST,
+    NOT_SETTLED,
+];
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -3,10 +3,11 @@
 //! Every component that may fail a request uses these types, so that "did not run" can only be
 //! said where it is known to be true: before the first byte was written to a target.
 
+mod doubt;
 mod reason;
 mod refusal;
 
-pub use self::{reason::Reason, refusal::Refusal};
+pub use self::{doubt::Doubt, reason::Reason, refusal::Refusal};
 
 /// What became of a request or of one attempt at it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,7 +17,7 @@
     /// The request did not run anywhere.
     Refused(Refusal),
     /// The request may have run; it must not be sent again unless it is idempotent.
-    Unknown(String),
+    Unknown(Doubt),
 }
 
 impl<T> Outcome<T> {
@@ -25,7 +26,7 @@
     /// ```
     /// use pomelogate::outcome::Outcome;
     ///
-    /// let outcome: Outcome<()> = Outcome::Unknown("target closed the connection".to_owned());
+    /// let outcome: Outcome<()> = Outcome::Unknown("the target closed the connection".into());
     /// assert!(!outcome.did_not_run());
     /// ```
     pub fn did_not_run(&self) -> bool {
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -30,12 +30,12 @@
     KeyRequired,
     /// The idempotency key was used with another request, or is too old.
     KeyConflict,
-    /// A call with the same idempotency key is still running.
-    StillRunning,
     /// The home region that decides on the call cannot be reached.
     HomeUnreachable,
     /// The VM is stopping.
     Stopping,
+    /// The VM has not yet learnt the lists that it has to decide by.
+    NotReady,
     /// The body, a header or a line is larger than permitted.
     TooLarge,
 }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -3,7 +3,7 @@
 use super::Answer;
 use crate::{
     id,
-    outcome::{Outcome, Reason, Refusal},
+    outcome::{Doubt, Outcome, Reason, Refusal},
 };
 
 /// The attempts at one request: what was tried, and what may still be said of the request.
@@ -15,7 +15,7 @@
 /// use pomelogate::{outcome::{Outcome, Reason, Refusal}, path::Attempts};
 ///
 /// let mut attempts = Attempts::new(true, 3);
-/// let lost = attempts.note(Outcome::Unknown("the target closed the connection".to_owned()));
+/// let lost = attempts.note(Outcome::Unknown("the target closed the connection".into()));
 /// assert!(matches!(lost, ControlFlow::Continue(())));
 /// let refusal = Refusal::new(Reason::NoTarget, "no target is left", "try again later");
 /// assert!(matches!(attempts.end(refusal), Outcome::Unknown(_)));
@@ -27,7 +27,7 @@
     targets: BTreeSet<id::Target>,
     vms: BTreeSet<id::Vm>,
     refusal: Option<Refusal>,
-    doubt: Option<String>,
+    doubt: Option<Doubt>,
 }
 
 impl Attempts {
@@ -100,5 +100,12 @@
 
 /// Whether another target or VM may take what one refused for this reason.
 fn helps_elsewhere(reason: Reason) -> bool {
-    matches!(reason, Reason::NoTarget | Reason::Stopping | Reason::Overloaded | Reason::WrongRegion)
+    matches!(
+        reason,
+        Reason::NoTarget
+            | Reason::Stopping
+            | Reason::NotReady
+            | Reason::Overloaded
+            | Reason::WrongRegion
+    )
 }
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::within,
     http::{self, Failure},
-    outcome::{Outcome, Reason, Refusal},
+    outcome::{Doubt, Outcome, Reason, Refusal},
     target::Announcement,
     wire::{Head, Pair},
 };
@@ -161,11 +161,11 @@
         .collect()
 }
 
-fn doubt(target: &Announcement, cause: &str) -> String {
-    format!("target `{}`: {cause}", target.target)
+fn doubt(target: &Announcement, cause: &str) -> Doubt {
+    format!("target `{}`: {cause}", target.target).into()
 }
 
-fn late(target: &Announcement) -> String {
+fn late(target: &Announcement) -> Doubt {
     doubt(target, "no answer before the deadline")
 }
 
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -12,7 +12,7 @@
 use crate::{
     http::{self, Body, Broken},
     id,
-    outcome::{Reason, Refusal},
+    outcome::{Doubt, Reason, Refusal},
 };
 
 const WINDOW: usize = 4;
@@ -89,9 +89,14 @@
 }
 
 /// The response to a caller whose request may have run.
-pub fn unknown(request: &id::Request, cause: &str) -> Response<Body> {
-    let remedy = "find out what became of it before sending it again under another key";
-    Problem::new("unknown", cause, remedy).response(StatusCode::BAD_GATEWAY, request, "unknown")
+pub fn unknown(request: &id::Request, doubt: &Doubt) -> Response<Body> {
+    let (kind, status, remedy) = if doubt.still_running {
+        ("still_running", StatusCode::CONFLICT, "ask again later with the same key and body")
+    } else {
+        let remedy = "find out what became of it before sending it again under another key";
+        ("unknown", StatusCode::BAD_GATEWAY, remedy)
+    };
+    Problem::new(kind, &doubt.detail, remedy).response(status, request, "unknown")
 }
 
 /// The body of a response that is not an answer.
@@ -158,13 +163,12 @@
         Reason::NotAllowed => StatusCode::FORBIDDEN,
         Reason::WrongRegion => StatusCode::TEMPORARY_REDIRECT,
         Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
-        Reason::NoTarget | Reason::HomeUnreachable | Reason::Stopping => {
+        Reason::NoTarget | Reason::HomeUnreachable | Reason::Stopping | Reason::NotReady => {
             StatusCode::SERVICE_UNAVAILABLE
         }
         Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Reason::TooManyHops => StatusCode::LOOP_DETECTED,
         Reason::Crashing | Reason::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
-        Reason::StillRunning => StatusCode::CONFLICT,
         Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
     }
 }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -3,6 +3,7 @@
 mod changed;
 mod envelope;
 mod error;
+mod forward;
 mod group;
 mod machine;
 mod runner;
@@ -11,6 +12,7 @@
 pub use self::{
     envelope::{Envelope, Outgoing},
     error::{Error, Failure},
+    forward::{Fate, Forward, Forwarded},
     group::{Group, Status},
     machine::Machine,
     settings::Settings,
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -72,6 +72,19 @@
         Dispatch::default()
     }
 
+    /// Whether `vm` holds a replica of the group of the lists.
+    pub fn is_replica(&self, vm: &id::Vm) -> bool {
+        self.replicas.contains(vm)
+    }
+
+    /// The region of `vm`, where the settings name it.
+    pub fn region_of(&self, vm: &id::Vm) -> Option<&id::Region> {
+        if *vm == self.vm {
+            return Some(&self.region);
+        }
+        self.peers.iter().find(|peer| peer.vm == *vm).map(|peer| &peer.region)
+    }
+
     /// This VM, as others reach it.
     pub fn this(&self) -> Peer {
         Peer {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     caller::{Caller, Reply},
-    deployment::{deployment, free_address},
+    deployment::{deployment, free_address, with_disks},
     engine::{Engine, Pace},
     fault::Fault,
     reporter::Reporter,
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -40,6 +40,20 @@
     Ok(peers.iter().map(settings).collect())
 }
 
+/// The same settings with replicas on the first VM of each region, whose data folders stand in
+/// `folder`.
+pub fn with_disks(settings: Vec<Settings>, folder: &Path) -> Vec<Settings> {
+    let first = |vm: &id::Vm| vm.as_str().ends_with("-1");
+    let replicas: Vec<id::Vm> =
+        settings.iter().map(|settings| settings.vm.clone()).filter(first).collect();
+    let with_disk = |settings: Settings| Settings {
+        data: replicas.contains(&settings.vm).then(|| folder.join(settings.vm.as_str())),
+        replicas: replicas.clone(),
+        ..settings
+    };
+    settings.into_iter().map(with_disk).collect()
+}
+
 fn peer(address: Ipv4Addr, region: &str, number: usize) -> io::Result<Peer> {
     Ok(Peer {
         vm: id::Vm::from(format!("{region}-{number}")),
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 //! version is in force. `docs/design/lists.md` has the reasons.
 
 mod answer;
+mod ask;
 mod cache;
 mod command;
 mod follower;
@@ -21,6 +22,7 @@
 
 pub use self::{
     answer::Answer,
+    ask::{Ask, Question, Reported, Reports},
     cache::{load, save},
     command::{Announce, Change, Command, Fence, Incarnation, Operation, Withdraw},
     follower::{Action, Follower, Settings},
--- a/src/state/follower.rs
+++ b/src/state/follower.rs
@@ -304,17 +304,33 @@
         self.sources.get(place).cloned()
     }
 
+    /// What this VM and those that fetch from it serve, as far as they said so lately.
+    pub fn reports(&mut self, now: Instant) -> Vec<Served> {
+        let own = Served {
+            vm: self.settings.vm.to_string(),
+            region: self.settings.region.to_string(),
+            versions: self.versions(),
+        };
+        let mut reports = self.others(now);
+        reports.push(own);
+        reports
+    }
+
     fn fetch(&mut self, now: Instant) -> Fetch {
-        let limit = self.settings.period * REPORT_PERIODS;
-        self.served.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
         Fetch {
             vm: self.settings.vm.to_string(),
             region: self.settings.region.to_string(),
             versions: self.versions(),
-            served: self.served.values().map(|(served, _)| served.clone()).collect(),
+            served: self.others(now),
         }
     }
 
+    fn others(&mut self, now: Instant) -> Vec<Served> {
+        let limit = self.settings.period * REPORT_PERIODS;
+        self.served.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
+        self.served.values().map(|(served, _)| served.clone()).collect()
+    }
+
     fn missed(&mut self, peer: &id::Vm, now: Instant) {
         self.attempt += 1;
         self.starting.tried.insert(peer.clone());
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -9,7 +9,7 @@
     clock::within,
     id,
     link::Exchange,
-    outcome::{Outcome, Reason, Refusal},
+    outcome::{Doubt, Outcome, Reason, Refusal},
     path::{self, Admitted, Answer, Class, Part, Resolved},
     settings::Peer,
     target::Need,
@@ -43,7 +43,7 @@
             Err(cause) => return Outcome::Refused(unreachable_vm(peer, &cause.to_string())),
         };
         let answer = within(left, ask(exchange, body)).await;
-        answer.unwrap_or_else(|| Outcome::Unknown("no answer before the deadline".to_owned()))
+        answer.unwrap_or_else(|| Outcome::Unknown("no answer before the deadline".into()))
     }
 
     fn handover(&self, request: &path::Request<Admitted>, left: Duration) -> Handover {
@@ -87,11 +87,17 @@
         answer(exchange, outcome).await;
     }
 
-    async fn run(&self, from: &id::Region, handover: Handover, body: Bytes) -> Outcome<Answer> {
-        let allowed = self
-            .check(from, handover)
-            .and_then(|handover| self.restore(handover, body))
-            .and_then(path::Request::allow);
+    async fn run(
+        self: &Arc<Self>,
+        from: &id::Region,
+        handover: Handover,
+        body: Bytes,
+    ) -> Outcome<Answer> {
+        let checked = match self.check(from, handover) {
+            Ok(handover) => self.restore(handover, body).await,
+            Err(refusal) => Err(refusal),
+        };
+        let allowed = checked.and_then(path::Request::allow);
         let admitted = match allowed {
             Ok(request) => request.admit(&self.admission).await,
             Err(refusal) => Err(refusal),
@@ -127,8 +133,12 @@
         Ok(handover)
     }
 
-    fn restore(&self, handover: Handover, body: Bytes) -> Result<path::Request<Resolved>, Refusal> {
-        let book = self.book();
+    async fn restore(
+        &self,
+        handover: Handover,
+        body: Bytes,
+    ) -> Result<path::Request<Resolved>, Refusal> {
+        let book = self.book_at(handover.plans, handover.allowances).await?;
         let customer = id::Customer::from(handover.customer);
         let plan = book.plan(&customer).cloned().ok_or_else(|| not_known(&customer))?;
         let allowance = book.allowance(&plan.plan).cloned().ok_or_else(|| not_known(&customer))?;
@@ -188,7 +198,7 @@
             return;
         }
         Outcome::Unknown(cause) => {
-            let _ = exchange.send(Body::Abort(doubt(cause))).await;
+            let _ = exchange.send(Body::Abort(uncertain(cause))).await;
             return;
         }
     };
@@ -209,7 +219,7 @@
         let body = match part {
             Part::Chunk(bytes) => Body::Chunk(Chunk { bytes }),
             Part::End => Body::End(End {}),
-            Part::Abort(cause) => Body::Abort(doubt(cause)),
+            Part::Abort(cause) => Body::Abort(uncertain(cause.into())),
         };
         if exchange.send(body).await.is_err() {
             return;
@@ -226,17 +236,17 @@
         let end = (start + PIECE).min(body.len());
         let chunk = Chunk { bytes: body.slice(start..end) };
         if let Err(cause) = exchange.send(Body::Chunk(chunk)).await {
-            return Outcome::Unknown(cause.to_string());
+            return Outcome::Unknown(cause.to_string().into());
         }
     }
     if let Err(cause) = exchange.send(Body::End(End {})).await {
-        return Outcome::Unknown(cause.to_string());
+        return Outcome::Unknown(cause.to_string().into());
     }
     match exchange.receive().await {
         Ok(Body::Head(head)) => Outcome::Answered(receive(head, exchange)),
         Ok(Body::Abort(abort)) => decode_abort(abort),
-        Ok(_) => Outcome::Unknown("the other VM sent no head".to_owned()),
-        Err(cause) => Outcome::Unknown(cause.to_string()),
+        Ok(_) => Outcome::Unknown("the other VM sent no head".into()),
+        Err(cause) => Outcome::Unknown(cause.to_string().into()),
     }
 }
 
@@ -277,11 +287,13 @@
         detail: refusal.detail.clone(),
         remedy: refusal.remedy.clone(),
         retry_after_ms: u64::try_from(retry).unwrap_or(u64::MAX),
+        still_running: false,
     }
 }
 
-fn doubt(cause: String) -> Abort {
-    Abort { did_not_run: false, detail: cause, ..Abort::default() }
+fn uncertain(doubt: Doubt) -> Abort {
+    let Doubt { detail, still_running } = doubt;
+    Abort { did_not_run: false, detail, still_running, ..Abort::default() }
 }
 
 fn decode_abort(abort: Abort) -> Outcome<Answer> {
@@ -293,7 +305,7 @@
             let retry_after = (!retry.is_zero()).then_some(retry);
             Outcome::Refused(Refusal { retry_after, ..refusal })
         }
-        _ => Outcome::Unknown(abort.detail),
+        _ => Outcome::Unknown(Doubt { detail: abort.detail, still_running: abort.still_running }),
     }
 }
 
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -19,6 +19,15 @@
                     let vm = Arc::clone(&self);
                     smol::spawn(vm.take_over(from, region, *handover, exchange)).detach();
                 }
+                Inbound::Notice { from, topic: Topic::Consensus, payload } => {
+                    self.agreement.receive(&from, &payload);
+                }
+                Inbound::Call { topic: Topic::Proposals, payload, reply, .. } => {
+                    smol::spawn(Arc::clone(&self).forwarded(payload, reply)).detach();
+                }
+                Inbound::Call { topic: Topic::Lists, payload, reply, .. } => {
+                    smol::spawn(Arc::clone(&self).answer_lists(payload, reply)).detach();
+                }
                 Inbound::Notice { .. } | Inbound::Call { .. } => {}
             }
         }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -3,7 +3,7 @@
     fmt, fs, io,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant, SystemTime},
 };
 
 use rand::{
@@ -18,6 +18,7 @@
     net::TcpListener,
 };
 
+use super::agreement::Agreement;
 use crate::{
     clock::{Clock, within},
     event,
@@ -27,7 +28,9 @@
     link::{self, Hub, Inbound},
     list::{Book, List},
     name::{self, Catalogue},
+    replica,
     settings::{Peer, Settings},
+    state::{self, Follower},
     target::View,
     wire::Hello,
 };
@@ -44,7 +47,11 @@
     pub(super) targets: Mutex<View>,
     pub(super) names: Catalogue,
     pub(super) admission: Arc<Admission>,
-    book: Mutex<Arc<Book>>,
+    pub(super) agreement: Agreement,
+    pub(super) follower: Mutex<Follower>,
+    /// The lists of the files, where no replicas are named.
+    pub(super) fixed: Option<Arc<Book>>,
+    pub(super) incarnation: u64,
     random: Mutex<StdRng>,
     stopped: Stopped,
     busy: Mutex<Option<Sender<Infallible>>>,
@@ -67,6 +74,10 @@
     Listen(std::net::SocketAddr, io::Error),
     /// The operating system gives no random numbers.
     Random(rand::rngs::SysError),
+    /// A replica cannot start.
+    Agreement(replica::Error),
+    /// The saved lists cannot be used.
+    Lists(String),
     /// A file cannot be read.
     Read(std::path::PathBuf, io::Error),
     /// The catalogue of names cannot be used.
@@ -82,6 +93,8 @@
                 write!(f, "cannot listen on {address}: {cause}; set a free address of this VM")
             }
             Self::Names(cause) => cause.fmt(f),
+            Self::Agreement(cause) => cause.fmt(f),
+            Self::Lists(cause) => write!(f, "the saved lists cannot be used: {cause}"),
             Self::Random(cause) => {
                 write!(f, "no random numbers: {cause}; check the operating system")
             }
@@ -112,14 +125,18 @@
         clock: Arc<dyn Clock>,
         logger: Logger,
     ) -> Result<Running, Error> {
-        let book = first_book(&settings)?;
+        let fixed = fixed_book(&settings)?;
         let names = names(&settings)?;
         let (admission, expire) = Admission::new(limit::Settings::default(), Arc::clone(&clock));
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let hub = Hub::new(hello(&settings, random.random()), link::Settings::default(), sender);
+        let incarnation = incarnation(clock.wall());
+        let hub = Hub::new(hello(&settings, incarnation), link::Settings::default(), sender);
+        let (agreement, outgoing) =
+            Agreement::start(&settings, &clock, &logger).await.map_err(Error::Agreement)?;
+        let follower = follower(&settings, &mut random, clock.now())?;
         let (stop, stopped) = Stop::new();
         let (busy, idle) = smol::channel::bounded(1);
         let vm = Arc::new(Self {
@@ -130,7 +147,10 @@
             targets: Mutex::default(),
             names,
             admission,
-            book: Mutex::new(Arc::new(book)),
+            agreement,
+            follower: Mutex::new(follower),
+            fixed,
+            incarnation,
             random: Mutex::new(random),
             stopped: stopped.clone(),
             busy: Mutex::new(Some(busy)),
@@ -139,6 +159,10 @@
         let server = smol::spawn(Arc::clone(&vm).listen(callers, stopped));
         let mut tasks = vm.tasks(links, inbound);
         tasks.push(smol::spawn(expire));
+        tasks.push(smol::spawn(Arc::clone(&vm).send_agreement(outgoing)));
+        tasks.push(smol::spawn(Arc::clone(&vm).follow()));
+        tasks.push(smol::spawn(Arc::clone(&vm).seed()));
+        tasks.push(smol::spawn(Arc::clone(&vm).tend_claims()));
         Ok(Running { vm, tasks, server, stop, idle })
     }
 
@@ -156,19 +180,15 @@
         vec![smol::spawn(accept), smol::spawn(receive)]
     }
 
-    /// The lists in force at this moment.
-    pub(super) fn book(&self) -> Arc<Book> {
-        Arc::clone(&lock(&self.book))
-    }
-
     /// The targets that this VM knows.
     pub(super) fn targets(&self) -> MutexGuard<'_, View> {
         lock(&self.targets)
     }
 
-    /// Whether the VM was told to stop.
+    /// Whether the VM was told to stop, or an operator planned its stop.
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopped.is_stopped()
+        let Settings { vm, zone, region, .. } = &self.settings;
+        self.stopped.is_stopped() || self.stops().vm(vm, zone, region)
     }
 
     /// Counts as work in flight until dropped; nothing where the VM no longer waits for work.
@@ -182,6 +202,17 @@
         id::Request::from(format!("{number:016x}"))
     }
 
+    /// The VMs that this VM knows, itself among them.
+    pub(super) fn peers(&self) -> Vec<Peer> {
+        let others = self.others().cloned();
+        std::iter::once(self.settings.this()).chain(others).collect()
+    }
+
+    /// How to reach `vm`.
+    pub(super) fn peer(&self, vm: &id::Vm) -> Option<Peer> {
+        self.peers().into_iter().find(|peer| peer.vm == *vm)
+    }
+
     /// The other VMs that this VM knows.
     pub(super) fn others(&self) -> impl Iterator<Item = &Peer> {
         self.settings.peers.iter().filter(|peer| peer.vm != self.settings.vm)
@@ -227,7 +258,7 @@
 /// How long a target's announcement holds.
 pub(super) const LEASE: Duration = Duration::from_secs(5);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -251,10 +282,40 @@
     }
 }
 
-fn first_book(settings: &Settings) -> Result<Book, Error> {
+/// Grows with each start of the process.
+fn incarnation(wall: SystemTime) -> u64 {
+    let since = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn follower(settings: &Settings, random: &mut StdRng, now: Instant) -> Result<Follower, Error> {
+    let image = match &settings.data {
+        Some(folder) => {
+            fs::create_dir_all(folder).map_err(|cause| Error::Read(folder.clone(), cause))?;
+            state::load(folder).map_err(|cause| Error::Lists(cause.to_string()))?
+        }
+        None => None,
+    };
+    let follow = state::Settings {
+        vm: settings.vm.clone(),
+        region: settings.region.clone(),
+        disk: settings.data.is_some(),
+        ..state::Settings::default()
+    };
+    let seed = StdRng::seed_from_u64(random.random());
+    Follower::new(follow, image.as_deref(), seed, now).map_err(Error::Lists)
+}
+
+/// The lists of the files, where they are not to come from replicas.
+fn fixed_book(settings: &Settings) -> Result<Option<Arc<Book>>, Error> {
+    if !settings.replicas.is_empty() {
+        return Ok(None);
+    }
     let plans = settings.plans.as_deref().map(read).transpose()?;
     let allowances = settings.allowances.as_deref().map(read).transpose()?;
-    Ok(Book::new(plans.unwrap_or_else(List::default), allowances.unwrap_or_else(List::default)))
+    let book =
+        Book::new(plans.unwrap_or_else(List::default), allowances.unwrap_or_else(List::default));
+    Ok(Some(Arc::new(book)))
 }
 
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -8,6 +8,7 @@
 use hyper::{
     HeaderMap, Request, Response,
     body::{Bytes, Incoming},
+    header::{CONNECTION, HeaderValue},
 };
 use smol::Timer;
 
@@ -42,14 +43,22 @@
         let id = self.request_id();
         let outcome = self.take(id.clone(), request).await;
         event::path::REQUEST.emit(&self.logger, &[("request", &id), ("outcome", &Word(&outcome))]);
-        match outcome {
+        let mut response = match outcome {
             Outcome::Answered(answer) => path::relay(&id, answer),
             Outcome::Refused(refusal) => path::refusal(&id, &refusal),
             Outcome::Unknown(cause) => path::unknown(&id, &cause),
+        };
+        if self.is_stopping() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
-    async fn take(&self, id: id::Request, request: Request<Incoming>) -> Outcome<Answer> {
+    async fn take(
+        self: &Arc<Self>,
+        id: id::Request,
+        request: Request<Incoming>,
+    ) -> Outcome<Answer> {
         match self.prepare(id, request).await {
             Ok(request) => self.place(request).await,
             Err(refusal) => Outcome::Refused(refusal),
@@ -68,7 +77,7 @@
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let received = path::Request {
             id,
-            book: self.book(),
+            book: self.current_book().await?,
             method: head.method,
             path,
             class: Class::default(),
@@ -126,7 +135,11 @@
 
     /// Gives the request's answer. A request of the class that may wait does so while no target
     /// takes it.
-    pub(super) async fn place(&self, request: path::Request<Admitted>) -> Outcome<Answer> {
+    pub(super) async fn place(
+        self: &Arc<Self>,
+        request: path::Request<Admitted>,
+    ) -> Outcome<Answer> {
+        let request = Arc::new(request);
         loop {
             let outcome = self.attempt(&request).await;
             let waits = request.class == Class::Batch
@@ -134,11 +147,11 @@
                 && request.left(self.clock.now()) > BATCH_PAUSE
                 && !self.is_stopping();
             if !waits {
-                return match outcome {
-                    Outcome::Answered(answer) => {
+                return match (outcome, Arc::into_inner(request)) {
+                    (Outcome::Answered(answer), Some(request)) => {
                         Outcome::Answered(answer.holding(request.stage.permit))
                     }
-                    outcome => outcome,
+                    (outcome, _) => outcome,
                 };
             }
             Timer::after(BATCH_PAUSE).await;
@@ -147,7 +160,7 @@
 
     /// Finds a target here or in another region; what failed is tried elsewhere as long as that
     /// can do no harm.
-    async fn attempt(&self, request: &path::Request<Admitted>) -> Outcome<Answer> {
+    async fn attempt(self: &Arc<Self>, request: &Arc<path::Request<Admitted>>) -> Outcome<Answer> {
         let mut attempts = Attempts::new(request.stage.resolved.idempotent, ATTEMPTS);
         while attempts.may_try() {
             let left = request.left(self.clock.now());
@@ -158,7 +171,11 @@
             let outcome = match choice {
                 Choice::Target(target) => {
                     attempts.target(&target.target);
-                    path::dispatch(request, &target, self.settings.dispatch(), left).await
+                    if request.stage.resolved.idempotent {
+                        path::dispatch(request, &target, self.settings.dispatch(), left).await
+                    } else {
+                        self.run_once(request, &target, left).await
+                    }
                 }
                 Choice::Vm(peer) => {
                     attempts.vm(&peer.vm);
@@ -175,10 +192,12 @@
     fn choose(&self, request: &path::Request<Admitted>, attempts: &Attempts) -> Option<Choice> {
         let resolved = &request.stage.resolved;
         let now = self.clock.now();
+        let stops = self.stops();
         let targets = self.targets();
         let (here, elsewhere): (Vec<_>, Vec<_>) = targets
             .capable(&resolved.need, now)
             .filter(|target| resolved.allowance.regions.contains(&target.region))
+            .filter(|target| !stops.target(&target.target, &target.zone, &target.region))
             .partition(|target| target.region == self.settings.region);
         let fresh = here.into_iter().filter(|target| !attempts.targets().contains(&target.target));
         if let Some(target) = fresh.min_by_key(|target| target.load.running) {
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -208,4 +208,7 @@
     /// Milliseconds to wait before trying again; zero where there is no advice.
     #[prost(uint64, tag = "5")]
     pub retry_after_ms: u64,
+    /// Whether an earlier request with the same idempotency key is still running the call.
+    #[prost(bool, tag = "6")]
+    pub still_running: bool,
 }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -11,7 +11,7 @@
 use hyper::Method;
 use pomelogate::{
     settings::Settings,
-    standin::{Caller, deployment},
+    standin::{Caller, deployment, with_disks},
 };
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
@@ -29,6 +29,7 @@
 pub struct Fleet {
     pub vms: Vec<Process>,
     folder: TempDir,
+    data: Option<TempDir>,
 }
 
 /// One VM's process.
@@ -44,10 +45,18 @@
         Self::with(deployment(&samples(), regions).expect("free ports")).await
     }
 
+    /// Starts VMs with replicas of the lists on the first VM of each region.
+    pub async fn replicated(regions: &[(&str, usize)]) -> Self {
+        let settings = deployment(&samples(), regions).expect("free ports");
+        let folder = tempfile::tempdir().expect("a folder for data");
+        let settings = with_disks(settings, folder.path());
+        Self { data: Some(folder), ..Self::with(settings).await }
+    }
+
     /// Starts VMs with the settings given, and waits until each takes callers.
     pub async fn with(settings: Vec<Settings>) -> Self {
         let folder = tempfile::tempdir().expect("a folder for settings");
-        let mut fleet = Self { vms: Vec::new(), folder };
+        let mut fleet = Self { vms: Vec::new(), folder, data: None };
         for settings in settings {
             let path = fleet.folder.path().join(format!("{}.json", settings.vm));
             fs::write(&path, serde_json::to_vec_pretty(&settings).expect("settings as JSON"))
