Count a fetch after a freeze only if it began after it

Cause: a VM that thawed was fresh as soon as it asked, or got a reply from before the freeze. Ruled out: a lease on the lists from the quorum: a region that is cut off has to go on serving.

--- a/src/state/follower.rs
+++ b/src/state/follower.rs
@@ -71,6 +71,7 @@
     attempt: usize,
     next: Instant,
     heard: Option<Instant>,
+    tried: Instant,
     starting: Starting,
     served: BTreeMap<id::Vm, (Served, Instant)>,
 }
@@ -134,6 +135,7 @@
             attempt: 0,
             next: now,
             heard: None,
+            tried: now,
             starting: Starting::default(),
             served: BTreeMap::new(),
         };
@@ -158,6 +160,7 @@
     /// Passes time; call it a few times a period and at [`Follower::deadline`].
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         if let Some(asked) = self.asked.take_if(|asked| asked.until <= now) {
+            self.end(&asked, now);
             self.missed(&asked.peer, now);
         }
         let mut actions = self.begin();
@@ -189,7 +192,8 @@
         update: &Update,
         now: Instant,
     ) -> Result<Vec<Action>, Refused> {
-        if self.asked.take_if(|asked| asked.peer == *from).is_some() {
+        if let Some(asked) = self.asked.take_if(|asked| asked.peer == *from) {
+            self.end(&asked, now);
             self.next = now + self.pause();
         }
         let mut after = self.saving.clone().unwrap_or_else(|| self.store.clone());
@@ -212,7 +216,8 @@
 
     /// Takes the failure of a fetch.
     pub fn failed(&mut self, from: &id::Vm, now: Instant) {
-        if self.asked.take_if(|asked| asked.peer == *from).is_some() {
+        if let Some(asked) = self.asked.take_if(|asked| asked.peer == *from) {
+            self.end(&asked, now);
             self.missed(from, now);
         }
     }
@@ -224,6 +229,7 @@
     /// Where the replica is behind what this VM serves.
     pub fn local(&mut self, store: &Store, now: Instant) -> Result<Vec<Action>, Refused> {
         self.heard = Some(now);
+        self.tried = now;
         self.starting.done = true;
         let own = self.saving.as_ref().unwrap_or(&self.store).versions();
         if !store.versions().covers(&own) {
@@ -282,10 +288,10 @@
     }
 
     /// Whether this VM must hear from a peer, or fail to, before it decides anything: it has
-    /// done neither for long, as after a freeze.
+    /// done neither for long, as after a freeze. What was asked before a freeze doesn't count.
     pub fn stale(&self, now: Instant) -> bool {
         let limit = self.settings.period * STALE_PERIODS + self.settings.timeout;
-        self.books.is_empty() || (!self.sources.is_empty() && now > self.deadline() + limit)
+        self.books.is_empty() || (!self.sources.is_empty() && now > self.tried + limit)
     }
 
     /// When a peer's state was last found to be no newer than this VM's.
@@ -315,6 +321,13 @@
         }
     }
 
+    /// Notes the end of a fetch, unless a freeze lies between the fetch and its end.
+    fn end(&mut self, asked: &Asked, now: Instant) {
+        if now < asked.until + self.settings.period {
+            self.tried = now;
+        }
+    }
+
     fn missed(&mut self, peer: &id::Vm, now: Instant) {
         self.attempt += 1;
         self.starting.tried.insert(peer.clone());
@@ -358,6 +371,9 @@
         let book = store.book()?;
         self.stops = Arc::new(store.stops());
         self.store = store;
+        if self.books.back().is_some_and(|last| same(last, &book)) {
+            return Ok(());
+        }
         self.books.push_back(Arc::new(book));
         while self.books.len() > self.settings.books.max(1) {
             self.books.pop_front();
@@ -365,3 +381,8 @@
         Ok(())
     }
 }
+
+fn same(one: &Book, other: &Book) -> bool {
+    one.plans().version == other.plans().version
+        && one.allowances().version == other.allowances().version
+}
--- a/tests/list_follower.rs
+++ b/tests/list_follower.rs
@@ -166,7 +166,19 @@
         assert!(!follower.stale(now), "a region that is cut off goes on serving");
     }
     assert_eq!(asked.len(), 3);
-    assert!(follower.stale(now + Duration::from_secs(60)), "frozen");
+    now += Duration::from_secs(10);
+    let asked = follower.tick(now);
+    assert!(matches!(&asked[..], [Action::Fetch { .. }]));
+    now += Duration::from_secs(60);
+    let Some(Action::Fetch { to, fetch }) = asked.last() else { panic!() };
+    let late = machine.store().serve(fetch);
+    follower.answered(to, &late, now).expect("answer");
+    assert!(follower.stale(now), "a reply from before the freeze doesn't count");
+    now += Duration::from_secs(10);
+    let Some(Action::Fetch { to, .. }) = follower.tick(now).pop() else { panic!() };
+    assert!(follower.stale(now), "asked, not answered");
+    follower.failed(&to, now);
+    assert!(!follower.stale(now));
 }
 
 #[test]
