--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -154,7 +154,10 @@
         let way: Vec<String> = request.way.iter().map(ToString::to_string).collect();
         match vm.decide(&self.home, Operation::Claim(self.claim.clone())).await {
             Ok(Verdict::Run(_)) => self.dispatch(&vm, &request, &target, left).await,
-            Ok(verdict) => decided(verdict, way),
+            Ok(verdict) => verdict.outcome().map_or_else(
+                || Outcome::Unknown("the home region runs another version".into()),
+                |outcome| decided(outcome, way),
+            ),
             Err(Undecided::No(cause)) => Outcome::Refused(unreachable_home(&self.home, &cause)),
             Err(Undecided::Unknown(cause)) => {
                 self.release(&vm).await;
@@ -211,14 +214,11 @@
 }
 
 /// The outcome of a request whose call it is not to run.
-fn decided(verdict: Verdict, way: Vec<String>) -> Outcome<Answer> {
-    let refused =
-        |reason, detail: &str, remedy: &str| Outcome::Refused(Refusal::new(reason, detail, remedy));
-    match verdict {
-        Verdict::Answered(answer) if answer.cut => {
-            Outcome::Unknown("the call ran, but its answer was too large to keep".into())
-        }
-        Verdict::Answered(answer) => {
+fn decided(outcome: Outcome<claim::Answer>, way: Vec<String>) -> Outcome<Answer> {
+    match outcome {
+        Outcome::Refused(refusal) => Outcome::Refused(refusal),
+        Outcome::Unknown(doubt) => Outcome::Unknown(doubt),
+        Outcome::Answered(answer) => {
             let headers = answer
                 .headers
                 .into_iter()
@@ -226,40 +226,6 @@
             let head = Head { status: answer.status, headers: headers.collect() };
             Outcome::Answered(restored(head, answer.body, way))
         }
-        Verdict::StillRunning(running) => Outcome::Unknown(Doubt::still_running(format!(
-            "request {} is still running the call",
-            running.request
-        ))),
-        Verdict::Unknown(unknown) => {
-            Outcome::Unknown(format!("request {} may have run the call", unknown.request).into())
-        }
-        Verdict::Conflict(_) => refused(
-            Reason::KeyConflict,
-            "the idempotency key was used for another call",
-            "use a new key for a new call",
-        ),
-        Verdict::TooOld(_) => refused(
-            Reason::KeyConflict,
-            "the idempotency key is older than keys are kept; an earlier request may have run it",
-            "find out whether the call ran before making it under a new key",
-        ),
-        Verdict::Full(full) => Outcome::Refused(
-            Refusal::new(
-                Reason::Overloaded,
-                "the home region can keep no more idempotency keys",
-                "try again later",
-            )
-            .retry_after(Duration::from_millis(full.retry_after_ms)),
-        ),
-        Verdict::Unvouched(_) => refused(
-            Reason::HomeUnreachable,
-            "the home region lost its records and cannot vouch for the key",
-            "ask the operator; an earlier request with the key may have run",
-        ),
-        Verdict::Unable(unable) => refused(Reason::Malformed, &unable.fault, "correct the call"),
-        Verdict::Run(_) | Verdict::Done(_) => {
-            Outcome::Unknown("the home region runs another version".into())
-        }
     }
 }
 
