Place requests by expected cost, and compare it with baselines in virtual time

Cause: any capable target was taken, whatever its load and cache. Change: place::Policy (affinity, corrected reports, two random choices, slow start, spill with a reserve), baselines in the same interface; emulator of small engines and examples/load.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod consensus;
 pub mod crash;
 pub mod disk;
+pub mod emulator;
 pub mod event;
 pub mod figure;
 pub mod http;
--- /dev/null
+++ b/src/place/rule.rs
@@ -0,0 +1,13 @@
+/// How a policy chooses; the last is the one for production, the others are baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Rule {
+    /// Any target of the own region, at random.
+    Random,
+    /// The targets of the own region in turn.
+    RoundRobin,
+    /// The target of the own region with the least reported load.
+    LeastLoad,
+    /// The least expected cost, other regions included.
+    #[default]
+    LeastCost,
+}
