Refuse requests that crash targets, without blaming those beside them

Cause: a request that kills each target that runs it was sent on and on. Change: crash::Ledger counts, for a digest of customer, need and body, the targets that died while it was in flight. Ruled out: blaming everything in flight at each death (refuses bystanders after two deaths).

--- /dev/null
+++ b/src/crash/digest.rs
@@ -0,0 +1,50 @@
+use std::fmt;
+
+use sha2::{Digest as _, Sha256};
+
+use crate::{id, target::Need};
+
+const BYTES: usize = 16;
+
+/// Recognises a request when it comes again, through any VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Digest([u8; BYTES]);
+
+impl Digest {
+    /// The digest of a request: its customer, what it needs in canonical names, and its body.
+    ///
+    /// ```
+    /// use pomelogate::{crash::Digest, id, target::Need};
+    ///
+    /// let need = Need::Service { service: id::Service::from("jobs") };
+    /// let one = Digest::new(&"crew".into(), &need, b"{}");
+    /// assert_eq!(one, Digest::new(&"crew".into(), &need, b"{}"));
+    /// assert_ne!(one, Digest::new(&"crew".into(), &need, b"[]"));
+    /// ```
+    pub fn new(customer: &id::Customer, need: &Need, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [customer.as_str().as_bytes(), need.to_string().as_bytes(), body] {
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let mut bytes = [0; BYTES];
+        bytes.copy_from_slice(&hash.finalize()[..BYTES]);
+        Self(bytes)
+    }
+
+    /// The digest as bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The digest that `bytes` hold; none where their number is wrong.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        Some(Self(bytes.try_into().ok()?))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- /dev/null
+++ b/src/crash/settings.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+/// Settings of a ledger.
+///
+/// ```
+/// assert_eq!(pomelogate::crash::Settings::default().deaths, 2);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Deaths of targets after which a request is refused.
+    pub deaths: usize,
+    /// How long a death counts, and so how long a request is refused after the last.
+    pub memory: Duration,
+    /// Requests that are remembered at most; the oldest are forgotten first.
+    pub records: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { deaths: 2, memory: Duration::from_secs(600), records: 4096 }
+    }
+}
