--- a/examples/load.rs
+++ b/examples/load.rs
@@ -9,11 +9,13 @@
     place::{Rule, Settings},
 };
 
-const RULES: [(&str, Rule); 4] = [
-    ("random", Rule::Random),
-    ("round-robin", Rule::RoundRobin),
-    ("least load", Rule::LeastLoad),
-    ("policy", Rule::LeastCost),
+const RULES: [(&str, Rule, bool); 6] = [
+    ("random", Rule::Random, false),
+    ("round-robin", Rule::RoundRobin, false),
+    ("round-robin, all regions", Rule::RoundRobin, true),
+    ("least load", Rule::LeastLoad, false),
+    ("least load, all regions", Rule::LeastLoad, true),
+    ("policy", Rule::LeastCost, false),
 ];
 
 fn main() {
@@ -31,7 +33,9 @@
         );
         println!("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
         for scenario in Scenario::ALL {
-            for (label, rule) in RULES {
+            for (label, rule, everywhere) in RULES {
+                let shape = Shape { everywhere, ..shape.clone() };
+
                 let settings = Settings { rule, ..settings };
                 let outcome = World::run(&shape, scenario, settings, seed);
                 println!("| {} | {label} | {} |", scenario.as_str(), row(&outcome));
--- a/src/emulator/scenario.rs
+++ b/src/emulator/scenario.rs
@@ -52,6 +52,8 @@
     pub services: bool,
     /// VMs of each region.
     pub vms: Vec<usize>,
+    /// Whether VMs choose among the targets of all regions, for a baseline that ignores distance.
+    pub everywhere: bool,
     /// How long requests arrive.
     pub length: Duration,
 }
@@ -68,6 +70,7 @@
             engines: vec![4, 4, 4],
             services: true,
             vms: vec![3, 3, 2],
+            everywhere: false,
             length: Duration::from_secs(90),
         }
     }
--- a/src/emulator/world.rs
+++ b/src/emulator/world.rs
@@ -171,7 +171,8 @@
                 state.place = place;
                 state.sent = now;
                 self.vms[vm].policy.sent(instant, &target, &self.jobs[job].prompt);
-                self.after(now + NEAR, Event::Reach { job, place });
+                let way = self.way(job, region, place);
+                self.after(now + way, Event::Reach { job, place });
             }
             Choice::Region(chosen) => {
                 let to = self.regions.iter().position(|region| *region == chosen);
@@ -187,10 +188,22 @@
         }
     }
 
+    /// The time to a target, which may stand in another region where the shape says so.
+    fn way(&mut self, job: usize, region: usize, place: usize) -> Duration {
+        let to = self.places[place].region;
+        if to == region {
+            return NEAR;
+        }
+        self.outcome.spilled += 1;
+        self.states[job].region = to;
+        FAR
+    }
+
     fn decide(&mut self, now: Duration, job: usize, vm: usize, region: usize) -> Choice {
         let service = self.jobs[job].service;
         let places = self.places.iter().filter(|place| place.service == service);
-        let here = places.filter(|place| place.region == region);
+        let everywhere = self.shape.everywhere;
+        let here = places.filter(|place| everywhere || place.region == region);
         let candidates: Vec<Candidate<'_>> = here
             .filter_map(|place| place.visible(now).map(|seen| (place, seen)))
             .map(|(place, (written, load))| Candidate {
--- a/src/place/estimate.rs
+++ b/src/place/estimate.rs
@@ -25,10 +25,12 @@
         let stamp = now.checked_sub(candidate.age).unwrap_or(now);
         let slots = f64::from(slots(candidate));
         let reported = f64::from(candidate.load.running) + f64::from(candidate.load.waiting);
-        let queued = (reported + track.net_since(stamp)).max(f64::from(track.outstanding));
+        // The other VMs of the region see the same report, and sent about as much since.
+        let alike = f64::from(settings.vms.max(1));
+        let queued = (reported + alike * track.net_since(stamp)).max(f64::from(track.outstanding));
         let drained = candidate.age.as_secs_f64() * settings.prefill;
         let reported_tokens = (f64::from(candidate.load.waiting_tokens) - drained).max(0.0);
-        let sent = track.tokens_since(stamp);
+        let sent = alike * track.tokens_since(stamp);
         let backlog = reported_tokens + (sent - drained / 2.0).max(0.0);
         let cached = track.cache.matched(prompt.blocks());
         let prefill = prompt.uncached(cached) / settings.prefill;
--- a/src/place/settings.rs
+++ b/src/place/settings.rs
@@ -44,7 +44,7 @@
 
     /// Settings that put engine time before the time to the first token.
     pub fn cost_weighted() -> Self {
-        Self { price: 2.0, margin: Duration::from_millis(300), ..Self::default() }
+        Self { price: 1.0, margin: Duration::from_millis(100), ..Self::default() }
     }
 }
 
@@ -53,8 +53,8 @@
         Self {
             rule: Rule::LeastCost,
             price: 1.0,
-            crowding: 0.2,
-            choices: 2,
+            crowding: 0.5,
+            choices: 4,
             prefill: 8000.0,
             hold: Duration::from_secs(4),
             slow_start: Duration::from_secs(10),
