Let a replica's VM fetch as well, and refuse claims past their deadline

Cause: a replica frozen with its VM would have counted as news; a claim whose deadline had passed was told to run; all followers of the spreading test had the same jitter. Change: Follower::local proves nothing about freshness; replicas fetch from replicas; a claim past its deadline is refused unless its key is known; the spreading test runs 20 seeds. Ruled out: trusting a replica that a quorum just proved: the follower does not know of quorums. Conclusion: bound 19 s holds on test time; not tried over links.

--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -157,6 +157,9 @@
 
     /// Why a key without a record may not run, if so.
     fn refusal(&self, claim: &Claim) -> Option<Verdict> {
+        if claim.deadline_ms != 0 && claim.deadline_ms <= self.now_ms {
+            return Some(Verdict::unable("the deadline has passed; send the call again"));
+        }
         let oldest = self.now_ms.saturating_sub(RETENTION_MS);
         if claim.made_ms != 0 && claim.made_ms < oldest {
             return Some(Verdict::TooOld(TooOld { retention_ms: RETENTION_MS }));
--- a/src/state/follower.rs
+++ b/src/state/follower.rs
@@ -222,23 +222,24 @@
         }
     }
 
-    /// Takes the state of the replica on this VM, which needs no fetch.
+    /// Takes the state of the replica on this VM.
+    ///
+    /// The replica may have been frozen with its VM, so that it proves nothing about how new it
+    /// is: the follower goes on fetching from peers.
     ///
     /// # Errors
     ///
     /// Where the replica is behind what this VM serves.
-    pub fn local(&mut self, store: &Store, now: Instant) -> Result<Vec<Action>, Refused> {
-        self.heard = Some(now);
-        self.tried = now;
-        self.starting.done = true;
+    pub fn local(&mut self, store: &Store) -> Result<Vec<Action>, Refused> {
         let own = self.saving.as_ref().unwrap_or(&self.store).versions();
         if !store.versions().covers(&own) {
             return Err(Refused::Older(store.versions()));
         }
-        if store.versions() == own && !self.books.is_empty() {
-            return Ok(Vec::new());
-        }
-        self.adopt(store.clone())
+        self.starting.answered = true;
+        let newer = store.versions() != own;
+        let mut actions = if newer { self.adopt(store.clone())? } else { Vec::new() };
+        actions.extend(self.begin());
+        Ok(actions)
     }
 
     /// Takes the news that the image of the last [`Action::Save`] is synced.
--- a/src/state/source.rs
+++ b/src/state/source.rs
@@ -22,12 +22,13 @@
 pub(super) fn order(vm: &id::Vm, region: &id::Region, peers: &[Peer]) -> Vec<id::Vm> {
     let mut near: Vec<&Peer> = peers.iter().filter(|peer| peer.region == *region).collect();
     near.sort();
+    let own = peers.iter().any(|peer| peer.vm == *vm && peer.replica);
     let rank = near.iter().filter(|peer| peer.vm < *vm && !peer.replica).count();
     let replicas = peers.iter().filter(|peer| peer.replica);
     let near_replicas = near.iter().filter(|peer| peer.replica).copied();
     let relays = near.iter().filter(|peer| !peer.replica).take(RELAYS).copied();
     let mut order: Vec<&Peer> = near_replicas.collect();
-    if rank < RELAYS {
+    if own || rank < RELAYS {
         order.extend(replicas);
     } else {
         order.extend(relays);
--- a/tests/claim_machine.rs
+++ b/tests/claim_machine.rs
@@ -204,6 +204,8 @@
 #[test]
 fn unknown_stays_unknown() {
     let mut home = Home::new();
+    let late = Claim { deadline_ms: START, ..claim("k", "r-0") };
+    assert!(matches!(home.apply(Operation::Claim(late)), Verdict::Unable(_)));
     home.apply(Operation::Claim(Claim { deadline_ms: START + 10, ..claim("k", "r-1") }));
     home.apply(Operation::Abandon(Abandon::default()));
     assert!(matches!(home.claim("k", "r-2"), Verdict::StillRunning(_)));
--- a/tests/list_follower.rs
+++ b/tests/list_follower.rs
@@ -183,6 +183,12 @@
 
 #[test]
 fn every_vm_gets_a_change_through_its_regions_relays_and_reports_it() {
+    let times: Vec<u64> = (0..20).map(in_force_everywhere_ms).collect();
+    assert!(times.iter().all(|ms| *ms <= 19_000), "took {times:?} ms of test time");
+}
+
+/// The test time from a change to the reports of all of 27 VMs, with a tenth of fetches lost.
+fn in_force_everywhere_ms(seed: u64) -> u64 {
     let mut machine = Machine::default();
     let start = Instant::now();
     change(&mut machine, 1);
@@ -193,16 +199,19 @@
     let peers: Vec<Peer> = names.iter().map(|vm| peer(vm, vm.ends_with("-9"))).collect();
     let mut vms: BTreeMap<id::Vm, Follower> = BTreeMap::new();
     let mut progress = Progress::default();
+    let mut rng = StdRng::seed_from_u64(seed);
     for peer in &peers {
-        let mut follower = follower(peer.vm.as_str(), None, false, start);
+        let (vm, region) = (peer.vm.clone(), peer.region.clone());
+        let settings = Settings { vm, region, ..Settings::default() };
+        let own = StdRng::seed_from_u64(rng.random());
+        let mut follower = Follower::new(settings, None, own, start).expect("follower");
         follower.peers(&peers);
         progress.expect(peer.vm.clone(), peer.region.clone());
         vms.insert(peer.vm.clone(), follower);
     }
-    let mut rng = StdRng::seed_from_u64(11);
     let mut second = None;
     let mut accepted = None;
-    for tick in 0..300u64 {
+    for tick in 0..400u64 {
         let now = start + Duration::from_millis(100 * tick);
         if tick == 150 {
             second = Some(change(&mut machine, 2));
@@ -210,9 +219,8 @@
         for peer in &peers {
             if peer.replica {
                 let follower = vms.get_mut(&peer.vm).expect("vm");
-                follower.local(machine.store(), now).expect("local");
+                follower.local(machine.store()).expect("local");
                 progress.report(peer.vm.as_str(), follower.versions());
-                continue;
             }
             let actions = vms.get_mut(&peer.vm).expect("vm").tick(now);
             let Some(Action::Fetch { to, fetch }) = actions.last() else { continue };
@@ -238,8 +246,27 @@
             }
         }
     }
-    let ticks = accepted.expect("in force everywhere within the run");
-    assert!(ticks * 100 <= 19_000, "took {} ms of test time", ticks * 100);
+    100 * accepted.expect("in force everywhere within the run")
+}
+
+#[test]
+fn a_replica_that_was_frozen_with_its_vm_proves_nothing() {
+    let (mut machine, now) = (Machine::default(), Instant::now());
+    change(&mut machine, 1);
+    let mut follower = follower("a-9", None, false, now);
+    follower.peers(&[peer("a-9", true), peer("b-9", true), peer("c-9", true)]);
+    follower.local(machine.store()).expect("local");
+    assert!(follower.book().is_some(), "alone in its region, it serves what it has");
+    assert!(!follower.stale(now));
+    let now = now + Duration::from_secs(60);
+    follower.local(machine.store()).expect("local");
+    assert!(follower.stale(now));
+    let behind = machine.clone();
+    change(&mut machine, 2);
+    assert_eq!(pull(&mut follower, machine.store(), now), Some("b-9".into()));
+    assert!(!follower.stale(now));
+    let refused = follower.local(behind.store());
+    assert_eq!(refused, Err(Refused::Older(behind.store().versions())));
 }
 
 #[test]
