Give each attempt at a claim its own identifier

Cause: an attempt that was refused by its target gave its claim back and the next attempt claimed under the same identifier, so a late release of the first could undo the second while it ran. Change: the identifier of a claim ends in a random part.

--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -133,7 +133,8 @@
         let claim = Claim {
             customer: plan.customer.to_string(),
             digest: claim::body_digest(request.method.as_str(), target_path, body),
-            request: request.id.to_string(),
+            // A late release of an earlier attempt must not touch this one, so each has its own.
+            request: format!("{}.{}", request.id, vm.request_id()),
             vm: vm.settings.vm.to_string(),
             incarnation: vm.incarnation,
             made_ms: claim::made_ms(&key).unwrap_or_default(),
