Measure the agreement and test entries of older terms, reads and leases

Cause: commits by counting replicas of an older term, reads without a round of heartbeats and votes while a leader is heard are the classic faults of Raft. Change: a direct test of each, and a check of every lease handed out in the seeded schedules. A group of one leads as soon as it starts. Ruled out: the seeded schedules alone; they did not find the first two.

--- a/src/replica/group.rs
+++ b/src/replica/group.rs
@@ -137,6 +137,8 @@
             reads: Default::default(),
             led: false,
         };
+        // A group of one leads at once.
+        runner.core.tick(runner.clock.now());
         runner.settle().await?;
         let task = smol::spawn(runner.run());
         let tokens = AtomicU64::new(seed);
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use pomelogate::consensus::{Change, Role};
+use pomelogate::consensus::{
+    Appended, Body, Change, Core, Entry, Hard, Member, Membership, Message, Peer, Record, Role,
+    Settings, Snapshot, Start, VoteReply,
+};
 use support::cluster::Cluster;
 
 const SEEDS_IN_CI: u64 = 40;
@@ -52,8 +55,7 @@
     let Some(second) = cluster.leader_among(&[loser, other]) else { return false };
     let second = cluster.propose(second).expect("the new leader proposes");
     cluster.run(400);
-    let taken: BTreeMap<_, _> = cluster.accepted.clone();
-    taken.contains_key(&second) && !cluster.applied_by(other).contains(&first)
+    cluster.accepted.contains_key(&second) && !cluster.applied_by(other).contains(&first)
 }
 
 #[test]
@@ -113,6 +115,30 @@
     assert!(!cluster.reads(leader), "no read point without a quorum");
 }
 
+#[test]
+fn a_leader_cut_off_confirms_no_read_even_before_it_steps_down() {
+    let mut cluster = Cluster::new(15, 3, true);
+    assert!(cluster.settles());
+    let leader = cluster.leader().expect("a leader");
+    assert!(cluster.reads(leader), "a whole group confirms reads");
+    cluster.isolate(leader);
+    assert_eq!(cluster.role(leader), Role::Leader, "it still believes");
+    assert!(!cluster.reads(leader));
+}
+
+#[test]
+fn a_replica_that_hears_no_leader_takes_no_lease_from_one_that_others_hear() {
+    let mut cluster = Cluster::new(16, 3, true);
+    assert!(cluster.settles());
+    let leader = cluster.leader().expect("a leader");
+    let [deaf, other] = cluster.others(leader);
+    cluster.cut(leader, deaf);
+    for _ in 0..4000 {
+        cluster.run(1);
+        assert_eq!(cluster.role(leader), Role::Leader, "{other} still hears it");
+    }
+}
+
 #[test]
 fn a_leader_cut_one_way_steps_down() {
     let mut cluster = Cluster::new(14, 3, true);
@@ -129,3 +155,44 @@
     assert!(cluster.settles());
     let _ = command;
 }
+
+/// The entry of an older term may still be replaced, though a quorum holds it, until an entry of
+/// the leader's own term is committed above it.
+#[test]
+fn an_entry_of_an_older_term_is_not_committed_by_counting() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(60);
+    let mut core = Core::new(survivor(), start);
+    let reply = |core: &mut Core, term, body| {
+        let message = Message { formation: 9, from_disk: 2, to_disk: 1, term, body: Some(body) };
+        core.receive(later, &"vm-1".into(), message);
+        core.take();
+        core.synced(later);
+    };
+    core.tick(later);
+    core.take();
+    reply(&mut core, 4, Body::VoteReply(VoteReply { pre: true, granted: true }));
+    reply(&mut core, 4, Body::VoteReply(VoteReply { pre: false, granted: true }));
+    assert_eq!(core.status().role, Role::Leader);
+    let held = |index| Body::Appended(Appended { agrees: true, index, round: 0 });
+    reply(&mut core, 4, held(2));
+    assert_eq!(core.status().commit, 1, "the entry of term 2 may yet be replaced");
+    reply(&mut core, 4, held(3));
+    assert_eq!(core.status().commit, 3);
+}
+
+/// A replica in term 3 that holds an entry of term 2 which was never committed.
+fn survivor() -> Start {
+    let member = |n: u64| Member { vm: format!("vm-{}", n - 1), disk: n, voter: true };
+    let membership = Membership { members: (1..=3).map(member).collect() };
+    let snapshot = Snapshot { index: 1, term: 1, membership, ..Snapshot::default() };
+    let entry = Entry { index: 2, term: 2, ..Entry::default() };
+    let hard = Hard { term: 3, formation: 9, ..Hard::default() };
+    Start {
+        settings: Settings::default(),
+        me: Peer { vm: "vm-0".into(), disk: 1 },
+        voters: (0..3).map(Cluster::vm).collect(),
+        durable: Record { hard: Some(hard), snapshot: Some(snapshot), entries: vec![entry] },
+        seed: 1,
+    }
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -43,6 +43,8 @@
     members: Membership,
     members_index: u64,
     checked: bool,
+    lease: Option<(u64, Instant)>,
+    batch: usize,
     /// Commands that their leader saw applied, each with its index.
     pub accepted: BTreeMap<u64, u64>,
     /// Membership changes that were taken.
@@ -65,6 +67,8 @@
             members: Membership::default(),
             members_index: 0,
             checked: identities,
+            lease: None,
+            batch: 1 + (seed % 8) as usize,
             accepted: BTreeMap::new(),
             changes: 0,
         };
@@ -96,7 +100,7 @@
     pub fn restart(&mut self, node: usize) {
         let seed = self.rng.random_range(0..u64::MAX);
         let start = Start {
-            settings: Settings { batch: 8, trailing: 5, ..Settings::default() },
+            settings: Settings { batch: self.batch, trailing: 5, ..Settings::default() },
             me: Peer { vm: Self::vm(node), disk: self.nodes[node].disk },
             voters: (0..self.nodes.len()).map(Self::vm).collect(),
             durable: self.nodes[node].durable.clone(),
@@ -210,7 +214,7 @@
     /// Whether the node gets a read point within a while.
     pub fn reads(&mut self, node: usize) -> bool {
         self.serial += 1;
-        let (token, now) = (self.serial, self.now);
+        let (token, now) = (self.serial << 32, self.now);
         if let Some(core) = &mut self.nodes[node].core {
             core.read(now, token);
         }
@@ -467,10 +471,16 @@
         }
     }
 
-    /// Two leaders never hold a lease at once.
+    /// No leader has a lease before the one handed out by a former leader ended.
     fn check_lease(&mut self) {
-        let nodes = 0..self.nodes.len();
-        let holders = nodes.filter(|&node| self.holds_lease(node)).count();
-        assert!(!self.checked || holders <= 1, "two leases at once");
+        let now = self.now;
+        for node in self.nodes.iter_mut().filter(|node| !node.frozen) {
+            let Some(fence) = node.core.as_mut().and_then(|core| core.fence(now)) else { continue };
+            let Some((number, until)) = self.lease.replace((fence.number, fence.until)) else {
+                continue;
+            };
+            let after = fence.number == number || (fence.number > number && now >= until);
+            assert!(!self.checked || after, "two leases at once");
+        }
     }
 }
