--- a/examples/agreement.rs
+++ b/examples/agreement.rs
@@ -3,7 +3,10 @@
 
 use std::{
     path::Path,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -21,6 +24,10 @@
 const EACH: usize = 20;
 const FAR: Duration = Duration::from_millis(55);
 const COMMAND: usize = 256;
+const REST: Duration = Duration::from_secs(2);
+
+static MESSAGES: AtomicUsize = AtomicUsize::new(0);
+static BYTES: AtomicUsize = AtomicUsize::new(0);
 
 /// Counts commands.
 struct Count(u64);
@@ -47,6 +54,7 @@
 
 fn main() {
     smol::block_on(async {
+        rest().await;
         let near = latency(Duration::ZERO).await;
         let far = latency(FAR).await;
         let round_trip = 2.0 * FAR.as_secs_f64() * 1e3;
@@ -95,6 +103,8 @@
     delay: Duration,
 ) {
     while let Ok(Outgoing { to, payload }) = sent.recv().await {
+        MESSAGES.fetch_add(1, Ordering::Relaxed);
+        BYTES.fetch_add(payload.len(), Ordering::Relaxed);
         let (from, slots) = (from.clone(), slots.clone());
         let place = voters.iter().position(|vm| *vm == to);
         let deliver = async move {
@@ -135,6 +145,22 @@
     took[took.len() / 2]
 }
 
+/// What a group of three says while nothing is proposed.
+async fn rest() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let groups = start(folder.path(), 3, Duration::ZERO).await;
+    leader(&groups).await;
+    let before = (MESSAGES.load(Ordering::Relaxed), BYTES.load(Ordering::Relaxed));
+    smol::Timer::after(REST).await;
+    let messages = MESSAGES.load(Ordering::Relaxed) - before.0;
+    let bytes = BYTES.load(Ordering::Relaxed) - before.1;
+    println!(
+        "at rest, the whole group: {:.1} messages/s, {:.0} bytes/s",
+        messages as f64 / REST.as_secs_f64(),
+        bytes as f64 / REST.as_secs_f64()
+    );
+}
+
 async fn throughput() {
     let folder = tempfile::tempdir().expect("a folder");
     let groups = start(folder.path(), 3, Duration::ZERO).await;
--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -47,6 +47,9 @@
     pub role: Role,
     /// Its term.
     pub term: u64,
+    /// The number of the group's formation; zero before it belongs to a group. A group that was
+    /// formed anew, its state being lost, has another one.
+    pub formation: u64,
     /// The leader of that term, where it is known.
     pub leader: Option<id::Vm>,
     /// The last index of its log.
@@ -222,7 +225,7 @@
         let trailing = self.settings.trailing;
         self.tail.compact(snapshot.clone(), trailing);
         self.out.record.absorb(Record { snapshot: Some(snapshot), ..Record::default() });
-        let kept = self.tail.range(index + 1, usize::MAX);
+        let kept = self.tail.range(index + 1, usize::MAX, usize::MAX);
         self.out.record.absorb(Record { entries: kept, ..Record::default() });
     }
 
@@ -238,6 +241,7 @@
         Status {
             role,
             term: self.hard.term,
+            formation: self.hard.formation,
             leader: self.leader.as_ref().map(|leader| leader.vm.clone()),
             last: self.tail.last().0,
             commit: self.commit,
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -293,7 +293,7 @@
         let Some(progress) = lead.progress.get_mut(peer) else { return };
         let round = lead.round;
         let body = if progress.next > self.tail.base() {
-            let entries = self.tail.range(progress.next, most);
+            let entries = self.tail.range(progress.next, most, self.settings.batch_bytes);
             let previous_index = progress.next - 1;
             progress.next += entries.len() as u64;
             let previous_term = self.tail.term(previous_index).unwrap_or(0);
--- a/src/consensus/settings.rs
+++ b/src/consensus/settings.rs
@@ -11,6 +11,8 @@
     pub drift: Duration,
     /// Most entries in one message.
     pub batch: usize,
+    /// Bytes of commands in one message, unless a single one is larger.
+    pub batch_bytes: usize,
     /// Entries kept in memory below a snapshot, for followers that are a little behind.
     pub trailing: usize,
     /// Whether a group may be formed by replicas that are all empty.
@@ -24,6 +26,7 @@
             election: Duration::from_millis(1000),
             drift: Duration::from_millis(100),
             batch: 1024,
+            batch_bytes: 256 * 1024,
             trailing: 256,
             bootstrap: true,
         }
--- a/src/consensus/tail.rs
+++ b/src/consensus/tail.rs
@@ -38,9 +38,17 @@
         self.entries.get(usize::try_from(place).ok()?)
     }
 
-    pub fn range(&self, from: u64, most: usize) -> Vec<Entry> {
+    /// At most `most` entries from `from` on, and `bytes` of payload unless the first is larger.
+    pub fn range(&self, from: u64, most: usize, bytes: usize) -> Vec<Entry> {
         let skipped = usize::try_from(from.saturating_sub(self.base.0 + 1)).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skipped).take(most).cloned().collect()
+        let mut left = bytes;
+        let fits = |entry: &&Entry| {
+            let first = left == bytes;
+            let room = entry.payload.len() <= left;
+            left = left.saturating_sub(entry.payload.len().max(1));
+            room || first
+        };
+        self.entries.iter().skip(skipped).take(most).take_while(fits).cloned().collect()
     }
 
     pub fn push(&mut self, entry: Entry) {
