--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -128,8 +128,12 @@
         let follower = site.group((leader + 1) % 3).await;
         eventually("the follower reads", async || follower.barrier(PATIENCE).await.is_ok()).await;
         assert!(follower.read(|journal| journal.0.contains(&1)));
-        let refused = follower.propose(Bytes::from_static(b"2"), PATIENCE).await;
-        assert!(matches!(refused, Err(Failure::NotLeader(_))), "{refused:?}");
+        eventually("a follower names the leader", async || {
+            let follower = site.group((site.leader().await + 1) % 3).await;
+            let refused = follower.propose(Bytes::from_static(b"2"), PATIENCE).await;
+            matches!(refused, Err(Failure::NotLeader(Some(_))))
+        })
+        .await;
     });
 }
 
@@ -203,3 +207,22 @@
         .await;
     });
 }
+
+#[test]
+fn a_replica_whose_folder_failed_stops_and_takes_nothing_more() {
+    smol::block_on(async {
+        let site = Site::start(1).await;
+        site.propose(1).await;
+        let group = site.group(0).await;
+        std::fs::remove_dir_all(site.folder.path().join("vm-0")).expect("the folder vanishes");
+        eventually("the next snapshot cannot be written", async || {
+            let _ = group.propose(Bytes::from_static(b"2"), PATIENCE).await;
+            group.is_stopped()
+        })
+        .await;
+        let refused = group.propose(Bytes::from_static(b"3"), PATIENCE).await;
+        assert_eq!(refused, Err(Failure::Stopped));
+        assert_eq!(group.fence(), None);
+        assert_eq!(group.barrier(PATIENCE).await, Err(Failure::Stopped));
+    });
+}
