--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,5 +1,7 @@
 //! The clock, passed in as an interface so that decisions can be driven by a bench.
 
+pub mod millis;
+
 use std::{
     fmt::Debug,
     sync::{Arc, Mutex, PoisonError},
--- a/src/crash/settings.rs
+++ b/src/crash/settings.rs
@@ -1,15 +1,19 @@
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Settings of a ledger.
 ///
 /// ```
 /// assert_eq!(pomelogate::crash::Settings::default().deaths, 2);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Deaths of targets after which a request is refused.
     pub deaths: usize,
     /// How long a death counts, and so how long a request is refused after the last.
+    #[serde(rename = "memory_ms", with = "crate::clock::millis")]
     pub memory: Duration,
     /// Requests that are remembered at most; the oldest are forgotten first.
     pub records: usize,
--- a/src/place/rule.rs
+++ b/src/place/rule.rs
@@ -1,5 +1,8 @@
+use serde::{Deserialize, Serialize};
+
 /// How a policy chooses; the last is the one for production, the others are baselines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Rule {
     /// Any target of the own region, at random.
     Random,
