--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -144,7 +144,7 @@
         if lists.status().applied == 0 {
             return;
         }
-        let taken = lists.read(|machine| self.follower().local(machine.store(), self.clock.now()));
+        let taken = lists.read(|machine| self.follower().local(machine.store()));
         if let Ok(actions) = taken {
             self.perform(actions).await;
         }
