Make links survive silence, slow consumers and unreachable VMs

Cause: a link that went silent kept its exchanges open for good, one slow consumer could hold an unbounded queue, each caller to a dead VM waited the whole connect limit, and concurrent callers opened a connection each.

Change: heartbeats each way and a silence limit (Liveness), windows for each direction of an exchange (Window), back-off after failed dials (Backoff), exchanges opened once (Opened), all without I/O. A fault-injecting proxy for tests.

Ruled out: HTTP/2 between VMs (one connection's flow control is shared with bodies, and its end of stream says nothing of why); a timer for each exchange (the silence limit covers them all).

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -1,53 +1,59 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
 
-use futures_util::{SinkExt, StreamExt};
-use prost::{Message, bytes::Bytes};
-use smol::{
-    channel::{Receiver, Sender},
-    net::TcpStream,
-};
-use tokio_util::{
-    codec::{Framed, LengthDelimitedCodec},
-    compat::{Compat, FuturesAsyncReadCompatExt},
-};
+use smol::channel::{Receiver, Sender};
 
-use super::{Error, Exchange, Inbound, Settings};
-use crate::{
-    id,
-    wire::{Body, Frame, Hello, Notice, Reply, Topic},
-};
+use super::{CHUNK, CHUNK_COST, Error, Exchange, Settings, WINDOW, Window};
+use crate::wire::{Body, Frame};
 
-type Socket = Framed<Compat<TcpStream>, LengthDelimitedCodec>;
+/// The frames that an exchange may hold beside its chunks.
+const OTHER_FRAMES: usize = 16;
 
 /// One connection and the exchanges open on it.
+///
+/// Small frames have a queue of their own, which is written first, so that none waits behind
+/// bodies. Chunks and what must follow them share the other queue.
 #[derive(Debug)]
 pub(super) struct Connection {
-    outgoing: Sender<Frame>,
-    exchanges: Mutex<HashMap<u64, Sender<Body>>>,
+    small: Sender<Frame>,
+    bulk: Sender<Frame>,
+    exchanges: Mutex<HashMap<u64, Arc<Route>>>,
     next: AtomicU64,
 }
 
+/// The receiving ends of the two queues of a connection.
+pub(super) struct Queues {
+    pub(super) small: Receiver<Frame>,
+    pub(super) bulk: Receiver<Frame>,
+}
+
+/// One exchange as its connection sees it.
+#[derive(Debug)]
+pub(super) struct Route {
+    incoming: Sender<Body>,
+    granted: Sender<()>,
+    windows: Mutex<Windows>,
+}
+
+/// The credit of both directions of an exchange.
+#[derive(Debug)]
+pub(super) struct Windows {
+    pub(super) out: Window,
+    pub(super) inward: Window,
+}
+
 impl Connection {
-    /// Takes over `stream` and says hello; gives the connection and its reading half to run.
-    pub(super) fn start(
-        stream: TcpStream,
-        hello: Hello,
-        settings: Settings,
-    ) -> (Arc<Self>, Reader) {
-        let codec =
-            LengthDelimitedCodec::builder().max_frame_length(settings.frame_limit).new_codec();
-        let (sink, source) = Framed::new(stream.compat(), codec).split();
-        let (outgoing, frames) = smol::channel::bounded(settings.queue);
-        smol::spawn(write_frames(sink, frames, hello)).detach();
-        let connection =
-            Arc::new(Self { outgoing, exchanges: Mutex::default(), next: AtomicU64::new(1) });
-        (Arc::clone(&connection), Reader { source, connection })
+    pub(super) fn new(settings: Settings) -> (Arc<Self>, Queues) {
+        let (small, small_frames) = smol::channel::bounded(settings.queue);
+        let (bulk, bulk_frames) = smol::channel::bounded(settings.queue);
+        let next = AtomicU64::new(1);
+        let connection = Self { small, bulk, exchanges: Mutex::default(), next };
+        (Arc::new(connection), Queues { small: small_frames, bulk: bulk_frames })
     }
 
     /// Opens a new exchange.
@@ -58,133 +64,96 @@
 
     /// Whether the connection can still carry frames.
     pub(super) fn is_open(&self) -> bool {
-        !self.outgoing.is_closed()
+        !self.small.is_closed()
     }
 
     pub(super) async fn write(&self, frame: Frame) -> Result<(), Error> {
-        self.outgoing.send(frame).await.map_err(|_| Error::Closed)
+        self.queue(&frame).send(frame).await.map_err(|_| Error::Closed)
     }
 
     /// Writes a frame if there is room, else drops it.
     pub(super) fn write_now(&self, frame: Frame) {
-        let _ = self.outgoing.try_send(frame);
+        let _ = self.queue(&frame).try_send(frame);
     }
 
     pub(super) fn forget(&self, number: u64) {
         self.exchanges().remove(&number);
     }
 
-    fn register(self: &Arc<Self>, number: u64) -> Exchange {
-        let (sender, incoming) = smol::channel::unbounded();
-        self.exchanges().insert(number, sender);
-        Exchange::new(number, Arc::clone(self), incoming)
-    }
-
-    fn deliver(&self, number: u64, body: Body) {
-        if let Some(sender) = self.exchanges().get(&number) {
-            let _ = sender.try_send(body);
+    pub(super) fn register(self: &Arc<Self>, number: u64) -> Exchange {
+        let frames = usize::try_from(WINDOW / CHUNK_COST).unwrap_or(usize::MAX) + OTHER_FRAMES;
+        let (sender, incoming) = smol::channel::bounded(frames);
+        let (granted, grants) = smol::channel::bounded(1);
+        let windows = Windows { out: Window::new(WINDOW), inward: Window::new(WINDOW) };
+        let route = Arc::new(Route { incoming: sender, granted, windows: Mutex::new(windows) });
+        let mut exchanges = self.exchanges();
+        if self.is_open() {
+            exchanges.insert(number, Arc::clone(&route));
+        } else {
+            route.close();
         }
+        drop(exchanges);
+        Exchange::new(number, Arc::clone(self), route, incoming, grants)
     }
 
-    fn close(&self) {
-        self.outgoing.close();
-        self.exchanges().clear();
-    }
-
-    fn exchanges(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Sender<Body>>> {
-        self.exchanges.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Delivers a frame of an open exchange; a frame of any other is dropped.
+    pub(super) fn deliver(&self, number: u64, body: Body) -> Result<(), Error> {
+        let route = self.exchanges().get(&number).cloned();
+        route.map_or(Ok(()), |route| route.take(body))
     }
-}
 
-async fn write_frames(
-    mut sink: futures_util::stream::SplitSink<Socket, Bytes>,
-    frames: Receiver<Frame>,
-    hello: Hello,
-) {
-    let mut frame = Frame::new(0, Body::Hello(hello));
-    loop {
-        let bytes = Bytes::from(frame.encode_to_vec());
-        if sink.send(bytes).await.is_err() {
-            frames.close();
-            return;
-        }
-        match frames.recv().await {
-            Ok(next) => frame = next,
-            Err(_) => return,
+    /// Ends the connection and fails its exchanges.
+    pub(super) fn close(&self) {
+        self.small.close();
+        self.bulk.close();
+        for (_, route) in self.exchanges().drain() {
+            route.close();
         }
     }
-}
 
-/// The reading half of a connection.
-pub(super) struct Reader {
-    source: futures_util::stream::SplitStream<Socket>,
-    connection: Arc<Connection>,
-}
-
-impl Reader {
-    /// Delivers frames until the connection ends.
-    pub(super) async fn run(mut self, inbound: Sender<Inbound>) {
-        let Some(hello) = self.hello().await else {
-            self.connection.close();
-            return;
+    fn queue(&self, frame: &Frame) -> &Sender<Frame> {
+        let large = match &frame.body {
+            Some(Body::Chunk(_) | Body::End(_) | Body::Abort(_)) => true,
+            Some(Body::Notice(notice)) => notice.payload.len() > CHUNK,
+            Some(Body::Call(call)) => call.payload.len() > CHUNK,
+            Some(Body::Reply(reply)) => reply.payload.len() > CHUNK,
+            _ => false,
         };
-        while let Some(frame) = self.next().await {
-            if self.take(&hello, frame, &inbound).await.is_none() {
-                break;
-            }
-        }
-        self.connection.close();
+        if large { &self.bulk } else { &self.small }
     }
 
-    async fn hello(&mut self) -> Option<Hello> {
-        match self.next().await?.body? {
-            Body::Hello(hello) => Some(hello),
-            _ => None,
-        }
+    fn exchanges(&self) -> MutexGuard<'_, HashMap<u64, Arc<Route>>> {
+        self.exchanges.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    async fn next(&mut self) -> Option<Frame> {
-        let bytes = self.source.next().await?.ok()?;
-        Frame::decode(bytes).ok()
+impl Route {
+    pub(super) fn windows(&self) -> MutexGuard<'_, Windows> {
+        self.windows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn take(&self, hello: &Hello, frame: Frame, inbound: &Sender<Inbound>) -> Option<()> {
-        let from = id::Vm::from(hello.vm.as_str());
-        match frame.body? {
-            Body::Notice(Notice { topic, payload }) => {
-                let topic = Topic::from_number(topic)?;
-                inbound.send(Inbound::Notice { from, topic, payload }).await.ok()
-            }
-            Body::Call(call) => {
-                let topic = Topic::from_number(call.topic)?;
-                let reply = self.replier(frame.exchange);
-                let payload = call.payload;
-                inbound.send(Inbound::Call { from, topic, payload, reply }).await.ok()
+    fn take(&self, body: Body) -> Result<(), Error> {
+        match &body {
+            Body::Credit(credit) => {
+                self.windows().out.grant(credit.bytes);
+                let _ = self.granted.try_send(());
+                return Ok(());
             }
-            Body::Handover(handover) => {
-                let exchange = self.connection.register(frame.exchange);
-                let region = id::Region::from(hello.region.as_str());
-                inbound.send(Inbound::Handover { from, region, handover, exchange }).await.ok()
+            Body::Chunk(chunk) if !self.windows().inward.spend(chunk.bytes.len()) => {
+                return Err(Error::Protocol("a chunk beyond the window"));
             }
-            Body::Hello(_) => None,
-            Body::Heartbeat(_) => Some(()),
-            body => {
-                self.connection.deliver(frame.exchange, body);
-                Some(())
+            _ => {}
+        }
+        match self.incoming.try_send(body) {
+            Err(smol::channel::TrySendError::Full(_)) => {
+                Err(Error::Protocol("more frames than an exchange holds"))
             }
+            _ => Ok(()),
         }
     }
 
-    fn replier(&self, exchange: u64) -> Sender<Bytes> {
-        let (sender, replies) = smol::channel::bounded::<Bytes>(1);
-        let connection = Arc::clone(&self.connection);
-        let reply = async move {
-            if let Ok(payload) = replies.recv().await {
-                let body = Body::Reply(Reply { payload });
-                let _ = connection.write(Frame::new(exchange, body)).await;
-            }
-        };
-        smol::spawn(reply).detach();
-        sender
+    fn close(&self) {
+        self.incoming.close();
+        self.granted.close();
     }
 }
--- /dev/null
+++ b/src/link/driver.rs
@@ -0,0 +1,250 @@
+use std::{
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use futures_util::{SinkExt, StreamExt};
+use prost::{Message, bytes::Bytes};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender},
+    future::{FutureExt, or},
+    net::TcpStream,
+};
+use tokio_util::{
+    codec::{Framed, LengthDelimitedCodec},
+    compat::{Compat, FuturesAsyncReadCompatExt},
+};
+
+use super::{
+    Connection, Due, Error, Inbound, Liveness, Opened, Settings, connection::Queues, hub::within,
+};
+use crate::{
+    id,
+    wire::{Abort, Body, Frame, Heartbeat, Hello, Notice, Reply, Topic},
+};
+
+type Socket = Framed<Compat<TcpStream>, LengthDelimitedCodec>;
+type Sink = futures_util::stream::SplitSink<Socket, Bytes>;
+type Source = futures_util::stream::SplitStream<Socket>;
+
+/// Which end of a connection this VM is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// This VM dialled, and opens exchanges.
+    Dialler,
+    /// The other VM dialled, and opens exchanges.
+    Acceptor,
+}
+
+/// Runs one connection: reads, writes and watches for silence.
+pub(super) struct Driver {
+    socket: Socket,
+    queues: Queues,
+    connection: Arc<Connection>,
+    settings: Settings,
+    /// Who speaks at the other end.
+    pub(super) other: Hello,
+    end: End,
+}
+
+struct Reader<'a> {
+    connection: &'a Arc<Connection>,
+    other: &'a Hello,
+    end: End,
+    opened: Opened,
+    inbound: Sender<Inbound>,
+}
+
+impl Driver {
+    /// Exchanges hellos on `stream`; the connection is fit for use once the other VM's has come.
+    pub(super) async fn open(
+        stream: TcpStream,
+        hello: Hello,
+        settings: Settings,
+        end: End,
+    ) -> io::Result<(Arc<Connection>, Self)> {
+        let codec =
+            LengthDelimitedCodec::builder().max_frame_length(settings.frame_limit).new_codec();
+        let mut socket = Framed::new(stream.compat(), codec);
+        let first = encode(&Frame::new(0, Body::Hello(hello)));
+        let greet = async {
+            socket.send(first).await?;
+            read_hello(&mut socket).await
+        };
+        let other = within(settings.connect, greet)
+            .await
+            .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no hello came"))??;
+        let (connection, queues) = Connection::new(settings);
+        let driver =
+            Self { socket, queues, connection: Arc::clone(&connection), settings, other, end };
+        Ok((connection, driver))
+    }
+
+    /// Carries frames until the connection fails, goes silent, or `closing` closes.
+    pub(super) async fn run(
+        self,
+        inbound: Sender<Inbound>,
+        closing: Receiver<()>,
+    ) -> Result<(), Error> {
+        let Self { socket, queues, connection, settings, other, end } = self;
+        let (sink, source) = socket.split();
+        let now = Instant::now();
+        let liveness = Mutex::new(Liveness::new(settings.heartbeat, settings.silence, now));
+        let reader = Reader {
+            connection: &connection,
+            other: &other,
+            end,
+            opened: Opened::default(),
+            inbound,
+        };
+        let closed = async {
+            let _ = closing.recv().await;
+            Ok(())
+        };
+        let read = reader.run(source, &liveness);
+        let write = write(sink, queues, &liveness);
+        let watch = watch(&connection, &liveness);
+        let result = closed.or(or(read, or(write, watch))).await;
+        connection.close();
+        result
+    }
+}
+
+async fn read_hello(socket: &mut Socket) -> io::Result<Hello> {
+    let bytes = socket.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    match Frame::decode(bytes).map(|frame| frame.body) {
+        Ok(Some(Body::Hello(hello))) => Ok(hello),
+        _ => Err(io::Error::new(io::ErrorKind::InvalidData, "the first frame is no hello")),
+    }
+}
+
+async fn write(mut sink: Sink, queues: Queues, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+    loop {
+        let frame = or(queues.small.recv(), queues.bulk.recv()).await;
+        let frame = frame.map_err(|_| Error::Closed)?;
+        sink.send(encode(&frame)).await.map_err(|_| Error::Closed)?;
+        lock(liveness).wrote(Instant::now());
+    }
+}
+
+async fn watch(connection: &Connection, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+    loop {
+        let due = lock(liveness).due(Instant::now());
+        match due {
+            Due::Wait(time) => drop(Timer::after(time).await),
+            Due::Silent => return Err(Error::Silent),
+            Due::Heartbeat => {
+                connection.write_now(Frame::new(0, Body::Heartbeat(Heartbeat {})));
+                lock(liveness).wrote(Instant::now());
+            }
+        }
+    }
+}
+
+impl Reader<'_> {
+    async fn run(mut self, mut source: Source, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+        while let Some(bytes) = source.next().await {
+            let bytes = bytes.map_err(|cause| match cause.kind() {
+                io::ErrorKind::InvalidData => Error::Protocol("a frame beyond the size limit"),
+                _ => Error::Closed,
+            })?;
+            lock(liveness).heard(Instant::now());
+            let frame = Frame::decode(bytes)
+                .map_err(|_| Error::Protocol("a frame that cannot be decoded"))?;
+            self.take(frame)?;
+        }
+        Err(Error::Closed)
+    }
+
+    fn take(&mut self, frame: Frame) -> Result<(), Error> {
+        let exchange = frame.exchange;
+        match frame.body.ok_or(Error::Protocol("a frame of an unknown kind"))? {
+            Body::Notice(notice) => self.notice(notice),
+            Body::Heartbeat(_) => Ok(()),
+            Body::Hello(_) => Err(Error::Protocol("a second hello")),
+            body @ (Body::Call(_) | Body::Handover(_)) => self.open(exchange, body),
+            body => self.connection.deliver(exchange, body),
+        }
+    }
+
+    fn notice(&self, notice: Notice) -> Result<(), Error> {
+        let Notice { topic, payload } = notice;
+        let topic = Topic::from_number(topic).ok_or(Error::Protocol("an unknown topic"))?;
+        let _ = self.inbound.try_send(Inbound::Notice { from: self.from(), topic, payload });
+        Ok(())
+    }
+
+    /// Passes on what opens an exchange, unless it was opened before.
+    fn open(&mut self, exchange: u64, body: Body) -> Result<(), Error> {
+        if self.end == End::Dialler {
+            return Err(Error::Protocol("an exchange opened by the VM that accepted"));
+        }
+        if !self.opened.first(exchange) {
+            return Ok(());
+        }
+        match body {
+            Body::Call(call) => {
+                let topic =
+                    Topic::from_number(call.topic).ok_or(Error::Protocol("an unknown topic"))?;
+                let reply = self.replier(exchange);
+                let payload = call.payload;
+                let call = Inbound::Call { from: self.from(), topic, payload, reply };
+                let _ = self.inbound.try_send(call);
+            }
+            Body::Handover(handover) => {
+                let region = id::Region::from(self.other.region.as_str());
+                let from = self.from();
+                let exchange = self.connection.register(exchange);
+                let handover = Inbound::Handover { from, region, handover, exchange };
+                if let Err(full) = self.inbound.try_send(handover) {
+                    refuse(full.into_inner());
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn from(&self) -> id::Vm {
+        id::Vm::from(self.other.vm.as_str())
+    }
+
+    fn replier(&self, exchange: u64) -> Sender<Bytes> {
+        let (sender, replies) = smol::channel::bounded::<Bytes>(1);
+        let connection = Arc::clone(self.connection);
+        let reply = async move {
+            if let Ok(payload) = replies.recv().await {
+                let body = Body::Reply(Reply { payload });
+                let _ = connection.write(Frame::new(exchange, body)).await;
+            }
+        };
+        smol::spawn(reply).detach();
+        sender
+    }
+}
+
+/// Answers a hand-over that found no room: it did not run.
+fn refuse(message: Inbound) {
+    let Inbound::Handover { mut exchange, .. } = message else { return };
+    let abort = Abort {
+        did_not_run: true,
+        reason: serde_json::to_string(&crate::outcome::Reason::Overloaded).unwrap_or_default(),
+        detail: "the VM takes no more hand-overs now".to_owned(),
+        remedy: "try again later".to_owned(),
+        retry_after_ms: 1000,
+    };
+    let answer = async move {
+        let _ = exchange.send(Body::Abort(abort)).await;
+    };
+    smol::spawn(answer).detach();
+}
+
+fn encode(frame: &Frame) -> Bytes {
+    Bytes::from(frame.encode_to_vec())
+}
+
+fn lock(liveness: &Mutex<Liveness>) -> MutexGuard<'_, Liveness> {
+    liveness.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/link/error.rs
+++ b/src/link/error.rs
@@ -7,6 +7,8 @@
     Unreachable(SocketAddr, io::Error),
     /// The connection ended while the exchange was open.
     Closed,
+    /// Nothing came over the connection for longer than the silence limit.
+    Silent,
     /// No reply came in time.
     Timeout,
     /// The other VM sent a frame that has no place in the exchange.
@@ -20,6 +22,7 @@
                 write!(f, "cannot reach {address}: {cause}; check that pomelogated runs there")
             }
             Self::Closed => f.write_str("the link closed; ask the other VM what became of it"),
+            Self::Silent => f.write_str("the link went silent; check the network between the VMs"),
             Self::Timeout => f.write_str("no reply in time; check the load of the other VM"),
             Self::Protocol(what) => {
                 write!(f, "unexpected frame ({what}); run the same version on both VMs")
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -3,22 +3,29 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_util::future::{Either, select};
 use prost::bytes::Bytes;
+use slog::Logger;
 use smol::{
     Timer,
-    channel::Sender,
+    channel::{Receiver, Sender},
     net::{TcpListener, TcpStream},
 };
 
-use super::{Connection, Error, Exchange, Inbound, Settings};
-use crate::wire::{Body, Call, Frame, Handover, Hello, Notice, Topic};
+use super::{
+    Backoff, Connection, Error, Exchange, Inbound, Settings,
+    driver::{Driver, End},
+};
+use crate::{
+    event, id,
+    wire::{Body, Call, Frame, Handover, Hello, Notice, Topic},
+};
 
 /// All links of one VM.
 #[derive(Debug)]
@@ -26,15 +33,51 @@
     hello: Hello,
     settings: Settings,
     inbound: Sender<Inbound>,
+    logger: Logger,
     next: AtomicU64,
-    dialled: Mutex<HashMap<SocketAddr, Arc<Connection>>>,
+    dialled: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+    expected: Mutex<HashMap<SocketAddr, id::Vm>>,
+    running: Sender<()>,
+    closing: Receiver<()>,
+}
+
+/// The connection to one address; whoever holds the lock dials, the others wait for the result.
+#[derive(Debug)]
+struct Slot {
+    state: smol::lock::Mutex<Dialled>,
+}
+
+#[derive(Debug)]
+struct Dialled {
+    connection: Option<Arc<Connection>>,
+    backoff: Backoff,
 }
 
 impl Hub {
     /// Creates the links of the VM that `hello` names; what others send goes to `inbound`.
     pub fn new(hello: Hello, settings: Settings, inbound: Sender<Inbound>) -> Arc<Self> {
-        let next = AtomicU64::new(1);
-        Arc::new(Self { hello, settings, inbound, next, dialled: Mutex::default() })
+        Self::with_logger(hello, settings, inbound, Logger::root(slog::Discard, slog::o!()))
+    }
+
+    /// The same, with the events of links written to `logger`.
+    pub fn with_logger(
+        hello: Hello,
+        settings: Settings,
+        inbound: Sender<Inbound>,
+        logger: Logger,
+    ) -> Arc<Self> {
+        let (running, closing) = smol::channel::bounded(1);
+        Arc::new(Self {
+            hello,
+            settings,
+            inbound,
+            logger,
+            next: AtomicU64::new(1),
+            dialled: Mutex::default(),
+            expected: Mutex::default(),
+            running,
+            closing,
+        })
     }
 
     /// Takes connections from other VMs until the listener fails.
@@ -42,15 +85,33 @@
     /// # Errors
     ///
     /// Where the listener fails.
-    pub async fn accept(&self, listener: TcpListener) -> io::Result<()> {
+    pub async fn accept(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
         loop {
             let (stream, _) = listener.accept().await?;
-            self.adopt(stream);
+            let hub = Arc::clone(self);
+            let open = async move {
+                if let Ok((_, driver)) = hub.open(stream, End::Acceptor).await {
+                    hub.run(driver);
+                }
+            };
+            smol::spawn(open).detach();
         }
     }
 
+    /// Notes which VM answers at `address`; a hello of any other is refused there from now on.
+    pub fn expect(&self, address: SocketAddr, vm: id::Vm) {
+        lock(&self.expected).insert(address, vm);
+    }
+
+    /// Ends every connection.
+    pub fn close(&self) {
+        self.running.close();
+    }
+
     /// Sends a message that wants no reply, if a connection to `to` is open or can be opened.
     ///
+    /// A receiver whose queue is full drops it, so that its links are read on.
+    ///
     /// # Errors
     ///
     /// Where the VM cannot be reached.
@@ -93,38 +154,95 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<Arc<Connection>, Error> {
-        if let Some(connection) = self.dialled().get(&to).filter(|found| found.is_open()) {
+        let slot = self.slot(to);
+        let mut dialled = slot.state.lock().await;
+        if let Some(connection) = dialled.connection.as_ref().filter(|found| found.is_open()) {
             return Ok(Arc::clone(connection));
         }
-        let stream = self.dial(to).await.map_err(|cause| Error::Unreachable(to, cause))?;
-        let connection = self.adopt(stream);
-        self.dialled().insert(to, Arc::clone(&connection));
-        Ok(connection)
+        if !dialled.backoff.permits(Instant::now()) {
+            let cause = io::Error::other("it could not be reached a moment ago");
+            return Err(Error::Unreachable(to, cause));
+        }
+        match self.dial(to).await {
+            Ok(connection) => {
+                dialled.backoff.succeeded();
+                dialled.connection = Some(Arc::clone(&connection));
+                Ok(connection)
+            }
+            Err(cause) => {
+                dialled.backoff.failed(Instant::now());
+                Err(Error::Unreachable(to, cause))
+            }
+        }
     }
 
-    async fn dial(&self, to: SocketAddr) -> io::Result<TcpStream> {
-        within(self.settings.connect, TcpStream::connect(to))
+    async fn dial(&self, to: SocketAddr) -> io::Result<Arc<Connection>> {
+        let stream = within(self.settings.connect, TcpStream::connect(to))
             .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let (connection, driver) = self.open(stream, End::Dialler).await?;
+        self.check(to, &driver.other)?;
+        self.run(driver);
+        Ok(connection)
     }
 
-    fn adopt(&self, stream: TcpStream) -> Arc<Connection> {
+    /// Refuses a hello of another VM than the one expected at `to`.
+    fn check(&self, to: SocketAddr, other: &Hello) -> io::Result<()> {
+        let expected = lock(&self.expected).get(&to).cloned();
+        match expected.filter(|vm| vm.as_str() != other.vm) {
+            None => Ok(()),
+            Some(vm) => {
+                let fields: [event::Field<'_>; 3] =
+                    [("address", &to), ("expected", &vm), ("found", &other.vm)];
+                event::links::STRANGER.emit(&self.logger, &fields);
+                Err(io::Error::other(format!("VM `{}` answers there, not `{vm}`", other.vm)))
+            }
+        }
+    }
+
+    async fn open(&self, stream: TcpStream, end: End) -> io::Result<(Arc<Connection>, Driver)> {
         let _ = stream.set_nodelay(true);
         let connection = self.next.fetch_add(1, Ordering::Relaxed);
         let hello = Hello { connection, ..self.hello.clone() };
-        let (connection, reader) = Connection::start(stream, hello, self.settings);
-        smol::spawn(reader.run(self.inbound.clone())).detach();
-        connection
+        Driver::open(stream, hello, self.settings, end).await
+    }
+
+    fn run(&self, driver: Driver) {
+        let logger = self.logger.clone();
+        let other = driver.other.vm.clone();
+        let run = driver.run(self.inbound.clone(), self.closing.clone());
+        let run = async move {
+            let event = match run.await {
+                Err(Error::Silent) => event::links::SILENT,
+                Err(Error::Protocol(what)) => {
+                    event::links::MALFORMED.emit(&logger, &[("other", &other), ("what", &what)]);
+                    return;
+                }
+                _ => event::links::CLOSED,
+            };
+            event.emit(&logger, &[("other", &other)]);
+        };
+        smol::spawn(run).detach();
     }
 
-    fn dialled(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Connection>>> {
-        self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
+    fn slot(&self, to: SocketAddr) -> Arc<Slot> {
+        let Settings { first_backoff, backoff_limit, .. } = self.settings;
+        let slot = || {
+            let backoff = Backoff::new(first_backoff, backoff_limit);
+            let state = smol::lock::Mutex::new(Dialled { connection: None, backoff });
+            Arc::new(Slot { state })
+        };
+        Arc::clone(lock(&self.dialled).entry(to).or_insert_with(slot))
     }
 }
 
-async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Result<T, Error> {
+pub(super) async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Result<T, Error> {
     match select(std::pin::pin!(work), Timer::after(limit)).await {
         Either::Left((done, _)) => Ok(done),
         Either::Right(_) => Err(Error::Timeout),
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -98,9 +98,10 @@
         let book = first_book(&settings)?;
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
-        let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
+        let random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let hub = Hub::new(hello(&settings, random.random()), link::Settings::default(), sender);
+        let hello = hello(&settings, incarnation(&*clock));
+        let hub = Hub::with_logger(hello, link::Settings::default(), sender, logger.clone());
         let vm = Arc::new(Self {
             settings,
             clock,
@@ -164,6 +165,7 @@
 
     /// Stops the VM's tasks.
     pub async fn stop(self) {
+        self.vm.hub.close();
         for task in self.tasks {
             task.cancel().await;
         }
@@ -184,6 +186,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Grows from one start of a VM's process to the next.
+fn incarnation(clock: &dyn Clock) -> u64 {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn hello(settings: &Settings, incarnation: u64) -> Hello {
     Hello {
         vm: settings.vm.to_string(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -11,7 +11,8 @@
 
 pub use self::{
     body::{
-        Abort, Body, Call, Chunk, End, Handover, Head, Heartbeat, Hello, Need, Notice, Pair, Reply,
+        Abort, Body, Call, Chunk, Credit, End, Handover, Head, Heartbeat, Hello, Need, Notice,
+        Pair, Reply,
     },
     frame::Frame,
     topic::Topic,
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -36,6 +36,17 @@
     /// The caller has gone; the work is to stop.
     #[prost(message, tag = "12")]
     Cancel(End),
+    /// Leave to send more chunks of the exchange.
+    #[prost(message, tag = "13")]
+    Credit(Credit),
+}
+
+/// Leave to send more chunks of an exchange.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Credit {
+    /// The bytes that may be sent beyond those allowed before.
+    #[prost(uint64, tag = "1")]
+    pub bytes: u64,
 }
 
 /// The first frame each way on a connection: who speaks.
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -9,7 +9,7 @@
     #[prost(uint64, tag = "1")]
     pub exchange: u64,
     /// What the frame says.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
--- /dev/null
+++ b/tests/link.rs
@@ -0,0 +1,213 @@
+//! Links between VMs under faults.
+
+mod support;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use pomelogate::{
+    link::{Error, Exchange, Hub, Inbound, Settings},
+    wire::{Body, Chunk, Handover, Hello, Topic},
+};
+use prost::bytes::Bytes;
+use smol::{
+    Timer,
+    channel::Receiver,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use support::{
+    fleet::{PATIENCE, eventually},
+    proxy::{Fault, Faults, Proxy},
+};
+
+const SIZE: usize = 4 * 1024 * 1024;
+
+struct End {
+    hub: Arc<Hub>,
+    address: SocketAddr,
+    inbound: Receiver<Inbound>,
+    accept: smol::Task<()>,
+}
+
+async fn end(vm: &str) -> End {
+    let settings = Settings {
+        heartbeat: Duration::from_millis(100),
+        silence: Duration::from_secs(1),
+        ..Settings::default()
+    };
+    let (sender, inbound) = smol::channel::bounded(64);
+    let hello = Hello { vm: vm.to_owned(), region: "jakarta".to_owned(), ..Hello::default() };
+    let hub = Hub::new(hello, settings, sender);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = Arc::clone(&hub);
+    let accept = smol::spawn(async move { drop(accepting.accept(listener).await) });
+    End { hub, address, inbound, accept }
+}
+
+async fn within<T>(what: &str, work: impl Future<Output = T>) -> T {
+    let limit = async {
+        Timer::after(PATIENCE).await;
+        panic!("never came: {what}")
+    };
+    smol::future::or(work, limit).await
+}
+
+async fn exchange(near: &End, far: &End, to: SocketAddr) -> (Exchange, Exchange) {
+    let ours = near.hub.hand_over(to, Handover::default()).await.unwrap();
+    let message = within("a hand-over", far.inbound.recv()).await.unwrap();
+    let Inbound::Handover { exchange, .. } = message else { panic!("a hand-over was due") };
+    (ours, exchange)
+}
+
+fn echo(end: &End) -> smol::Task<()> {
+    let inbound = end.inbound.clone();
+    smol::spawn(async move {
+        while let Ok(message) = inbound.recv().await {
+            if let Inbound::Call { payload, reply, .. } = message {
+                let _ = reply.send(payload).await;
+            }
+        }
+    })
+}
+
+async fn call(near: &End, to: SocketAddr) -> Result<Bytes, Error> {
+    near.hub.call(to, Topic::Lists, Bytes::from_static(b"hi"), PATIENCE).await
+}
+
+#[test]
+fn a_silent_link_fails_its_exchanges_at_both_ends_and_a_fresh_one_replaces_it() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let proxy = Proxy::start(far.address).await;
+        let (mut ours, mut theirs) = exchange(&near, &far, proxy.address()).await;
+        proxy.freeze();
+        let ends = within("both ends", async { (ours.receive().await, theirs.receive().await) });
+        assert!(matches!(ends.await, (Err(Error::Closed), Err(Error::Closed))));
+        let _echo = echo(&far);
+        assert!(call(&near, proxy.address()).await.is_ok());
+        assert_eq!(proxy.opened(), 2);
+    });
+}
+
+#[test]
+fn a_one_way_cut_is_seen_by_both_ends() {
+    let cut = Fault { cut: true, ..Fault::default() };
+    for (forth, back) in [(cut, Fault::default()), (Fault::default(), cut)] {
+        smol::block_on(async {
+            let (near, far) = (end("near").await, end("far").await);
+            let proxy = Proxy::start(far.address).await;
+            let (mut ours, mut theirs) = exchange(&near, &far, proxy.address()).await;
+            proxy.set(Faults { forth, back, ..Faults::default() });
+            within("the dialler", ours.receive()).await.unwrap_err();
+            within("the acceptor", theirs.receive()).await.unwrap_err();
+        });
+    }
+}
+
+#[test]
+fn a_slow_consumer_neither_blocks_other_exchanges_nor_takes_all_of_a_body() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let (mut ours, mut theirs) = exchange(&near, &far, far.address).await;
+        let body = Bytes::from(vec![7; SIZE]);
+        let sent = smol::spawn(async move {
+            ours.send(Body::Chunk(Chunk { bytes: body })).await.unwrap();
+            ours
+        });
+        let (mut second, mut other) = exchange(&near, &far, far.address).await;
+        second.send(Body::Chunk(Chunk { bytes: Bytes::from_static(b"x") })).await.unwrap();
+        within("the other exchange", other.receive()).await.unwrap();
+        let _echo = echo(&far);
+        within("a call", call(&near, far.address)).await.unwrap();
+        assert!(!sent.is_finished(), "the sender waits for credit");
+        let mut got = 0;
+        while got < SIZE {
+            let body = within("a chunk", theirs.receive()).await.unwrap();
+            let Body::Chunk(chunk) = body else { panic!("a chunk was due") };
+            got += chunk.bytes.len();
+        }
+        within("the sender", sent).await;
+    });
+}
+
+#[test]
+fn concurrent_callers_share_one_connection() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let _echo = echo(&far);
+        let proxy = Proxy::start(far.address).await;
+        let mut calls: FuturesUnordered<_> =
+            (0..32).map(|_| call(&near, proxy.address())).collect();
+        while let Some(reply) = calls.next().await {
+            reply.unwrap();
+        }
+        assert_eq!(proxy.opened(), 1);
+    });
+}
+
+#[test]
+fn a_vm_that_cannot_be_reached_is_not_dialled_again_at_once() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let _echo = echo(&far);
+        let proxy = Proxy::start(far.address).await;
+        proxy.cut();
+        for _ in 0..5 {
+            let failed = call(&near, proxy.address()).await;
+            assert!(matches!(failed, Err(Error::Unreachable(..))));
+        }
+        assert!(proxy.opened() < 5, "{} dials", proxy.opened());
+        proxy.heal();
+        eventually("a fresh connection", async || call(&near, proxy.address()).await.is_ok()).await;
+    });
+}
+
+#[test]
+fn a_hello_of_another_vm_is_refused() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        near.hub.expect(far.address, "third".into());
+        assert!(matches!(call(&near, far.address).await, Err(Error::Unreachable(..))));
+    });
+}
+
+#[test]
+fn malformed_bytes_close_just_their_link() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let _echo = echo(&far);
+        call(&near, far.address).await.unwrap();
+        let bad: [&[u8]; 4] =
+            [b"GET / HTTP/1.1\r\n\r\n", &[0xff; 64], &[0, 0, 0, 0], &[0, 0, 0, 2, 0x12, 0x7f]];
+        for bytes in bad {
+            let mut stream = TcpStream::connect(far.address).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+            let mut rest = Vec::new();
+            let _ = within("the end of the link", stream.read_to_end(&mut rest)).await;
+        }
+        call(&near, far.address).await.unwrap();
+        assert!(!far.accept.is_finished());
+    });
+}
+
+#[test]
+fn a_link_cut_short_fails_the_exchange_instead_of_ending_it() {
+    smol::block_on(async {
+        let (near, far) = (end("near").await, end("far").await);
+        let proxy = Proxy::start(far.address).await;
+        let truncate = Fault { truncate: Some(100_000), ..Fault::default() };
+        proxy.set(Faults { back: truncate, ..Faults::default() });
+        let (mut ours, mut theirs) = exchange(&near, &far, proxy.address()).await;
+        let body = Bytes::from(vec![7; SIZE]);
+        let _sender = smol::spawn(async move {
+            let _ = theirs.send(Body::Chunk(Chunk { bytes: body })).await;
+        });
+        let mut got = 0;
+        while let Ok(Body::Chunk(chunk)) = within("the failure", ours.receive()).await {
+            got += chunk.bytes.len();
+        }
+        assert!(got < SIZE);
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code, reason = "each test binary uses a part")]
 
 pub mod fleet;
+pub mod proxy;
 pub mod targets;
