Hold targets under leases, members by heartbeat counts, and a live directory

Cause: each announcement went as JSON to every VM and a leave to nobody; the directory named the VMs of the settings, dead or alive; a VM that started knew no target until each renewed.

Change: target::View holds its region's targets as leases counted from when a VM took the announcement, keeps a leave for the rest of an incarnation, and summarises by need for other regions. What is new, and each leave, is answered only after another VM of the region has it, where one can be reached; renewals go in batches. member::Core passes on heartbeat counts to two VMs of the region a second and a few members between regions through relays. The directory puts the own region first, orders by load, and leaves out VMs that are suspect, leaving or gone. A VM that starts asks its region's peers first. Nonsense announcements are refused with the remedy. An address of links in the settings goes before what a VM says of itself.

Found by a test on a busy machine: after a failed dial, back-off made a VM that had just come up look unreachable, and an announcement was copied to nobody. A VM that dials is now dialled at once, and a copy is tried twice.

Ruled out: probes with indirect probes (SWIM): counts passed on by any way give the same with one kind of message.

--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -44,13 +44,8 @@
 /// The connection to one address; whoever holds the lock dials, the others wait for the result.
 #[derive(Debug)]
 struct Slot {
-    state: smol::lock::Mutex<Dialled>,
-}
-
-#[derive(Debug)]
-struct Dialled {
-    connection: Option<Arc<Connection>>,
-    backoff: Backoff,
+    connection: smol::lock::Mutex<Option<Arc<Connection>>>,
+    backoff: Mutex<Backoff>,
 }
 
 impl Hub {
@@ -91,6 +86,7 @@
             let hub = Arc::clone(self);
             let open = async move {
                 if let Ok((_, driver)) = hub.open(stream, End::Acceptor).await {
+                    hub.heard_from(&driver.other.vm);
                     hub.run(driver);
                 }
             };
@@ -155,22 +151,22 @@
 
     async fn connection(&self, to: SocketAddr) -> Result<Arc<Connection>, Error> {
         let slot = self.slot(to);
-        let mut dialled = slot.state.lock().await;
-        if let Some(connection) = dialled.connection.as_ref().filter(|found| found.is_open()) {
+        let mut dialled = slot.connection.lock().await;
+        if let Some(connection) = dialled.as_ref().filter(|found| found.is_open()) {
             return Ok(Arc::clone(connection));
         }
-        if !dialled.backoff.permits(Instant::now()) {
+        if !lock(&slot.backoff).permits(Instant::now()) {
             let cause = io::Error::other("it could not be reached a moment ago");
             return Err(Error::Unreachable(to, cause));
         }
         match self.dial(to).await {
             Ok(connection) => {
-                dialled.backoff.succeeded();
-                dialled.connection = Some(Arc::clone(&connection));
+                lock(&slot.backoff).succeeded();
+                *dialled = Some(Arc::clone(&connection));
                 Ok(connection)
             }
             Err(cause) => {
-                dialled.backoff.failed(Instant::now());
+                lock(&slot.backoff).failed(Instant::now());
                 Err(Error::Unreachable(to, cause))
             }
         }
@@ -225,12 +221,23 @@
         smol::spawn(run).detach();
     }
 
+    /// Lets a VM that has just dialled this one be dialled at once, whatever failed before.
+    fn heard_from(&self, vm: &str) {
+        let addresses: Vec<SocketAddr> = lock(&self.expected)
+            .iter()
+            .filter(|(_, expected)| expected.as_str() == vm)
+            .map(|(address, _)| *address)
+            .collect();
+        for address in addresses {
+            lock(&self.slot(address).backoff).succeeded();
+        }
+    }
+
     fn slot(&self, to: SocketAddr) -> Arc<Slot> {
         let Settings { first_backoff, backoff_limit, .. } = self.settings;
         let slot = || {
-            let backoff = Backoff::new(first_backoff, backoff_limit);
-            let state = smol::lock::Mutex::new(Dialled { connection: None, backoff });
-            Arc::new(Slot { state })
+            let backoff = Mutex::new(Backoff::new(first_backoff, backoff_limit));
+            Arc::new(Slot { connection: smol::lock::Mutex::default(), backoff })
         };
         Arc::clone(lock(&self.dialled).entry(to).or_insert_with(slot))
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,1 +1,19 @@
 //! Membership: which VMs there are, which are alive, and which a caller should use.
+//!
+//! Each VM counts its own heartbeats and passes on the highest count it knows of each VM of its
+//! region, so that a VM lives as long as its count grows by any way. Regions tell each other of
+//! a few members only, through relays.
+
+mod core;
+mod digest;
+mod entry;
+mod settings;
+mod state;
+
+pub use self::{
+    core::Core,
+    digest::{Digest, Member},
+    entry::Entry,
+    settings::Settings,
+    state::State,
+};
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,9 +1,28 @@
 //! Targets: what they announce, and what a VM knows of them.
+//!
+//! Every VM of a region holds all of the region's targets, each under a lease that only newer
+//! announcements extend. Other regions hold a summary: what could be served there, and how much.
 
 mod announcement;
+mod capacity;
 mod load;
+mod message;
 mod need;
+mod nonsense;
 mod offer;
+mod report;
+mod settings;
 mod view;
 
-pub use self::{announcement::Announcement, load::Load, need::Need, offer::Offer, view::View};
+pub use self::{
+    announcement::Announcement,
+    capacity::Capacity,
+    load::Load,
+    message::{Gossip, Line, Sent, Summary},
+    need::Need,
+    nonsense::Nonsense,
+    offer::Offer,
+    report::Report,
+    settings::Settings,
+    view::View,
+};
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -1,55 +1,288 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
-use super::{Announcement, Need};
+use super::{
+    Announcement, Capacity, Gossip, Line, Need, Nonsense, Offer, Report, Sent, Settings, Summary,
+    message::millis,
+};
 use crate::id;
 
-/// What a VM knows of the targets: each is held under a lease that its announcements renew.
-#[derive(Clone, Debug, Default)]
+/// What a VM knows of targets: those of its region in full, other regions in summary.
+#[derive(Clone, Debug)]
 pub struct View {
-    entries: BTreeMap<id::Target, Entry>,
+    settings: Settings,
+    vm: id::Vm,
+    region: id::Region,
+    reports: BTreeMap<id::Target, Report>,
+    regions: BTreeMap<id::Region, Elsewhere>,
+    unsent: BTreeSet<id::Target>,
+    changed: bool,
 }
 
+/// Another region's summary.
 #[derive(Clone, Debug)]
-struct Entry {
-    announcement: Announcement,
-    expires: Instant,
-    leaving: bool,
+struct Elsewhere {
+    written: Instant,
+    lines: BTreeMap<Need, Capacity>,
 }
 
 impl View {
-    /// Takes an announcement, unless a later process of the same target has announced itself.
-    pub fn announce(&mut self, announcement: Announcement, lease: Duration, now: Instant) {
-        let known = self.entries.get(&announcement.target);
-        let incarnation = announcement.incarnation;
-        if known.is_some_and(|entry| entry.announcement.incarnation > incarnation) {
-            return;
+    /// The empty view of `vm` in `region`.
+    pub fn new(settings: Settings, vm: id::Vm, region: id::Region) -> Self {
+        Self {
+            settings,
+            vm,
+            region,
+            reports: BTreeMap::new(),
+            regions: BTreeMap::new(),
+            unsent: BTreeSet::new(),
+            changed: false,
         }
-        let leaving = known
-            .is_some_and(|entry| entry.leaving && entry.announcement.incarnation == incarnation);
-        let entry = Entry { expires: now + lease, leaving, announcement };
-        self.entries.insert(entry.announcement.target.clone(), entry);
     }
 
-    /// Marks a target as leaving: it gets no new work.
-    pub fn leave(&mut self, target: &id::Target) {
-        if let Some(entry) = self.entries.get_mut(target) {
-            entry.leaving = true;
+    /// Takes an announcement from its target; true where it says more than the last one but load.
+    ///
+    /// # Errors
+    ///
+    /// Where it cannot be meant so.
+    pub fn announce(&mut self, announcement: Announcement, now: Instant) -> Result<bool, Nonsense> {
+        self.check(&announcement)?;
+        let known = self.reports.get(&announcement.target).filter(|known| {
+            known.announcement.incarnation >= announcement.incarnation
+                && known.announcement.offers == announcement.offers
+                && known.announcement.address == announcement.address
+                && known.age(now) < self.settings.lease
+        });
+        let news = known.is_none();
+        let target = announcement.target.clone();
+        let by = self.vm.clone();
+        self.learn(Report { announcement, by, taken: now, leaving: false });
+        self.unsent.insert(target);
+        Ok(news)
+    }
+
+    /// Marks a target as leaving for the rest of its incarnation; false where it is not known.
+    pub fn leave(&mut self, target: &id::Target) -> bool {
+        let Some(report) = self.reports.get_mut(target) else { return false };
+        report.leaving = true;
+        self.changed = true;
+        self.unsent.insert(target.clone());
+        true
+    }
+
+    /// Takes what another VM of the region or a relay says; gives the targets that it says leave.
+    pub fn merge(&mut self, gossip: &Gossip, now: Instant) -> Vec<id::Target> {
+        let mut left = Vec::new();
+        for report in gossip.reports.iter().filter_map(|sent| sent.decode(now)) {
+            if report.announcement.region == self.region {
+                let target = report.announcement.target.clone();
+                if self.learn(report) {
+                    left.push(target);
+                }
+            }
+        }
+        for target in &gossip.leaving {
+            let target = id::Target::from(target.as_str());
+            if !self.is_leaving(&target) && self.leave(&target) {
+                left.push(target);
+            }
+        }
+        for summary in &gossip.summaries {
+            self.learn_region(summary, now);
+        }
+        left
+    }
+
+    /// Forgets what no longer holds; gives the targets whose lease ended since `before`.
+    pub fn expire(&mut self, before: Instant, now: Instant) -> Vec<id::Target> {
+        let settings = self.settings;
+        self.reports.retain(|_, report| !report.is_spent(&settings, now));
+        self.regions.retain(|_, region| now - region.written < settings.summary);
+        self.reports
+            .values()
+            .filter(|report| report.holds(&settings, before) && !report.holds(&settings, now))
+            .map(|report| report.announcement.target.clone())
+            .collect()
+    }
+
+    /// What this VM owes the others of its region since it was last asked.
+    pub fn unsent(&mut self, now: Instant) -> Vec<Sent> {
+        let unsent = std::mem::take(&mut self.unsent);
+        unsent.iter().filter_map(|target| self.sent(target, now)).collect()
+    }
+
+    /// Whether what can be served, here or elsewhere, changed since this was last asked.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// One target, to be sent.
+    pub fn sent(&self, target: &id::Target, now: Instant) -> Option<Sent> {
+        self.reports.get(target).map(|report| Sent::encode(report, now))
+    }
+
+    /// All that this VM knows, for one that starts.
+    pub fn all(&self, now: Instant) -> Gossip {
+        let reports = self.reports.values().map(|report| Sent::encode(report, now)).collect();
+        Gossip { reports, leaving: Vec::new(), summaries: self.summaries(now) }
+    }
+
+    /// The other regions' summaries, to be passed on.
+    pub fn summaries(&self, now: Instant) -> Vec<Summary> {
+        let summary = |(region, known): (&id::Region, &Elsewhere)| Summary {
+            region: region.to_string(),
+            age_ms: millis(now.saturating_duration_since(known.written)),
+            lines: known.lines.iter().map(|(need, has)| Line::encode(need, *has)).collect(),
+        };
+        self.regions.iter().map(summary).collect()
+    }
+
+    /// This region's summary; only the targets that `permits` lets through count.
+    pub fn summary(&self, now: Instant, permits: impl Fn(&Announcement) -> bool) -> Summary {
+        let mut lines: BTreeMap<Need, Capacity> = BTreeMap::new();
+        for report in self.holding(now).filter(|report| permits(&report.announcement)) {
+            let load = report.announcement.load;
+            let free = load.slots.saturating_sub(load.running);
+            let adds = Capacity { targets: 1, free, waiting: load.waiting };
+            let needs: BTreeSet<Need> = report.announcement.offers.iter().flat_map(needs).collect();
+            for need in needs {
+                let line = lines.entry(need).or_default();
+                *line = line.plus(adds);
+            }
         }
+        let lines = lines.iter().map(|(need, has)| Line::encode(need, *has)).collect();
+        Summary { region: self.region.to_string(), age_ms: 0, lines }
     }
 
-    /// The targets that meet `need` at `now`.
+    /// The targets of this region that meet `need` at `now`.
     pub fn capable<'a>(
         &'a self,
         need: &'a Need,
         now: Instant,
     ) -> impl Iterator<Item = &'a Announcement> {
-        self.entries
-            .values()
-            .filter(move |entry| !entry.leaving && entry.expires > now)
-            .map(|entry| &entry.announcement)
-            .filter(|announcement| announcement.offers.iter().any(|offer| need.met_by(offer)))
+        self.reports(need, now).map(|report| &report.announcement)
+    }
+
+    /// The same, with who took each announcement and when.
+    pub fn reports<'a>(&'a self, need: &'a Need, now: Instant) -> impl Iterator<Item = &'a Report> {
+        let meets =
+            |report: &&Report| report.announcement.offers.iter().any(|offer| need.met_by(offer));
+        self.holding(now).filter(meets)
+    }
+
+    /// The other regions that can meet `need`, each with its capacity for it.
+    pub fn elsewhere<'a>(
+        &'a self,
+        need: &'a Need,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a id::Region, Capacity)> {
+        let holds = move |known: &Elsewhere| now - known.written < self.settings.summary;
+        self.regions.iter().filter(move |(_, known)| holds(known)).filter_map(
+            move |(region, known)| {
+                let lines = known.lines.iter().filter(|(line, _)| asks_for(need, line));
+                let capacity = lines.map(|(_, capacity)| *capacity).reduce(Capacity::plus)?;
+                Some((region, capacity))
+            },
+        )
+    }
+
+    /// How long ago the summary of `region` was written there.
+    pub fn summary_age(&self, region: &id::Region, now: Instant) -> Option<Duration> {
+        self.regions.get(region).map(|known| now.saturating_duration_since(known.written))
+    }
+
+    fn holding(&self, now: Instant) -> impl Iterator<Item = &Report> {
+        self.reports.values().filter(move |report| report.holds(&self.settings, now))
+    }
+
+    fn is_leaving(&self, target: &id::Target) -> bool {
+        self.reports.get(target).is_some_and(|report| report.leaving)
+    }
+
+    /// Takes a report; true where it tells that a target leaves, or contradicts that.
+    fn learn(&mut self, report: Report) -> bool {
+        let target = report.announcement.target.clone();
+        let Some(known) = self.reports.get(&target) else {
+            let leaving = report.leaving;
+            self.changed = true;
+            self.reports.insert(target, report);
+            return leaving;
+        };
+        let (left, says) = (known.leaving, report.leaving);
+        let same = known.announcement.incarnation == report.announcement.incarnation;
+        self.changed |=
+            !same || left != says || known.announcement.offers != report.announcement.offers;
+        if let Some(known) = known.succeeded_by(report) {
+            self.reports.insert(target.clone(), known);
+        }
+        if same && left != says {
+            self.unsent.insert(target);
+        }
+        same && says && !left
+    }
+
+    fn learn_region(&mut self, summary: &Summary, now: Instant) {
+        let region = id::Region::from(summary.region.as_str());
+        let Some(written) = now.checked_sub(Duration::from_millis(summary.age_ms)) else { return };
+        let known = self.regions.get(&region);
+        if region == self.region || known.is_some_and(|known| known.written >= written) {
+            return;
+        }
+        let lines: BTreeMap<_, _> = summary.lines.iter().filter_map(Line::decode).collect();
+        self.changed |= known.is_none_or(|known| !known.lines.keys().eq(lines.keys()));
+        self.regions.insert(region, Elsewhere { written, lines });
+    }
+
+    fn check(&self, announcement: &Announcement) -> Result<(), Nonsense> {
+        let Settings { offers, adapters, name, .. } = self.settings;
+        let said = &announcement.offers;
+        if said.is_empty() {
+            return Err(Nonsense::NoOffers);
+        }
+        if said.len() > offers || said.iter().any(|offer| offer.adapters().len() > adapters) {
+            return Err(Nonsense::TooMany(offers.min(adapters)));
+        }
+        let own = [announcement.target.as_str(), announcement.zone.as_str()];
+        let bad = |text: &str| text.is_empty() || text.len() > name;
+        if own.into_iter().any(bad) || said.iter().flat_map(Offer::names).any(bad) {
+            return Err(Nonsense::Name(name));
+        }
+        let address = announcement.address;
+        if address.ip().is_unspecified() || address.ip().is_multicast() || address.port() == 0 {
+            return Err(Nonsense::Address(address));
+        }
+        if announcement.region != self.region {
+            return Err(Nonsense::Region(self.region.clone()));
+        }
+        Ok(())
+    }
+}
+
+/// The needs that an offer meets: with no adapter, and with each of its adapters.
+fn needs(offer: &Offer) -> Vec<Need> {
+    match offer {
+        Offer::Service { service } => vec![Need::Service { service: service.clone() }],
+        Offer::Model { model, version, adapters } => std::iter::once(None)
+            .chain(adapters.iter().cloned().map(Some))
+            .map(|adapter| Need::Model {
+                model: model.clone(),
+                version: Some(version.clone()),
+                adapter,
+            })
+            .collect(),
+    }
+}
+
+/// Whether a summary's line counts towards what a request needs.
+fn asks_for(need: &Need, line: &Need) -> bool {
+    match (need, line) {
+        (Need::Service { service }, Need::Service { service: there }) => service == there,
+        (
+            Need::Model { model, version, adapter },
+            Need::Model { model: there, version: at, adapter: with },
+        ) => model == there && (version.is_none() || version == at) && adapter == with,
+        _ => false,
     }
 }
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -1,6 +1,7 @@
 //! The shell of one VM: sockets and tasks around the decisions.
 
 mod directory;
+mod gossip;
 mod handover;
 mod inbound;
 mod node;
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -45,12 +45,11 @@
         let now = self.clock.now();
         let region = self
             .targets()
-            .capable(&resolved.need, now)
-            .map(|announcement| announcement.region.clone())
-            .find(|region| {
-                *region != self.settings.region && resolved.allowance.regions.contains(region)
-            })?;
-        self.others().find(|peer| peer.region == region).cloned()
+            .elsewhere(&resolved.need, now)
+            .filter(|(region, _)| resolved.allowance.regions.contains(region))
+            .max_by_key(|(_, capacity)| capacity.free)
+            .map(|(region, _)| region.clone())?;
+        self.peers_in(&[region]).into_iter().next()
     }
 
     fn handover(&self, request: &path::Request<Admitted>) -> Handover {
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -11,9 +11,16 @@
         while let Ok(message) = inbound.recv().await {
             match message {
                 Inbound::Notice { topic: Topic::Targets, payload, .. } => {
-                    if let Ok(announcement) = serde_json::from_slice(&payload) {
-                        self.learn(announcement);
-                    }
+                    self.hear_of_targets(payload);
+                }
+                Inbound::Notice { topic: Topic::Membership, payload, .. } => {
+                    self.hear_of_members(payload);
+                }
+                Inbound::Call { topic: Topic::Targets, payload, reply, .. } => {
+                    let _ = reply.try_send(self.hear_of_targets(payload));
+                }
+                Inbound::Call { topic: Topic::Membership, payload, reply, .. } => {
+                    let _ = reply.try_send(self.hear_of_members(payload));
                 }
                 Inbound::Handover { from, region, handover, exchange } => {
                     let vm = Arc::clone(&self);
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -1,8 +1,7 @@
 use std::{
     fmt, fs, io,
     path::Path,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU32},
 };
 
 use rand::{
@@ -20,8 +19,9 @@
     id,
     link::{self, Hub, Inbound},
     list::{Book, List},
+    member,
     settings::{Peer, Settings},
-    target::View,
+    target::{self, View},
     wire::Hello,
 };
 
@@ -35,6 +35,8 @@
     pub(super) logger: Logger,
     pub(super) hub: Arc<Hub>,
     pub(super) targets: Mutex<View>,
+    pub(super) members: Mutex<member::Core>,
+    pub(super) in_flight: AtomicU32,
     book: Mutex<Arc<Book>>,
     random: Mutex<StdRng>,
 }
@@ -98,27 +100,40 @@
         let book = first_book(&settings)?;
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
-        let random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
+        let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let hello = hello(&settings, incarnation(&*clock));
+        let incarnation = incarnation(&*clock);
+        let hello = hello(&settings, incarnation);
         let hub = Hub::with_logger(hello, link::Settings::default(), sender, logger.clone());
+        let members = member::Core::new(
+            member::Settings::default(),
+            settings.this(),
+            incarnation,
+            settings.peers.iter().cloned(),
+            random.random(),
+            clock.now(),
+        );
+        let (name, region) = (settings.vm.clone(), settings.region.clone());
         let vm = Arc::new(Self {
             settings,
             clock,
             logger,
             hub,
-            targets: Mutex::default(),
+            targets: Mutex::new(View::new(target::Settings::default(), name, region)),
+            members: Mutex::new(members),
+            in_flight: AtomicU32::new(0),
             book: Mutex::new(Arc::new(book)),
             random: Mutex::new(random),
         });
+        let mut tasks = vm.link_tasks(links, inbound);
+        vm.join().await;
         event::path::STARTED.emit(&vm.logger, &[("callers", &vm.settings.callers)]);
-        let tasks = vm.tasks(callers, links, inbound);
+        tasks.extend(vm.tasks(callers));
         Ok(Running { vm, tasks })
     }
 
-    fn tasks(
+    fn link_tasks(
         self: &Arc<Self>,
-        callers: TcpListener,
         links: TcpListener,
         inbound: Receiver<Inbound>,
     ) -> Vec<Task<()>> {
@@ -126,13 +141,17 @@
         let accept = async move {
             let _ = hub.accept(links).await;
         };
+        let receive = Arc::clone(self).receive(inbound);
+        vec![smol::spawn(accept), smol::spawn(receive)]
+    }
+
+    fn tasks(self: &Arc<Self>, callers: TcpListener) -> Vec<Task<()>> {
         let vm = Arc::clone(self);
         let serve = async move {
             let handler = move |request| Arc::clone(&vm).route(request);
             let _ = http::serve(callers, Limits::default(), handler).await;
         };
-        let receive = Arc::clone(self).receive(inbound);
-        vec![smol::spawn(accept), smol::spawn(serve), smol::spawn(receive)]
+        vec![smol::spawn(serve), smol::spawn(Arc::clone(self).gossip())]
     }
 
     /// The lists in force at this moment.
@@ -151,9 +170,17 @@
         id::Request::from(format!("{number:016x}"))
     }
 
-    /// The other VMs that this VM knows.
-    pub(super) fn others(&self) -> impl Iterator<Item = &Peer> {
-        self.settings.peers.iter().filter(|peer| peer.vm != self.settings.vm)
+    /// The members that this VM knows.
+    pub(super) fn members(&self) -> MutexGuard<'_, member::Core> {
+        lock(&self.members)
+    }
+
+    /// The other VMs of `regions` to hand a request to or to name to a caller, best first.
+    pub(super) fn peers_in(&self, regions: &[id::Region]) -> Vec<Peer> {
+        let now = self.clock.now();
+        let mut peers = self.members().directory(regions, now);
+        peers.retain(|peer| peer.vm != self.settings.vm);
+        peers
     }
 }
 
@@ -179,10 +206,7 @@
     }
 }
 
-/// How long a target's announcement holds.
-pub(super) const LEASE: Duration = Duration::from_secs(5);
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/src/vm/routes.rs
+++ b/src/vm/routes.rs
@@ -1,17 +1,15 @@
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use serde::Serialize;
 
 use super::{Directory, Entry, Vm};
 use crate::{
-    event,
     http::{self, Body},
     id,
     outcome::{Reason, Refusal},
     path,
     target::Announcement,
-    wire::Topic,
 };
 
 const ANNOUNCEMENT_LIMIT: usize = 256 * 1024;
@@ -24,25 +22,28 @@
         let path = request.uri().path().to_owned();
         let target = path.strip_prefix("/v1/targets/").map(id::Target::from);
         match (request.method(), path.as_str(), target) {
-            (&Method::GET, "/v1/directory", _) => self.directory(),
+            (&Method::GET, "/v1/directory", _) => self.directory(request.uri().query()),
             (&Method::POST, TARGETS, _) => self.announce(request).await,
             (&Method::DELETE, _, Some(target)) => self.leave(target).await,
-            _ => self.serve(request).await,
+            _ => self.count(request).await,
         }
     }
 
-    fn directory(&self) -> Response<Body> {
-        let this = self.settings.this();
-        let vms = std::iter::once(&this)
-            .chain(self.others())
-            .map(|peer| Entry {
-                vm: peer.vm.clone(),
-                region: peer.region.clone(),
-                zone: peer.zone.clone(),
-                address: peer.callers,
-            })
-            .collect();
-        json(&Directory { vms, ttl: DIRECTORY_TTL_SECONDS })
+    fn directory(&self, query: Option<&str>) -> Response<Body> {
+        let now = self.clock.now();
+        let vms = self.members().directory(&regions(query), now).into_iter().map(|peer| Entry {
+            vm: peer.vm,
+            region: peer.region,
+            zone: peer.zone,
+            address: peer.callers,
+        });
+        json(&Directory { vms: vms.collect(), ttl: DIRECTORY_TTL_SECONDS })
+    }
+
+    async fn count(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let vm = Arc::clone(&self);
+        let _counted = InFlight::new(&vm);
+        self.serve(request).await
     }
 
     async fn announce(&self, request: Request<Incoming>) -> Response<Body> {
@@ -54,28 +55,45 @@
             Ok(announcement) => announcement,
             Err(cause) => return path::refusal(&id, &malformed(&cause.to_string())),
         };
-        event::path::TARGET.emit(&self.logger, &[("target", &announcement.target)]);
-        self.learn(announcement);
-        self.share(&body).await;
-        no_content()
+        match self.take_announcement(announcement).await {
+            Ok(()) => no_content(),
+            Err(nonsense) => path::refusal(&id, &malformed(&nonsense.to_string())),
+        }
     }
 
     async fn leave(&self, target: id::Target) -> Response<Body> {
-        self.targets().leave(&target);
+        self.take_leave(&target).await;
         no_content()
     }
+}
 
-    async fn share(&self, announcement: &hyper::body::Bytes) {
-        for peer in self.others() {
-            let _ = self.hub.notify(peer.links, Topic::Targets, announcement.clone()).await;
-        }
+/// Counts a request as in flight until dropped.
+struct InFlight<'a>(&'a Vm);
+
+impl<'a> InFlight<'a> {
+    fn new(vm: &'a Vm) -> Self {
+        vm.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(vm)
     }
+}
 
-    pub(super) fn learn(&self, announcement: Announcement) {
-        self.targets().announce(announcement, super::node::LEASE, self.clock.now());
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
+/// The regions that the query names, as in `regions=jakarta,surabaya`.
+fn regions(query: Option<&str>) -> Vec<id::Region> {
+    let pairs = query.unwrap_or_default().split('&');
+    let named = pairs.filter_map(|pair| pair.strip_prefix("regions="));
+    named
+        .flat_map(|value| value.split(','))
+        .filter(|name| !name.is_empty())
+        .map(Into::into)
+        .collect()
+}
+
 fn malformed(detail: &str) -> Refusal {
     Refusal::new(Reason::Malformed, detail, "send an announcement as docs/API.md describes it")
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -36,6 +36,10 @@
         silence: Duration::from_secs(1),
         ..Settings::default()
     };
+    end_with(vm, settings).await
+}
+
+async fn end_with(vm: &str, settings: Settings) -> End {
     let (sender, inbound) = smol::channel::bounded(64);
     let hello = Hello { vm: vm.to_owned(), region: "jakarta".to_owned(), ..Hello::default() };
     let hub = Hub::new(hello, settings, sender);
@@ -164,6 +168,23 @@
     });
 }
 
+#[test]
+fn a_vm_that_has_just_dialled_is_dialled_at_once() {
+    smol::block_on(async {
+        let settings = Settings { first_backoff: Duration::from_secs(3600), ..Settings::default() };
+        let (near, far) = (end_with("near", settings).await, end("far").await);
+        let (_near_echo, _far_echo) = (echo(&near), echo(&far));
+        let proxy = Proxy::start(far.address).await;
+        near.hub.expect(proxy.address(), "far".into());
+        proxy.set(Faults { refuse: true, ..Faults::default() });
+        call(&near, proxy.address()).await.unwrap_err();
+        proxy.heal();
+        call(&near, proxy.address()).await.unwrap_err();
+        call(&far, near.address).await.unwrap();
+        call(&near, proxy.address()).await.unwrap();
+    });
+}
+
 #[test]
 fn a_hello_of_another_vm_is_refused() {
     smol::block_on(async {
--- /dev/null
+++ b/tests/member_directory.rs
@@ -0,0 +1,258 @@
+//! Members, the directory and the views of targets, through processes of the real daemon.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use hyper::Method;
+use pomelogate::{
+    settings::Settings,
+    standin::{Caller, Pace, deployment},
+    vm::Directory,
+};
+use support::{
+    fleet::{Fleet, eventually, samples},
+    proxy::{Fault, Faults, Proxy},
+    targets,
+};
+
+const LEADS: &str = "sample-key-crew-leads";
+
+async fn directory(vm: SocketAddr, query: &str) -> Vec<String> {
+    let path = format!("/v1/directory{query}");
+    let reply = Caller::new("").send(vm, Method::GET, &path, String::new()).await;
+    let Ok(reply) = reply else { return Vec::new() };
+    let directory: Directory = serde_json::from_slice(&reply.body).expect("a directory");
+    directory.vms.iter().map(|entry| entry.vm.to_string()).collect()
+}
+
+async fn names(vm: SocketAddr, names: &[&str]) -> bool {
+    let mut known = directory(vm, "").await;
+    known.sort();
+    known == names
+}
+
+async fn answers(vm: SocketAddr, model: &str) -> bool {
+    let reply = Caller::new(LEADS).chat(vm, model, "Ready?", false).await;
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+async fn refuses(vm: SocketAddr, model: &str) -> bool {
+    let reply = Caller::new(LEADS).chat(vm, model, "Ready?", false).await;
+    reply.is_ok_and(|reply| reply.outcome() == "refused")
+}
+
+/// Settings in which each VM reaches VM `to` through a proxy of its own.
+async fn through_proxies(settings: &mut [Settings], to: usize) -> Vec<Proxy> {
+    let vm = settings[to].vm.clone();
+    let mut proxies = Vec::new();
+    for settings in settings.iter_mut().filter(|settings| settings.vm != vm) {
+        for peer in settings.peers.iter_mut().filter(|peer| peer.vm == vm) {
+            let proxy = Proxy::start(peer.links).await;
+            peer.links = proxy.address();
+            proxies.push(proxy);
+        }
+    }
+    proxies
+}
+
+#[test]
+fn a_frozen_vm_leaves_the_directory_and_comes_back_and_a_restarted_one_too() {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(&[("jakarta", 3)]).await;
+        let all = ["jakarta-1", "jakarta-2", "jakarta-3"];
+        let asked = fleet.callers(0);
+        eventually("all are named", async || names(asked, &all).await).await;
+        fleet.vms[2].freeze();
+        eventually("the frozen VM is left out", async || names(asked, &all[..2]).await).await;
+        fleet.vms[2].thaw();
+        eventually("it is named again", async || names(asked, &all).await).await;
+        let itself = fleet.callers(2);
+        eventually("it names the others", async || names(itself, &all).await).await;
+        fleet.vms[1].kill();
+        let rest = ["jakarta-1", "jakarta-3"];
+        eventually("the killed VM is left out", async || names(asked, &rest).await).await;
+        fleet.vms[1].start();
+        eventually("its next process is named", async || names(asked, &all).await).await;
+    });
+}
+
+#[test]
+fn the_directory_names_the_own_region_first_and_only_the_regions_asked_for() {
+    smol::block_on(async {
+        let fleet = Fleet::start(&[("jakarta", 2), ("surabaya", 2), ("bandung", 1)]).await;
+        for place in [0, 2] {
+            let vm = fleet.callers(place);
+            eventually("all are named", async || directory(vm, "").await.len() == 5).await;
+        }
+        let mut near = directory(fleet.callers(2), "").await;
+        near.truncate(2);
+        near.sort();
+        assert_eq!(near, ["surabaya-1", "surabaya-2"]);
+        assert_eq!(directory(fleet.callers(0), "?regions=bandung").await, ["bandung-1"]);
+        assert_eq!(directory(fleet.callers(0), "?regions=bandung,jakarta").await.len(), 3);
+    });
+}
+
+#[test]
+fn a_vm_that_nobody_lists_joins_through_one_peer() {
+    smol::block_on(async {
+        let mut settings = deployment(&samples(), &[("jakarta", 3)]).expect("free ports");
+        for settings in &mut settings[..2] {
+            settings.peers.truncate(2);
+        }
+        settings[2].peers.truncate(1);
+        let fleet = Fleet::with(settings).await;
+        let all = ["jakarta-1", "jakarta-2", "jakarta-3"];
+        for place in 0..3 {
+            let vm = fleet.callers(place);
+            eventually("every VM names every VM", async || names(vm, &all).await).await;
+        }
+    });
+}
+
+#[test]
+fn a_leave_outlives_the_vm_that_took_it() {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(&[("jakarta", 3)]).await;
+        let (first, second, third) = (fleet.callers(0), fleet.callers(1), fleet.callers(2));
+        let (engine, reporter) =
+            targets::engine("e", "jakarta", "assistant", &[first], Pace::default()).await;
+        for vm in [second, third] {
+            eventually("the target is known", async || answers(vm, "assistant").await).await;
+        }
+        // The target's own renewals go on through another VM, as late ones would.
+        let address = engine.address();
+        let late = targets::announcement("e", "jakarta", address, targets::model("assistant"));
+        let renewals = pomelogate::standin::Reporter::start(
+            vec![third],
+            Duration::from_millis(200),
+            move || late.clone(),
+        );
+        reporter.leave().await.expect("the leave is taken");
+        fleet.vms[0].kill();
+        for vm in [second, third] {
+            eventually("no new work", async || refuses(vm, "assistant").await).await;
+        }
+        for _ in 0..100 {
+            assert!(refuses(second, "assistant").await && refuses(third, "assistant").await);
+            smol::Timer::after(Duration::from_millis(10)).await;
+        }
+        drop(renewals);
+    });
+}
+
+#[test]
+fn an_announcement_is_known_elsewhere_when_its_vm_dies_right_after_the_reply() {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(&[("jakarta", 2)]).await;
+        let (first, second) = (fleet.callers(0), fleet.callers(1));
+        let engine = pomelogate::standin::Engine::start("e".into(), Pace::default());
+        let engine = engine.await.expect("the engine starts");
+        let offer = targets::model("assistant");
+        let said = targets::announcement("e", "jakarta", engine.address(), offer);
+        let body = serde_json::to_string(&said).unwrap();
+        let path = "/v1/targets";
+        let taken = Caller::new("").send(first, Method::POST, path, body).await.unwrap();
+        fleet.vms[0].kill();
+        assert_eq!(taken.status, 204);
+        assert!(answers(second, "assistant").await);
+    });
+}
+
+#[test]
+fn nonsense_is_refused_with_the_remedy() {
+    smol::block_on(async {
+        let fleet = Fleet::start(&[("jakarta", 1)]).await;
+        let address = ([127, 0, 0, 1], 9).into();
+        let said = targets::announcement("e", "surabaya", address, targets::model("assistant"));
+        let body = serde_json::to_string(&said).unwrap();
+        for (body, remedy) in [(body, "a VM of the target's region"), ("{".to_owned(), "send an")] {
+            let caller = Caller::new("");
+            let send = caller.send(fleet.callers(0), Method::POST, "/v1/targets", body);
+            let reply = send.await.unwrap();
+            assert_eq!(reply.status, 400);
+            assert!(reply.body_text().contains(remedy), "{}", reply.body_text());
+        }
+    });
+}
+
+#[test]
+fn a_region_cut_off_serves_on_and_its_restarted_vm_learns_from_its_peers() {
+    smol::block_on(async {
+        let regions = [("jakarta", 2), ("surabaya", 2)];
+        let mut settings = deployment(&samples(), &regions).expect("free ports");
+        let mut proxies = Vec::new();
+        for to in 0..settings.len() {
+            let region = settings[to].region.clone();
+            let (vm, links) = (settings[to].vm.clone(), settings[to].links);
+            for settings in settings.iter_mut().filter(|other| other.region != region) {
+                let proxy = Proxy::start(links).await;
+                let peer = settings.peers.iter_mut().find(|peer| peer.vm == vm);
+                peer.expect("all are peers").links = proxy.address();
+                proxies.push(proxy);
+            }
+        }
+        let mut fleet = Fleet::with(settings).await;
+        let (first, second) = (fleet.callers(0), fleet.callers(1));
+        let _near =
+            targets::engine("near", "jakarta", "assistant", &[first], Pace::default()).await;
+        let _far =
+            targets::engine("far", "surabaya", "planner", &[fleet.callers(2)], Pace::default())
+                .await;
+        eventually("both are known", async || {
+            answers(second, "assistant").await && answers(second, "planner").await
+        })
+        .await;
+        proxies.iter().for_each(Proxy::cut);
+        assert!(answers(first, "assistant").await && answers(second, "assistant").await);
+        fleet.vms[1].kill();
+        fleet.vms[1].start();
+        fleet.vms[1].ready().await;
+        assert!(answers(second, "assistant").await, "known as soon as it takes callers");
+        proxies.iter().for_each(Proxy::heal);
+        eventually("the other region again", async || answers(second, "planner").await).await;
+    });
+}
+
+#[test]
+fn a_silent_link_is_replaced_while_traffic_goes_on() {
+    smol::block_on(async {
+        let mut settings =
+            deployment(&samples(), &[("jakarta", 1), ("surabaya", 1)]).expect("free ports");
+        let proxies = through_proxies(&mut settings, 1).await;
+        let fleet = Fleet::with(settings).await;
+        let (near, far) = (fleet.callers(0), fleet.callers(1));
+        let _far = targets::engine("far", "surabaya", "planner", &[far], Pace::default()).await;
+        eventually("the target is known", async || answers(near, "planner").await).await;
+        let opened = proxies[0].opened();
+        proxies[0].freeze();
+        eventually("answers again", async || answers(near, "planner").await).await;
+        assert!(proxies[0].opened() > opened);
+    });
+}
+
+#[test]
+fn a_one_way_cut_between_two_vms_is_seen_by_both_and_ends() {
+    smol::block_on(async {
+        let mut settings = deployment(&samples(), &[("jakarta", 2)]).expect("free ports");
+        let to_second = through_proxies(&mut settings, 1).await;
+        let to_first = through_proxies(&mut settings, 0).await;
+        let fleet = Fleet::with(settings).await;
+        let (first, second) = (fleet.callers(0), fleet.callers(1));
+        let all = ["jakarta-1", "jakarta-2"];
+        eventually("both name both", async || {
+            names(first, &all).await && names(second, &all).await
+        })
+        .await;
+        let cut = Fault { cut: true, ..Fault::default() };
+        to_second[0].set(Faults { forth: cut, ..Faults::default() });
+        to_first[0].set(Faults { back: cut, ..Faults::default() });
+        eventually("the first suspects", async || names(first, &all[..1]).await).await;
+        eventually("the second suspects", async || names(second, &all[1..]).await).await;
+        to_second[0].heal();
+        to_first[0].heal();
+        eventually("both are back", async || names(first, &all).await && names(second, &all).await)
+            .await;
+    });
+}
--- /dev/null
+++ b/tests/target_view.rs
@@ -0,0 +1,155 @@
+//! The view of targets: leases, leaves, restarts and nonsense.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use pomelogate::{
+    id,
+    target::{Announcement, Gossip, Load, Need, Nonsense, Offer, Settings, View},
+};
+use proptest::prelude::*;
+use support::targets::{announcement, model, service};
+
+fn view(vm: &str, region: &str) -> View {
+    View::new(Settings::default(), vm.into(), region.into())
+}
+
+fn engine(incarnation: u64) -> Announcement {
+    let address = ([127, 0, 0, 1], 9).into();
+    Announcement { incarnation, ..announcement("engine", "jakarta", address, model("m")) }
+}
+
+fn need() -> Need {
+    Need::Model { model: "m".into(), version: None, adapter: None }
+}
+
+fn serves(view: &View, now: Instant) -> bool {
+    view.capable(&need(), now).next().is_some()
+}
+
+/// What `from` knows of the engine, told to `to`.
+fn tell(from: &View, to: &mut View, now: Instant) {
+    let reports = from.sent(&"engine".into(), now).into_iter().collect();
+    to.merge(&Gossip { reports, ..Gossip::default() }, now);
+}
+
+#[test]
+fn a_lease_ends_unless_renewed_and_counts_from_when_the_target_spoke() {
+    let start = Instant::now();
+    let lease = Settings::default().lease;
+    let (mut one, mut two) = (view("one", "jakarta"), view("two", "jakarta"));
+    assert_eq!(one.announce(engine(1), start), Ok(true));
+    assert_eq!(one.announce(engine(1), start), Ok(false));
+    tell(&one, &mut two, start + lease / 2);
+    assert!(serves(&two, start + lease / 2));
+    assert!(!serves(&two, start + lease), "a copy gives no longer lease");
+    assert!(!serves(&one, start + lease));
+    assert_eq!(two.expire(start + lease / 2, start + lease).len(), 1);
+    let report = two.sent(&"engine".into(), start + lease).unwrap();
+    assert_eq!((report.by.as_str(), report.age_ms), ("one", 5000));
+}
+
+#[test]
+fn a_leave_holds_against_renewals_of_the_same_process_and_ends_with_the_next() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(1);
+    let (mut one, mut two) = (view("one", "jakarta"), view("two", "jakarta"));
+    one.announce(engine(1), start).unwrap();
+    tell(&one, &mut two, start);
+    assert!(one.leave(&"engine".into()));
+    two.announce(engine(1), later).unwrap();
+    tell(&two, &mut one, later);
+    assert!(!serves(&one, later), "a renewal that crossed the leave does not undo it");
+    assert!(one.unsent(later).iter().any(|sent| sent.leaving), "the leave is told again");
+    tell(&one, &mut two, later);
+    assert!(!serves(&two, later));
+    two.announce(engine(2), later).unwrap();
+    tell(&two, &mut one, later);
+    assert!(serves(&one, later) && serves(&two, later));
+}
+
+#[test]
+fn other_regions_know_the_capacity_but_not_the_targets() {
+    let now = Instant::now();
+    let (mut near, mut far) = (view("one", "jakarta"), view("two", "surabaya"));
+    let load = Load { running: 3, waiting: 2, slots: 8, waiting_tokens: 0 };
+    near.announce(Announcement { load, ..engine(1) }, now).unwrap();
+    far.merge(&Gossip { summaries: vec![near.summary(now, |_| true)], ..near.all(now) }, now);
+    assert!(!serves(&far, now));
+    let need = need();
+    let (region, capacity) = far.elsewhere(&need, now).next().unwrap();
+    assert_eq!(region.as_str(), "jakarta");
+    assert_eq!((capacity.targets, capacity.free, capacity.waiting), (1, 5, 2));
+    assert_eq!(far.elsewhere(&need, now + Settings::default().summary).count(), 0);
+    far.merge(&Gossip { summaries: vec![near.summary(now, |_| false)], ..Gossip::default() }, now);
+    assert_eq!(far.elsewhere(&need, now).count(), 1, "no newer than the one known");
+}
+
+#[test]
+fn nonsense_is_refused() {
+    let settings = Settings::default();
+    let mut view = view("one", "jakarta");
+    let long = "x".repeat(settings.name + 1);
+    let unspecified = ([0, 0, 0, 0], 9).into();
+    let cases = [
+        (Announcement { offers: vec![], ..engine(1) }, Nonsense::NoOffers),
+        (
+            Announcement { offers: vec![service("s"); settings.offers + 1], ..engine(1) },
+            Nonsense::TooMany(settings.offers),
+        ),
+        (Announcement { offers: vec![service(&long)], ..engine(1) }, Nonsense::Name(128)),
+        (Announcement { target: id::Target::from(""), ..engine(1) }, Nonsense::Name(128)),
+        (Announcement { address: unspecified, ..engine(1) }, Nonsense::Address(unspecified)),
+        (Announcement { region: "mars".into(), ..engine(1) }, Nonsense::Region("jakarta".into())),
+    ];
+    for (announcement, refusal) in cases {
+        assert_eq!(view.announce(announcement, Instant::now()), Err(refusal));
+    }
+    let offer = Offer::Model { model: "m".into(), version: "".into(), adapters: vec![] };
+    assert!(
+        view.announce(Announcement { offers: vec![offer], ..engine(1) }, Instant::now()).is_err()
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// However copies are reordered and repeated, all VMs come to agree, and none serves a target
+    /// whose latest process leaves.
+    #[test]
+    fn views_agree_whatever_the_order(
+        steps in prop::collection::vec((0..3_usize, 0..4_u8, 1..4_u64), 1..40),
+        order in prop::collection::vec((0..3_usize, 0..1000_usize), 0..80),
+    ) {
+        let mut now = Instant::now();
+        let mut views = ["one", "two", "three"].map(|vm| view(vm, "jakarta"));
+        let mut sent = Vec::new();
+        let mut left = 0;
+        for (place, action, incarnation) in steps {
+            now += Duration::from_millis(10);
+            if action == 0 && views[place].leave(&"engine".into()) {
+                left = left.max(views[place].sent(&"engine".into(), now).unwrap().incarnation);
+            } else {
+                views[place].announce(engine(incarnation), now).unwrap();
+            }
+            sent.extend(views[place].sent(&"engine".into(), now).map(|report| (report, now)));
+        }
+        let told = order.iter().map(|(to, pick)| (*to, pick % sent.len()));
+        let all = (0..3).flat_map(|to| (0..sent.len()).map(move |pick| (to, pick)));
+        for (to, pick) in told.chain(all) {
+            let (mut report, at) = sent[pick].clone();
+            report.age_ms += u64::try_from((now - at).as_millis()).unwrap();
+            views[to].merge(&Gossip { reports: vec![report], ..Gossip::default() }, now);
+        }
+        let known = views.each_ref().map(|view| view.sent(&"engine".into(), now).map(|report| (report.incarnation, report.leaving)));
+        prop_assert_eq!(&known[0], &known[1]);
+        prop_assert_eq!(&known[1], &known[2]);
+        let latest = known[0].as_ref().map_or(0, |known| known.0);
+        prop_assert!(left < latest || left == 0 || !serves(&views[0], now));
+    }
+}
