Prove dropped frames and the spread of callers; give test listeners own addresses

Cause: a member_directory test failed in about one of fifteen runs. The daemon's own message in a later run was "cannot listen on 127.0.0.1:37427: Address already in use": a port that was free when chosen was taken by a connection or another listener before its use.

Change: the listeners of these tests each get a loopback address of their own. Tests of late and repeated frames and of the directory's spread.

Seen to fail: the repeated frame without Opened, the spread without the weight by load.

Left: deployment() itself still picks ports that another may take; other test files that use Fleet::start can meet the same.

--- a/tests/link.rs
+++ b/tests/link.rs
@@ -7,9 +7,9 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use pomelogate::{
     link::{Error, Exchange, Hub, Inbound, Settings},
-    wire::{Body, Chunk, Handover, Hello, Topic},
+    wire::{Body, Chunk, Frame, Handover, Hello, Topic},
 };
-use prost::bytes::Bytes;
+use prost::{Message, bytes::Bytes};
 use smol::{
     Timer,
     channel::Receiver,
@@ -213,6 +213,47 @@
     });
 }
 
+#[test]
+fn frames_of_exchanges_that_are_not_open_are_dropped_and_none_is_opened_twice() {
+    smol::block_on(async {
+        let far = end("far").await;
+        let chunk = || Body::Chunk(Chunk { bytes: Bytes::from_static(b"late") });
+        let opens = |request: &str| {
+            Body::Handover(Box::new(Handover {
+                request: request.to_owned(),
+                ..Handover::default()
+            }))
+        };
+        let hello = Body::Hello(Hello { vm: "near".to_owned(), ..Hello::default() });
+        let frames = [
+            Frame::new(0, hello),
+            Frame::new(7, chunk()),
+            Frame::new(1, opens("first")),
+            Frame::new(1, chunk()),
+            Frame::new(1, opens("first")),
+            Frame::new(2, opens("second")),
+        ];
+        let mut stream = TcpStream::connect(far.address).await.unwrap();
+        for frame in frames {
+            let bytes = frame.encode_to_vec();
+            let length = u32::try_from(bytes.len()).unwrap().to_be_bytes();
+            stream.write_all(&[&length[..], &bytes].concat()).await.unwrap();
+        }
+        let mut opened = Vec::new();
+        for _ in 0..2 {
+            let message = within("a hand-over", far.inbound.recv()).await.unwrap();
+            let Inbound::Handover { exchange, handover, .. } = message else {
+                panic!("a hand-over was due")
+            };
+            opened.push((handover.request, exchange));
+        }
+        let requests = opened.iter().map(|(request, _)| request.as_str());
+        assert!(requests.eq(["first", "second"]), "the second opening of 1 goes nowhere");
+        let first = within("the chunk", opened[0].1.receive()).await;
+        assert!(matches!(first, Ok(Body::Chunk(_))));
+    });
+}
+
 #[test]
 fn a_link_cut_short_fails_the_exchange_instead_of_ending_it() {
     smol::block_on(async {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -156,6 +156,29 @@
     assert_eq!(net.state(0, 1), State::Alive);
 }
 
+#[test]
+fn the_directory_spreads_callers_and_spares_the_busy() {
+    const DRAWS: usize = 1000;
+    let mut net = Net::new(&[4]);
+    net.run(3, |_, _| true);
+    let busy = net.peers[3].vm.clone();
+    let now = net.now;
+    let core = net.cores.get_mut(&busy).expect("it runs");
+    core.tick(9, now);
+    let told = core.digest(now);
+    let first = net.peers[0].vm.clone();
+    net.cores.get_mut(&first).expect("it runs").merge(&told, now);
+    let mut counts: BTreeMap<id::Vm, usize> = BTreeMap::new();
+    for _ in 0..DRAWS {
+        *counts.entry(net.directory(0).swap_remove(0)).or_default() += 1;
+    }
+    for peer in &net.peers[..3] {
+        let count = counts[&peer.vm];
+        assert!((DRAWS / 4..DRAWS * 2 / 5).contains(&count), "{}: {count}", peer.vm);
+    }
+    assert!(counts.get(&busy).copied().unwrap_or_default() < DRAWS / 10);
+}
+
 #[test]
 fn what_passes_through_the_tree_reaches_every_vm_once() {
     let net = Net::new(&[13]);
--- a/tests/member_directory.rs
+++ b/tests/member_directory.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
 
 use hyper::Method;
 use pomelogate::{
-    settings::Settings,
+    settings::{Peer, Settings},
     standin::{Caller, Pace, deployment},
     vm::Directory,
 };
@@ -18,6 +22,29 @@
 
 const LEADS: &str = "sample-key-crew-leads";
 
+/// Settings in which each listener has a loopback address of its own, so that its port is taken
+/// by no other between its choice and its use.
+fn own_addresses(regions: &[(&str, usize)]) -> Vec<Settings> {
+    let mut settings = deployment(&samples(), regions).expect("free ports");
+    let peers: Vec<Peer> = settings.iter().map(|settings| own_address(settings.this())).collect();
+    for (settings, own) in settings.iter_mut().zip(&peers) {
+        settings.callers = own.callers;
+        settings.links = own.links;
+        settings.peers = peers.clone();
+    }
+    settings
+}
+
+fn own_address(mut peer: Peer) -> Peer {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    for address in [&mut peer.callers, &mut peer.links] {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        address.set_ip(Ipv4Addr::new(127, high | 128, low, number).into());
+    }
+    peer
+}
+
 async fn directory(vm: SocketAddr, query: &str) -> Vec<String> {
     let path = format!("/v1/directory{query}");
     let reply = Caller::new("").send(vm, Method::GET, &path, String::new()).await;
@@ -59,7 +86,7 @@
 #[test]
 fn a_frozen_vm_leaves_the_directory_and_comes_back_and_a_restarted_one_too() {
     smol::block_on(async {
-        let mut fleet = Fleet::start(&[("jakarta", 3)]).await;
+        let mut fleet = Fleet::with(own_addresses(&[("jakarta", 3)])).await;
         let all = ["jakarta-1", "jakarta-2", "jakarta-3"];
         let asked = fleet.callers(0);
         eventually("all are named", async || names(asked, &all).await).await;
@@ -80,7 +107,8 @@
 #[test]
 fn the_directory_names_the_own_region_first_and_only_the_regions_asked_for() {
     smol::block_on(async {
-        let fleet = Fleet::start(&[("jakarta", 2), ("surabaya", 2), ("bandung", 1)]).await;
+        let fleet =
+            Fleet::with(own_addresses(&[("jakarta", 2), ("surabaya", 2), ("bandung", 1)])).await;
         for place in [0, 2] {
             let vm = fleet.callers(place);
             eventually("all are named", async || directory(vm, "").await.len() == 5).await;
@@ -97,7 +125,7 @@
 #[test]
 fn a_vm_that_nobody_lists_joins_through_one_peer() {
     smol::block_on(async {
-        let mut settings = deployment(&samples(), &[("jakarta", 3)]).expect("free ports");
+        let mut settings = own_addresses(&[("jakarta", 3)]);
         for settings in &mut settings[..2] {
             settings.peers.truncate(2);
         }
@@ -114,7 +142,7 @@
 #[test]
 fn a_leave_outlives_the_vm_that_took_it() {
     smol::block_on(async {
-        let mut fleet = Fleet::start(&[("jakarta", 3)]).await;
+        let mut fleet = Fleet::with(own_addresses(&[("jakarta", 3)])).await;
         let (first, second, third) = (fleet.callers(0), fleet.callers(1), fleet.callers(2));
         let (engine, reporter) =
             targets::engine("e", "jakarta", "assistant", &[first], Pace::default()).await;
@@ -145,7 +173,7 @@
 #[test]
 fn an_announcement_is_known_elsewhere_when_its_vm_dies_right_after_the_reply() {
     smol::block_on(async {
-        let mut fleet = Fleet::start(&[("jakarta", 2)]).await;
+        let mut fleet = Fleet::with(own_addresses(&[("jakarta", 2)])).await;
         let (first, second) = (fleet.callers(0), fleet.callers(1));
         let engine = pomelogate::standin::Engine::start("e".into(), Pace::default());
         let engine = engine.await.expect("the engine starts");
@@ -163,7 +191,7 @@
 #[test]
 fn nonsense_is_refused_with_the_remedy() {
     smol::block_on(async {
-        let fleet = Fleet::start(&[("jakarta", 1)]).await;
+        let fleet = Fleet::with(own_addresses(&[("jakarta", 1)])).await;
         let address = ([127, 0, 0, 1], 9).into();
         let said = targets::announcement("e", "surabaya", address, targets::model("assistant"));
         let body = serde_json::to_string(&said).unwrap();
@@ -181,7 +209,7 @@
 fn a_region_cut_off_serves_on_and_its_restarted_vm_learns_from_its_peers() {
     smol::block_on(async {
         let regions = [("jakarta", 2), ("surabaya", 2)];
-        let mut settings = deployment(&samples(), &regions).expect("free ports");
+        let mut settings = own_addresses(&regions);
         let mut proxies = Vec::new();
         for to in 0..settings.len() {
             let region = settings[to].region.clone();
@@ -218,8 +246,7 @@
 #[test]
 fn a_silent_link_is_replaced_while_traffic_goes_on() {
     smol::block_on(async {
-        let mut settings =
-            deployment(&samples(), &[("jakarta", 1), ("surabaya", 1)]).expect("free ports");
+        let mut settings = own_addresses(&[("jakarta", 1), ("surabaya", 1)]);
         let proxies = through_proxies(&mut settings, 1).await;
         let fleet = Fleet::with(settings).await;
         let (near, far) = (fleet.callers(0), fleet.callers(1));
@@ -235,7 +262,7 @@
 #[test]
 fn a_one_way_cut_between_two_vms_is_seen_by_both_and_ends() {
     smol::block_on(async {
-        let mut settings = deployment(&samples(), &[("jakarta", 2)]).expect("free ports");
+        let mut settings = own_addresses(&[("jakarta", 2)]);
         let to_second = through_proxies(&mut settings, 1).await;
         let to_first = through_proxies(&mut settings, 0).await;
         let fleet = Fleet::with(settings).await;
