--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -41,7 +41,7 @@
 
 async fn bench() -> Result<(), Box<dyn Error>> {
     let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/kapsul-bersih");
-    let settings = deployment(&samples, &[("jakarta", 1)])?.remove(0);
+    let settings = deployment(&samples, &[("jakarta", 1)]).remove(0);
     let logger = slog::Logger::root(slog::Discard, slog::o!());
     let vm = Vm::start(settings.clone(), Arc::new(clock::System), logger).await?;
     let pace = Pace { first: Duration::ZERO, between: Duration::ZERO, tokens: 0 };
--- a/examples/tour.rs
+++ b/examples/tour.rs
@@ -24,7 +24,7 @@
 
 async fn tour() -> Result<(), Box<dyn Error>> {
     let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/kapsul-bersih");
-    let settings = deployment(&samples, &[("jakarta", 2), ("surabaya", 2)])?;
+    let settings = deployment(&samples, &[("jakarta", 2), ("surabaya", 2)]);
     let mut vms: Vec<Running> = Vec::new();
     for settings in &settings {
         let logger = slog::Logger::root(slog::Discard, slog::o!());
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -1,6 +1,5 @@
 use std::{
-    io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::Path,
     sync::atomic::{AtomicU32, Ordering},
 };
@@ -10,21 +9,21 @@
     settings::{Peer, Settings},
 };
 
+const FIRST_PORT: u16 = 20_000;
+
 /// Settings of the VMs of a deployment on loopback, with free ports and the lists of `samples`.
 ///
 /// Each region gets VMs named after it: `jakarta-1`, `jakarta-2` and so on.
-///
-/// # Errors
-///
-/// Where no port is free.
-pub fn deployment(samples: &Path, regions: &[(&str, usize)]) -> io::Result<Vec<Settings>> {
-    let mut peers = Vec::new();
+pub fn deployment(samples: &Path, regions: &[(&str, usize)]) -> Vec<Settings> {
     let address = own_address();
-    for (region, count) in regions {
-        for number in 1..=*count {
-            peers.push(peer(address, region, number)?);
-        }
-    }
+    let names = regions
+        .iter()
+        .flat_map(|(region, count)| (1..=*count).map(move |number| (*region, number)));
+    let ports = (FIRST_PORT..).step_by(2);
+    let peers: Vec<Peer> = names
+        .zip(ports)
+        .map(|((region, number), port)| peer(address, region, number, port))
+        .collect();
     let settings = |peer: &Peer| Settings {
         vm: peer.vm.clone(),
         region: peer.region.clone(),
@@ -37,7 +36,7 @@
         allowances: Some(samples.join("allowances.json")),
         ..Settings::default()
     };
-    Ok(peers.iter().map(settings).collect())
+    peers.iter().map(settings).collect()
 }
 
 /// The same settings with replicas on the first VM of each region, whose data folders stand in
@@ -54,18 +53,20 @@
     settings.into_iter().map(with_disk).collect()
 }
 
-fn peer(address: Ipv4Addr, region: &str, number: usize) -> io::Result<Peer> {
-    Ok(Peer {
+fn peer(address: Ipv4Addr, region: &str, number: usize, port: u16) -> Peer {
+    Peer {
         vm: id::Vm::from(format!("{region}-{number}")),
         region: id::Region::from(region),
         zone: id::Zone::from(format!("{region}-a")),
-        callers: free_address(address)?,
-        links: free_address(address)?,
-    })
+        callers: SocketAddr::from((address, port)),
+        links: SocketAddr::from((address, port + 1)),
+    }
 }
 
-/// A loopback address that no other deployment on this machine uses, so that a port that is free
-/// now stays free until its VM starts.
+/// A loopback address that no other deployment on this machine uses.
+///
+/// Its ports are not tried by binding them: a process that another thread forks would hold the
+/// socket until it runs its program, and the VM could not bind the port meanwhile.
 fn own_address() -> Ipv4Addr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
@@ -73,11 +74,7 @@
     Ipv4Addr::new(127, 64 + process[2] % 128, process[3], 1 + count[3] % 254)
 }
 
-/// An address at `address` whose port was free a moment ago.
-///
-/// # Errors
-///
-/// Where no port is free.
-pub fn free_address(address: Ipv4Addr) -> io::Result<SocketAddr> {
-    TcpListener::bind((address, 0))?.local_addr()
+/// A loopback address and port that nothing else uses.
+pub fn free_address() -> SocketAddr {
+    SocketAddr::from((own_address(), FIRST_PORT))
 }
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -3,6 +3,7 @@
 mod agreement;
 mod calls;
 mod directory;
+mod gossip;
 mod handover;
 mod inbound;
 mod lists;
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -155,7 +155,7 @@
         while let Some(action) = queue.pop_front() {
             match action {
                 Action::Fetch { to, fetch } => {
-                    queue.extend(self.fetch(to, Question::Fetch(fetch)).await);
+                    queue.extend(self.fetch_lists(to, Question::Fetch(fetch)).await);
                 }
                 Action::Save(image) => queue.extend(self.save(image).await),
                 Action::InForce(versions) => {
@@ -173,7 +173,7 @@
         }
     }
 
-    async fn fetch(&self, from: id::Vm, question: Question) -> Vec<Action> {
+    async fn fetch_lists(&self, from: id::Vm, question: Question) -> Vec<Action> {
         let update = self.question::<Update>(&from, question).await;
         let now = self.clock.now();
         let Some(update) = update else {
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -2,8 +2,8 @@
     convert::Infallible,
     fmt, fs, io,
     path::Path,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant, SystemTime},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU32},
+    time::Instant,
 };
 
 use rand::{
@@ -27,11 +27,12 @@
     limit::{self, Admission},
     link::{self, Hub, Inbound},
     list::{Book, List},
+    member,
     name::{self, Catalogue},
     replica,
     settings::{Peer, Settings},
     state::{self, Follower},
-    target::View,
+    target::{self, View},
     wire::Hello,
 };
 
@@ -52,6 +53,8 @@
     /// The lists of the files, where no replicas are named.
     pub(super) fixed: Option<Arc<Book>>,
     pub(super) incarnation: u64,
+    pub(super) members: Mutex<member::Core>,
+    pub(super) in_flight: AtomicU32,
     random: Mutex<StdRng>,
     stopped: Stopped,
     busy: Mutex<Option<Sender<Infallible>>>,
@@ -132,19 +135,31 @@
         let links = listen(settings.links).await?;
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let incarnation = incarnation(clock.wall());
-        let hub = Hub::new(hello(&settings, incarnation), link::Settings::default(), sender);
+        let incarnation = incarnation(&*clock);
+        let hello = hello(&settings, incarnation);
+        let hub = Hub::with_logger(hello, link::Settings::default(), sender, logger.clone());
+        let members = member::Core::new(
+            member::Settings::default(),
+            settings.this(),
+            incarnation,
+            settings.peers.iter().cloned(),
+            random.random(),
+            clock.now(),
+        );
         let (agreement, outgoing) =
             Agreement::start(&settings, &clock, &logger).await.map_err(Error::Agreement)?;
         let follower = follower(&settings, &mut random, clock.now())?;
         let (stop, stopped) = Stop::new();
         let (busy, idle) = smol::channel::bounded(1);
+        let (name, region) = (settings.vm.clone(), settings.region.clone());
         let vm = Arc::new(Self {
             settings,
             clock,
             logger,
             hub,
-            targets: Mutex::default(),
+            targets: Mutex::new(View::new(target::Settings::default(), name, region)),
+            members: Mutex::new(members),
+            in_flight: AtomicU32::new(0),
             names,
             admission,
             agreement,
@@ -155,14 +170,18 @@
             stopped: stopped.clone(),
             busy: Mutex::new(Some(busy)),
         });
+        let mut tasks = vm.link_tasks(links, inbound);
+        vm.join().await;
         event::path::STARTED.emit(&vm.logger, &[("callers", &vm.settings.callers)]);
         let server = smol::spawn(Arc::clone(&vm).listen(callers, stopped));
-        let mut tasks = vm.tasks(links, inbound);
-        tasks.push(smol::spawn(expire));
-        tasks.push(smol::spawn(Arc::clone(&vm).send_agreement(outgoing)));
-        tasks.push(smol::spawn(Arc::clone(&vm).follow()));
-        tasks.push(smol::spawn(Arc::clone(&vm).seed()));
-        tasks.push(smol::spawn(Arc::clone(&vm).tend_claims()));
+        tasks.extend([
+            smol::spawn(expire),
+            smol::spawn(Arc::clone(&vm).gossip()),
+            smol::spawn(Arc::clone(&vm).send_agreement(outgoing)),
+            smol::spawn(Arc::clone(&vm).follow()),
+            smol::spawn(Arc::clone(&vm).seed()),
+            smol::spawn(Arc::clone(&vm).tend_claims()),
+        ]);
         Ok(Running { vm, tasks, server, stop, idle })
     }
 
@@ -171,7 +190,11 @@
         let _ = http::serve(callers, Limits::default(), stopped, handler).await;
     }
 
-    fn tasks(self: &Arc<Self>, links: TcpListener, inbound: Receiver<Inbound>) -> Vec<Task<()>> {
+    fn link_tasks(
+        self: &Arc<Self>,
+        links: TcpListener,
+        inbound: Receiver<Inbound>,
+    ) -> Vec<Task<()>> {
         let hub = Arc::clone(&self.hub);
         let accept = async move {
             let _ = hub.accept(links).await;
@@ -202,20 +225,34 @@
         id::Request::from(format!("{number:016x}"))
     }
 
-    /// The VMs that this VM knows, itself among them.
-    pub(super) fn peers(&self) -> Vec<Peer> {
-        let others = self.others().cloned();
-        std::iter::once(self.settings.this()).chain(others).collect()
+    /// The members that this VM knows.
+    pub(super) fn members(&self) -> MutexGuard<'_, member::Core> {
+        lock(&self.members)
     }
 
-    /// How to reach `vm`.
-    pub(super) fn peer(&self, vm: &id::Vm) -> Option<Peer> {
-        self.peers().into_iter().find(|peer| peer.vm == *vm)
+    /// The other VMs of `regions` to hand a request to or to name to a caller, best first.
+    pub(super) fn peers_in(&self, regions: &[id::Region]) -> Vec<Peer> {
+        let now = self.clock.now();
+        let mut peers = self.members().directory(regions, now);
+        peers.retain(|peer| peer.vm != self.settings.vm);
+        peers
+    }
+
+    /// Every VM that this VM knows and does not take for gone, itself among them.
+    pub(super) fn peers(&self) -> Vec<Peer> {
+        let now = self.clock.now();
+        let members = self.members();
+        let alive = members.members(now).filter(|(_, state)| *state != member::State::Gone);
+        alive.map(|(entry, _)| entry.peer.clone()).collect()
     }
 
-    /// The other VMs that this VM knows.
-    pub(super) fn others(&self) -> impl Iterator<Item = &Peer> {
-        self.settings.peers.iter().filter(|peer| peer.vm != self.settings.vm)
+    /// How to reach `vm`, alive or not.
+    pub(super) fn peer(&self, vm: &id::Vm) -> Option<Peer> {
+        let now = self.clock.now();
+        let members = self.members();
+        let found = members.members(now).find(|(entry, _)| entry.peer.vm == *vm);
+        let known = found.map(|(entry, _)| entry.peer.clone());
+        known.or_else(|| self.settings.peers.iter().find(|peer| peer.vm == *vm).cloned())
     }
 }
 
@@ -227,6 +264,7 @@
 
     /// Stops at once, as a failure would.
     pub async fn stop(self) {
+        self.vm.hub.close();
         self.server.cancel().await;
         for task in self.tasks {
             task.cancel().await;
@@ -237,11 +275,13 @@
     /// that a request may take.
     pub async fn drain(self) {
         event::path::STOPPING.emit(&self.vm.logger, &[]);
+        self.vm.announce_leaving().await;
         self.stop.stop();
         let limit = self.vm.settings.deadline();
         let _ = within(limit, self.server).await;
         drop(lock(&self.vm.busy).take());
         let _ = within(limit, self.idle.recv()).await;
+        self.vm.hub.close();
         for task in self.tasks {
             task.cancel().await;
         }
@@ -255,13 +295,16 @@
     }
 }
 
-/// How long a target's announcement holds.
-pub(super) const LEASE: Duration = Duration::from_secs(5);
-
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Grows from one start of a VM's process to the next.
+fn incarnation(clock: &dyn Clock) -> u64 {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn hello(settings: &Settings, incarnation: u64) -> Hello {
     Hello {
         vm: settings.vm.to_string(),
@@ -282,12 +325,6 @@
     }
 }
 
-/// Grows with each start of the process.
-fn incarnation(wall: SystemTime) -> u64 {
-    let since = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn follower(settings: &Settings, random: &mut StdRng, now: Instant) -> Result<Follower, Error> {
     let image = match &settings.data {
         Some(folder) => {
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -112,7 +112,7 @@
     /// Names a VM that stands in a permitted region, where one is known.
     fn redirect(&self, refusal: Refusal, request: &path::Request<Authenticated>) -> Refusal {
         let regions = &request.stage.allowance.regions;
-        match self.others().find(|peer| regions.contains(&peer.region)) {
+        match self.peers_in(regions).first() {
             Some(peer) => refusal.location(format!("http://{}{}", peer.callers, request.path)),
             None => refusal,
         }
@@ -194,24 +194,27 @@
         let now = self.clock.now();
         let stops = self.stops();
         let targets = self.targets();
-        let (here, elsewhere): (Vec<_>, Vec<_>) = targets
+        let fresh = targets
             .capable(&resolved.need, now)
-            .filter(|target| resolved.allowance.regions.contains(&target.region))
             .filter(|target| !stops.target(&target.target, &target.zone, &target.region))
-            .partition(|target| target.region == self.settings.region);
-        let fresh = here.into_iter().filter(|target| !attempts.targets().contains(&target.target));
+            .filter(|target| !attempts.targets().contains(&target.target));
         if let Some(target) = fresh.min_by_key(|target| target.load.running) {
             return Some(Choice::Target(target.clone()));
         }
         if !self.may_hand_over(request) {
             return None;
         }
-        let regions: Vec<_> = elsewhere.into_iter().map(|target| &target.region).collect();
-        let peer = self
-            .others()
-            .filter(|peer| regions.contains(&&peer.region))
-            .find(|peer| !attempts.vms().contains(&peer.vm))?;
-        Some(Choice::Vm(peer.clone()))
+        let regions: Vec<_> = targets
+            .elsewhere(&resolved.need, now)
+            .map(|(region, _)| region.clone())
+            .filter(|region| resolved.allowance.regions.contains(region))
+            .collect();
+        drop(targets);
+        if regions.is_empty() {
+            return None;
+        }
+        let peers = self.peers_in(&regions);
+        peers.into_iter().find(|peer| !attempts.vms().contains(&peer.vm)).map(Choice::Vm)
     }
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -64,7 +64,7 @@
         let mut list: serde_json::Value = serde_json::from_str(&text).unwrap();
         list["entries"][0]["limits"] = serde_json::json!({ "concurrency": 2, "queue": 3 });
         fs::write(folder.path().join("allowances.json"), list.to_string()).unwrap();
-        let settings = deployment(folder.path(), &[("jakarta", 1)]).unwrap();
+        let settings = deployment(folder.path(), &[("jakarta", 1)]);
         let fleet = Fleet::with(settings).await;
         let vms = [fleet.callers(0)];
         let pace = Pace { first: Duration::from_millis(400), ..Pace::default() };
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -42,12 +42,12 @@
 impl Fleet {
     /// Starts VMs with the sample lists, and waits until each takes callers.
     pub async fn start(regions: &[(&str, usize)]) -> Self {
-        Self::with(deployment(&samples(), regions).expect("free ports")).await
+        Self::with(deployment(&samples(), regions)).await
     }
 
     /// Starts VMs with replicas of the lists on the first VM of each region.
     pub async fn replicated(regions: &[(&str, usize)]) -> Self {
-        let settings = deployment(&samples(), regions).expect("free ports");
+        let settings = deployment(&samples(), regions);
         let folder = tempfile::tempdir().expect("a folder for data");
         let settings = with_disks(settings, folder.path());
         Self { data: Some(folder), ..Self::with(settings).await }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod cluster;
 pub mod fleet;
+pub mod proxy;
 pub mod targets;
