Check settings whole, write figures, and add the administration API and its tool

Cause: settings stopped at the first error without its place; there was no way to see into a VM.

Change: every error of a settings file comes at once, with its place and remedy. Each field is read alone, and what the fields mean is checked on those whose form is sound. Places come from serde_json's raw values (feature `raw_value`, no new package), which ruled out a parser of our own. Paths start from the file's folder. The log takes its form and level from the settings. Figures keep four histograms for each customer and class, bounded to 512 pairs and one shared row a class beyond; cadence sends them from a bounded queue. The API shows status, figures, lists and the ways of recent requests; changes of lists, stops and replicas have their messages and are refused as not built. A filter around the path notes each answer's first byte, end and outcome.

Seen to fail first: without the count of a body's bytes, whole plain answers were noted as unknown (tests/tool.rs); with the key's check off, a stranger read the plans (tests/tool.rs); without the bound, 1,800 rows (tests/figure.rs); without the row of event 601, tests/events.rs.

Conclusion: what exists can be seen and checked; the changing side of the API waits for the parts that act on it.

--- a/src/bin/pomelogated.rs
+++ b/src/bin/pomelogated.rs
@@ -4,7 +4,11 @@
 
 use futures_util::StreamExt;
 use lexopt::{Arg, Parser};
-use pomelogate::{clock, event, settings::Settings, vm::Vm};
+use pomelogate::{
+    clock, event,
+    settings::{Loaded, Settings},
+    vm::Vm,
+};
 
 const HELP: &str = "\
 Run one VM of pomelogate.
@@ -30,21 +34,26 @@
         Ok(None) => return print(HELP),
         Err(cause) => return fail(2, &format!("{cause}\n\n{HELP}")),
     };
-    let settings = match Settings::read(&options.settings) {
-        Ok(settings) => settings,
-        Err(cause) => return fail(2, &cause.to_string()),
+    let loaded = match Settings::load(&options.settings) {
+        Ok(loaded) => loaded,
+        Err(error) => return fail(2, &error.report()),
     };
     if options.check {
-        return print("the settings are valid\n");
+        return print(&format!("{}the settings are valid\n", loaded.warnings.report()));
     }
-    match smol::block_on(run(settings)) {
+    match smol::block_on(run(loaded)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => fail(1, &cause.to_string()),
     }
 }
 
-async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
-    let logger = event::logger(&settings.vm);
+async fn run(loaded: Loaded) -> Result<(), Box<dyn std::error::Error>> {
+    let Loaded { settings, warnings } = loaded;
+    let logger = event::logger(&settings.vm, settings.log);
+    for warning in warnings.problems() {
+        let fields: [event::Field<'_>; 2] = [("problem", warning), ("remedy", &warning.remedy)];
+        event::product::SETTINGS.emit(&logger, &fields);
+    }
     let mut signals =
         async_signal::Signals::new([async_signal::Signal::Term, async_signal::Signal::Int])?;
     let running = Vm::start(settings, Arc::new(clock::System), logger).await?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -13,7 +13,10 @@
 
 use slog::{Drain, KV, Key, Logger, Record, Serializer, o};
 
-use crate::id;
+use crate::{
+    id,
+    settings::{Format, Log},
+};
 
 /// A kind of log event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,10 +40,21 @@
     Error,
 }
 
-/// A logger that writes JSON lines to standard error, each with the name of the VM.
-pub fn logger(vm: &id::Vm) -> Logger {
-    let drain = slog_json::Json::default(std::io::stderr()).fuse();
-    let drain = slog_async::Async::new(drain).build().fuse();
+/// Every part's events.
+pub const ALL: [&[Event]; 6] =
+    [agreement::ALL, lists::ALL, placement::ALL, links::ALL, path::ALL, product::ALL];
+
+/// A logger that writes to standard error, each line with the name of the VM.
+pub fn logger(vm: &id::Vm, settings: Log) -> Logger {
+    let level = settings.level.filter();
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match settings.format {
+        Format::Json => Box::new(slog_json::Json::default(std::io::stderr()).fuse()),
+        Format::Terminal => {
+            let lines = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            Box::new(slog_term::FullFormat::new(lines).build().fuse())
+        }
+    };
+    let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
     Logger::root(drain, o!("vm" => vm.to_string()))
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,23 @@
 //! Settings of a VM, read from JSON.
+//!
+//! Every error is found at once, with its place in the file and its remedy.
 
+mod check;
 mod error;
+mod figures;
+mod link;
+mod log;
 mod peer;
+mod place;
+mod problem;
 mod vm;
 
-pub use self::{error::Error, peer::Peer, vm::Settings};
+pub use self::{
+    error::Error,
+    figures::Figures,
+    link::Link,
+    log::{Format, Level, Log},
+    peer::Peer,
+    problem::{Problem, Severity},
+    vm::{Loaded, Settings},
+};
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Peer};
+use super::{Error, Figures, Link, Log, Peer, check};
 use crate::id;
 
 /// The settings of one VM.
@@ -49,17 +49,67 @@
     pub body_limit: usize,
     /// Milliseconds until a request's deadline where the caller names none.
     pub deadline_ms: u64,
+    /// How the VM writes its log.
+    pub log: Log,
+    /// Where figures go besides the administration API.
+    pub figures: Figures,
+    /// Links to other VMs.
+    pub link: Link,
+}
+
+/// Settings that can be used, and what is doubtful about them.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    /// The settings, with paths from the folder of their file.
+    pub settings: Settings,
+    /// Warnings.
+    pub warnings: Error,
 }
 
 impl Settings {
-    /// Reads settings from a file.
+    /// Reads settings from a file; paths in it start from its folder.
     ///
     /// # Errors
     ///
-    /// Where the file cannot be read or is not valid.
+    /// Where the file cannot be read or is not valid; names every problem at once.
     pub fn read(path: &Path) -> Result<Self, Error> {
+        Ok(Self::load(path)?.settings)
+    }
+
+    /// Reads settings from a file, with warnings.
+    ///
+    /// # Errors
+    ///
+    /// Where the file cannot be read or is not valid; names every problem at once.
+    pub fn load(path: &Path) -> Result<Loaded, Error> {
         let text = fs::read_to_string(path).map_err(|cause| Error::read(path, &cause))?;
-        serde_json::from_str(&text).map_err(|cause| Error::parse(path, &cause))
+        let folder = path.parent().unwrap_or(Path::new("."));
+        let mut problems = check::form(&text);
+        let read = serde_json::from_str::<Self>(&text);
+        if let Some(sound) = check::sound(&text, &problems) {
+            let meaning = check::meaning(&sound, folder).into_iter();
+            let alone: Vec<_> =
+                meaning.filter(|problem| !check::follows(problem, &problems)).collect();
+            problems.extend(alone);
+        }
+        let error = Error::new(path, &text, problems);
+        match read {
+            Ok(settings) if !error.is_fatal() => {
+                Ok(Loaded { settings: settings.within(folder), warnings: error })
+            }
+            _ => Err(error),
+        }
+    }
+
+    fn within(self, folder: &Path) -> Self {
+        let from = |path: Option<PathBuf>| path.map(|path| folder.join(path));
+        Self {
+            names: from(self.names),
+            plans: from(self.plans),
+            allowances: from(self.allowances),
+            data: from(self.data),
+            ..self
+        }
     }
 
     /// The time until a request's deadline where the caller names none.
@@ -96,6 +146,9 @@
             operators: Vec::new(),
             body_limit: 8 * 1024 * 1024,
             deadline_ms: 120_000,
+            log: Log::default(),
+            figures: Figures::default(),
+            link: Link::default(),
         }
     }
 }
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// The targets that may get new work at `now`.
+    pub fn usable(&self, now: Instant) -> impl Iterator<Item = &Announcement> {
+        self.entries
+            .values()
+            .filter(move |entry| !entry.leaving && entry.expires > now)
+            .map(|entry| &entry.announcement)
+    }
+
     /// The targets that meet `need` at `now`.
     pub fn capable<'a>(
         &'a self,
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -1,1 +1,18 @@
 //! The commands of the tool `pomelogate`.
+
+mod client;
+mod command;
+mod diff;
+mod error;
+mod help;
+mod options;
+mod print;
+
+pub use self::{
+    client::Client,
+    command::{Command, List, Output, run},
+    diff::diff,
+    error::Error,
+    help::{HELP, nearest},
+    options::Options,
+};
--- /dev/null
+++ b/src/tool/command.rs
@@ -0,0 +1,221 @@
+use std::{
+    fs,
+    io::Read,
+    path::{Path, PathBuf},
+    thread,
+    time::Duration,
+};
+
+use hyper::Method;
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{Client, Error, Options, diff, print};
+use crate::{
+    admin::{Applied, Change, Replicas, Scope, Status, Stop, Stops, Way},
+    figure::Snapshot,
+    id,
+    list::{self, Allowance, Plan, digest},
+    settings::Settings,
+};
+
+const NOT_EVERYWHERE: u8 = 4;
+const DIFFERENT: u8 = 5;
+const WAIT_PAUSE: Duration = Duration::from_secs(1);
+const WAIT_TRIES: u32 = 60;
+
+/// A command of the tool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Print the help.
+    Help,
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Check the form of the plans and allowances.
+    CheckLists(PathBuf, PathBuf),
+    /// Print the digest of the key on standard input.
+    KeyDigest,
+    /// Show what a VM knows.
+    Status,
+    /// Show the figures.
+    Figures,
+    /// Show the way of a request.
+    Way(String),
+    /// Print a list.
+    Get(List),
+    /// Compare a list with a file.
+    Diff(List, PathBuf),
+    /// Make the list in a file the one in force.
+    Apply(List, PathBuf),
+    /// Show the planned stops.
+    Stops,
+    /// Announce a planned stop.
+    Announce(Scope),
+    /// Withdraw a planned stop.
+    Withdraw(Scope),
+    /// Show the replicas.
+    Replicas,
+    /// Readmit a replica that lost its disk.
+    Readmit(id::Vm),
+}
+
+/// One of the two lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum List {
+    /// The plans.
+    Plans,
+    /// The allowances.
+    Allowances,
+}
+
+impl List {
+    pub(super) fn path(self) -> &'static str {
+        match self {
+            Self::Plans => "/plans",
+            Self::Allowances => "/allowances",
+        }
+    }
+}
+
+/// What a command prints, and its exit code.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Output {
+    /// The text for standard output.
+    pub text: String,
+    /// The exit code.
+    pub code: u8,
+}
+
+impl From<String> for Output {
+    fn from(text: String) -> Self {
+        Self { text, code: 0 }
+    }
+}
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Where the command is refused, wrong, or no VM can be reached.
+pub fn run(options: &Options) -> Result<Output, Error> {
+    match &options.command {
+        Command::Help => Ok(super::HELP.to_owned().into()),
+        Command::Check(path) => check(path),
+        Command::CheckLists(plans, allowances) => check_lists(plans, allowances),
+        Command::KeyDigest => key_digest(),
+        command => ask(command, options),
+    }
+}
+
+fn ask(command: &Command, options: &Options) -> Result<Output, Error> {
+    let client = Client::new(options)?;
+    match command {
+        Command::Status => show(&client.get::<Status>("/status")?, options, print::status),
+        Command::Figures => show(&client.get::<Snapshot>("/figures")?, options, print::figures),
+        Command::Way(id) => {
+            show(&client.get::<Way>(&format!("/requests/{id}"))?, options, print::way)
+        }
+        Command::Get(List::Plans) => json(&client.get::<list::List<Plan>>("/plans")?),
+        Command::Get(List::Allowances) => {
+            json(&client.get::<list::List<Allowance>>("/allowances")?)
+        }
+        Command::Diff(List::Plans, path) => compare::<Plan>(&client, List::Plans, path),
+        Command::Diff(list, path) => compare::<Allowance>(&client, *list, path),
+        Command::Apply(List::Plans, path) => apply::<Plan>(&client, List::Plans, path, options),
+        Command::Apply(list, path) => apply::<Allowance>(&client, *list, path, options),
+        Command::Stops => json(&client.get::<Stops>("/stops")?),
+        Command::Announce(scope) => stop(&client, &Method::POST, scope),
+        Command::Withdraw(scope) => stop(&client, &Method::DELETE, scope),
+        Command::Replicas => json(&client.get::<Replicas>("/replicas")?),
+        Command::Readmit(vm) => {
+            let path = format!("/replicas/{vm}/readmit");
+            json(&client.ask::<_, Replicas>(&Method::POST, &path, &())?)
+        }
+        other => Err(Error::Usage(format!("{other:?} asks no VM"))),
+    }
+}
+
+fn check(path: &Path) -> Result<Output, Error> {
+    let loaded = Settings::load(path).map_err(|error| Error::Refused(error.report()))?;
+    Ok(format!("{}the settings are valid\n", loaded.warnings.report()).into())
+}
+
+fn check_lists(plans: &Path, allowances: &Path) -> Result<Output, Error> {
+    let plans: list::List<Plan> = read(plans)?;
+    let allowances: list::List<Allowance> = read(allowances)?;
+    let (plans, allowances) = (plans.entries.len(), allowances.entries.len());
+    Ok(format!("the form is valid: {plans} plans, {allowances} allowances\n").into())
+}
+
+fn key_digest() -> Result<Output, Error> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_to_string(&mut key)
+        .map_err(|cause| Error::Usage(format!("no key on standard input: {cause}")))?;
+    let key = key.trim();
+    if key.is_empty() {
+        return Err(Error::Usage("there is no key; write it to standard input".to_owned()));
+    }
+    Ok(format!("{}\n", digest(key)).into())
+}
+
+fn compare<T: Serialize + DeserializeOwned>(
+    client: &Client,
+    list: List,
+    path: &Path,
+) -> Result<Output, Error> {
+    let wanted: list::List<T> = read(path)?;
+    let current: list::List<T> = client.get(list.path())?;
+    let text = diff(&pretty(&current)?, &pretty(&wanted)?);
+    let code = if text.is_empty() { 0 } else { DIFFERENT };
+    Ok(Output { text, code })
+}
+
+/// Sends the change, and where told to wait sends it again until it is in force everywhere: a
+/// change that was accepted is answered as the first time.
+fn apply<T: Serialize + DeserializeOwned>(
+    client: &Client,
+    list: List,
+    path: &Path,
+    options: &Options,
+) -> Result<Output, Error> {
+    let change = Change { list: read::<list::List<T>>(path)?, dry_run: options.dry_run };
+    let send = || client.ask::<_, Applied>(&Method::PUT, list.path(), &change);
+    let mut applied = send()?;
+    let tries = if options.wait && !options.dry_run { WAIT_TRIES } else { 0 };
+    for _ in 0..tries {
+        if applied.waiting.is_empty() {
+            break;
+        }
+        thread::sleep(WAIT_PAUSE);
+        applied = send()?;
+    }
+    let code = if applied.committed && !applied.waiting.is_empty() { NOT_EVERYWHERE } else { 0 };
+    Ok(Output { text: pretty(&applied)?, code })
+}
+
+fn stop(client: &Client, method: &Method, scope: &Scope) -> Result<Output, Error> {
+    json(&client.ask::<_, Stops>(method, "/stops", &Stop { scope: scope.clone() })?)
+}
+
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let text = fs::read_to_string(path).map_err(|cause| Error::file(path, &cause))?;
+    let mut reader = serde_json::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut reader).map_err(|cause| Error::file(path, &cause))
+}
+
+fn show<T: Serialize>(
+    value: &T,
+    options: &Options,
+    text: impl Fn(&T) -> String,
+) -> Result<Output, Error> {
+    if options.json { json(value) } else { Ok(text(value).into()) }
+}
+
+fn json<T: Serialize>(value: &T) -> Result<Output, Error> {
+    Ok(pretty(value)?.into())
+}
+
+fn pretty<T: Serialize>(value: &T) -> Result<String, Error> {
+    let text = serde_json::to_string_pretty(value);
+    text.map(|text| text + "\n").map_err(|cause| Error::Refused(cause.to_string()))
+}
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -14,11 +14,13 @@
 use smol::{Task, channel::Receiver, net::TcpListener};
 
 use crate::{
+    admin::Trail,
     clock::Clock,
     event,
+    figure::{Board, Statsd},
     http::{self, Limits},
     id,
-    link::{self, Hub, Inbound},
+    link::{Hub, Inbound},
     list::{Book, List},
     settings::{Peer, Settings},
     target::View,
@@ -35,6 +37,8 @@
     pub(super) logger: Logger,
     pub(super) hub: Arc<Hub>,
     pub(super) targets: Mutex<View>,
+    pub(super) board: Board,
+    trail: Mutex<Trail>,
     book: Mutex<Arc<Book>>,
     random: Mutex<StdRng>,
 }
@@ -53,6 +57,8 @@
     Listen(std::net::SocketAddr, io::Error),
     /// The operating system gives no random numbers.
     Random(rand::rngs::SysError),
+    /// The socket for figures cannot be opened.
+    Statsd(io::Error),
     /// A file cannot be read.
     Read(std::path::PathBuf, io::Error),
     /// A file does not hold what it should.
@@ -68,6 +74,9 @@
             Self::Random(cause) => {
                 write!(f, "no random numbers: {cause}; check the operating system")
             }
+            Self::Statsd(cause) => {
+                write!(f, "no socket for figures: {cause}; leave out `figures.statsd`")
+            }
             Self::Read(path, cause) => {
                 write!(
                     f,
@@ -98,15 +107,18 @@
         let book = first_book(&settings)?;
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
+        let statsd = Statsd::open(&settings.figures).map_err(Error::Statsd)?;
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let hub = Hub::new(hello(&settings, random.random()), link::Settings::default(), sender);
+        let hub = Hub::new(hello(&settings, random.random()), settings.link.settings(), sender);
         let vm = Arc::new(Self {
             settings,
             clock,
             logger,
             hub,
             targets: Mutex::default(),
+            board: Board::with(statsd),
+            trail: Mutex::default(),
             book: Mutex::new(Arc::new(book)),
             random: Mutex::new(random),
         });
@@ -144,6 +156,11 @@
         lock(&self.targets)
     }
 
+    /// The ways of the latest requests.
+    pub(super) fn trail(&self) -> MutexGuard<'_, Trail> {
+        lock(&self.trail)
+    }
+
     /// A new identifier for a request.
     pub(super) fn request_id(&self) -> id::Request {
         let number: u64 = lock(&self.random).random();
--- a/src/vm/routes.rs
+++ b/src/vm/routes.rs
@@ -16,6 +16,7 @@
 
 const ANNOUNCEMENT_LIMIT: usize = 256 * 1024;
 const DIRECTORY_TTL_SECONDS: u64 = 5;
+const ADMIN: &str = "/admin/";
 const TARGETS: &str = "/v1/targets";
 
 impl Vm {
@@ -27,7 +28,8 @@
             (&Method::GET, "/v1/directory", _) => self.directory(),
             (&Method::POST, TARGETS, _) => self.announce(request).await,
             (&Method::DELETE, _, Some(target)) => self.leave(target).await,
-            _ => self.serve(request).await,
+            _ if path.starts_with(ADMIN) => self.administer(request).await,
+            _ => self.observe(request).await,
         }
     }
 
