--- a/src/figure/statsd.rs
+++ b/src/figure/statsd.rs
@@ -41,9 +41,9 @@
             Outcome::Refused => "requests.refused",
             Outcome::Unknown => "requests.unknown",
         };
-        let count = |name| {
+        let count = |name, number: u64| {
             self.0
-                .count_with_tags(name, 1)
+                .count_with_tags(name, number)
                 .with_tag("customer", customer)
                 .with_tag("class", class)
                 .send();
@@ -55,9 +55,12 @@
                 .with_tag("class", class)
                 .send();
         };
-        count(outcome);
+        count(outcome, 1);
         if sample.elsewhere {
-            count("requests.elsewhere");
+            count("requests.elsewhere", 1);
+        }
+        if !sample.engine.is_zero() {
+            count("engine_ms", u64::try_from(sample.engine.as_millis()).unwrap_or(u64::MAX));
         }
         time("total", sample.total);
         sample.first_byte.into_iter().for_each(|value| time("first_byte", value));
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -119,7 +119,18 @@
         let detail = format!("`callers` and `links` both are {}", settings.links);
         problems.push(Problem::error("links", detail, "give links a port of their own"));
     }
-    for (name, value) in [("vm", settings.vm.as_str()), ("region", settings.region.as_str())] {
+    for (field, address) in [("callers", settings.callers), ("links", settings.links)] {
+        if address.ip().is_unspecified() || address.port() == 0 {
+            let detail = format!("the directory and other VMs would name {address}");
+            let remedy = "write this VM's own IP number and a port";
+            problems.push(Problem::error(field, detail, remedy));
+        }
+    }
+    for (name, value) in [
+        ("vm", settings.vm.as_str()),
+        ("region", settings.region.as_str()),
+        ("zone", settings.zone.as_str()),
+    ] {
         if value.is_empty() {
             problems.push(Problem::error(name, "the name is empty", "write a name"));
         }
--- a/src/tool/print.rs
+++ b/src/tool/print.rs
@@ -1,5 +1,7 @@
 use std::fmt::Write;
 
+use serde::Serialize;
+
 use crate::{
     admin::{Status, Way},
     figure::{Quantiles, Snapshot, Summary},
@@ -11,16 +13,18 @@
         status.vm, status.region, status.zone, status.versions.plans, status.versions.allowances
     );
     for member in &status.members {
-        let _ = writeln!(text, "  {:<16} {:<16} {}", member.vm, member.region, member.address);
+        let (vm, region) = (member.vm.as_str(), member.region.as_str());
+        let _ = writeln!(text, "  {vm:<16} {region:<16} {}", member.address);
     }
     text.push_str("\ntargets:\n");
     for target in &status.targets {
+        let (name, region) = (target.target.as_str(), target.region.as_str());
         let serves = target.serves.join(", ");
         let load = target.load;
         let _ = writeln!(
             text,
-            "  {:<20} {:<16} {:<20} {} running, {} waiting",
-            target.target, target.region, serves, load.running, load.waiting
+            "  {name:<16} {region:<16} {serves:<20} {} running, {} waiting",
+            load.running, load.waiting
         );
     }
     text
@@ -32,13 +36,7 @@
         text.push_str(&one(summary));
     }
     for refusals in &snapshot.refusals {
-        let reason = serde_json::to_value(refusals.reason).unwrap_or_default();
-        let _ = writeln!(
-            text,
-            "refused for {}: {}",
-            reason.as_str().unwrap_or_default(),
-            refusals.count
-        );
+        let _ = writeln!(text, "refused for {}: {}", word(&refusals.reason), refusals.count);
     }
     if text.is_empty() { "no requests yet\n".to_owned() } else { text }
 }
@@ -75,11 +73,19 @@
 
 pub(super) fn way(way: &Way) -> String {
     let customer = way.customer.as_ref().map_or("(unknown)", |customer| customer.as_str());
-    let outcome = serde_json::to_value(way.outcome).unwrap_or_default();
-    let outcome = outcome.as_str().unwrap_or_default();
+    let reason = way.reason.map(|reason| format!(" ({})", word(&reason))).unwrap_or_default();
     let trail = if way.way.is_empty() { "(no target)" } else { &way.way };
     format!(
-        "request {} of {customer}: {} {outcome} in {} ms\nway: {trail}\n",
-        way.request, way.status, way.total_ms
+        "request {} of {customer}: {} {}{reason} in {} ms\nway: {trail}\n",
+        way.request,
+        way.status,
+        word(&way.outcome),
+        way.total_ms
     )
 }
+
+/// The word that stands for `value` in JSON.
+fn word<T: Serialize>(value: &T) -> String {
+    let json = serde_json::to_value(value).unwrap_or_default();
+    json.as_str().unwrap_or_default().to_owned()
+}
