Name a field that stands twice in the settings

Cause: reading each field alone hides a field that stands twice, so the file was refused without a word.

Change: where no field shows the error, the file's own is shown with its place. The reading of fields is split into one function for each shape.

Ruled out: taking the last of both, as an operator can't tell which one holds.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,4 +1,9 @@
-use std::{collections::BTreeSet, net::SocketAddr, ops::RangeInclusive, path::Path};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    ops::RangeInclusive,
+    path::Path,
+};
 
 use serde_json::value::RawValue;
 
@@ -20,9 +25,7 @@
 /// The problems of the text's form: each field is read alone, so that all errors come at once.
 pub(super) fn form(text: &str) -> Vec<Problem> {
     if let Err(cause) = serde_json::from_str::<&RawValue>(text) {
-        let span = character(text, cause.line(), cause.column());
-        let remedy = "correct the JSON; see docs/SETTINGS.md";
-        return vec![Problem { span, ..Problem::error("", cause.to_string(), remedy) }];
+        return vec![whole(text, &cause)];
     }
     let Some(fields) = members(text) else {
         let remedy = "write a JSON object; see docs/SETTINGS.md";
@@ -31,30 +34,47 @@
     fields.iter().flat_map(|(name, raw)| field(name, raw.get())).collect()
 }
 
+/// The problem that the file shows only as a whole, such as a field that stands twice.
+pub(super) fn whole(text: &str, cause: &serde_json::Error) -> Problem {
+    let span = character(text, cause.line(), cause.column());
+    let remedy = "correct the JSON; see docs/SETTINGS.md";
+    Problem { span, ..Problem::error("", cause.to_string(), remedy) }
+}
+
+/// The problems of one field: of each element of an array and each member of a section, or else of
+/// the field as a whole.
 fn field(name: &str, value: &str) -> Vec<Problem> {
-    let key = serde_json::Value::from(name);
-    if let Some(items) = elements(value) {
-        let alone = |(place, item): (usize, &&RawValue)| {
-            let path = format!("{name}[{place}]");
-            part(&format!("{{{key}:[{}]}}", item.get()), &path, &format!("{name}[0]"))
-        };
-        let problems: Vec<_> = items.iter().enumerate().filter_map(alone).collect();
-        if !problems.is_empty() {
-            return problems;
-        }
-    }
-    if let Some(inner) = members(value) {
-        let alone = |(sub, raw): (&String, &&RawValue)| {
-            let path = format!("{name}.{sub}");
-            let sub = serde_json::Value::from(sub.as_str());
-            part(&format!("{{{key}:{{{sub}:{}}}}}", raw.get()), &path, &path)
-        };
-        let problems: Vec<_> = inner.iter().filter_map(alone).collect();
-        if !problems.is_empty() {
-            return problems;
-        }
+    let parts = match (elements(value), members(value)) {
+        (Some(elements), _) => array(name, &elements),
+        (_, Some(members)) => section(name, &members),
+        _ => Vec::new(),
+    };
+    if !parts.is_empty() {
+        return parts;
     }
-    part(&format!("{{{key}:{value}}}"), name, name).into_iter().collect()
+    part(&format!("{{{}:{value}}}", quoted(name)), name, name).into_iter().collect()
+}
+
+fn array(name: &str, elements: &[&RawValue]) -> Vec<Problem> {
+    let alone = |(place, element): (usize, &&RawValue)| {
+        let text = format!("{{{}:[{}]}}", quoted(name), element.get());
+        part(&text, &format!("{name}[{place}]"), &format!("{name}[0]"))
+    };
+    elements.iter().enumerate().filter_map(alone).collect()
+}
+
+fn section(name: &str, members: &BTreeMap<String, &RawValue>) -> Vec<Problem> {
+    let alone = |(member, value): (&String, &&RawValue)| {
+        let text = format!("{{{}:{{{}:{}}}}}", quoted(name), quoted(member), value.get());
+        let path = format!("{name}.{member}");
+        part(&text, &path, &path)
+    };
+    members.iter().filter_map(alone).collect()
+}
+
+/// The name as JSON.
+fn quoted(name: &str) -> String {
+    serde_json::Value::from(name).to_string()
 }
 
 /// Reads `text`, which holds one part of the settings; `path` names the part in the whole file,
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -86,6 +86,9 @@
         let folder = path.parent().unwrap_or(Path::new("."));
         let mut problems = check::form(&text);
         let read = serde_json::from_str::<Self>(&text);
+        if let (Err(cause), true) = (&read, problems.is_empty()) {
+            problems.push(check::whole(&text, cause));
+        }
         if let Some(sound) = check::sound(&text, &problems) {
             let meaning = check::meaning(&sound, folder).into_iter();
             let alone: Vec<_> =
