--- a/src/list.rs
+++ b/src/list.rs
@@ -15,7 +15,7 @@
 pub use self::{
     allowance::Allowance,
     book::{Book, List, digest},
-    check::{Draft, agree, check},
+    check::{Draft, agree, check, draft},
     fault::Fault,
     grant::Grant,
     kind::Kind,
--- a/src/list/check.rs
+++ b/src/list/check.rs
@@ -61,6 +61,33 @@
         report.faults.sort_by_key(|fault| fault.position);
         return Err(report.faults);
     }
+    canonical(kind, version, &document)
+}
+
+/// Reads the text of a version of a list without checking it against names and the other list,
+/// which may have changed since the version was accepted.
+///
+/// # Errors
+///
+/// Where the text has not the form of a list.
+///
+/// ```
+/// use pomelogate::list::{Kind, draft};
+///
+/// let draft = draft(Kind::Plans, r#"{ "version": 7, "entries": [] }"#).unwrap();
+/// assert_eq!((draft.version, &draft.content[..]), (7, &b"[]"[..]));
+/// ```
+pub fn draft(kind: Kind, text: &str) -> Result<Draft, Vec<Fault>> {
+    let document: Value = serde_json::from_str(text).map_err(|error| vec![syntax(&error)])?;
+    let mut report = Report { text, faults: Vec::new() };
+    let version = report.version(&document);
+    if !report.faults.is_empty() {
+        return Err(report.faults);
+    }
+    canonical(kind, version, &document)
+}
+
+fn canonical(kind: Kind, version: u64, document: &Value) -> Result<Draft, Vec<Fault>> {
     let entries = serde_json::to_vec(&document["entries"]).unwrap_or_default();
     let content = kind.split(&entries).map_err(|problem| vec![whole(problem)])?;
     Ok(Draft { kind, version, content: join(content.values()) })
--- a/src/stop/scope.rs
+++ b/src/stop/scope.rs
@@ -6,7 +6,7 @@
 
 /// What a planned stop takes out of service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind", content = "name")]
+#[serde(rename_all = "snake_case")]
 pub enum Scope {
     /// One target.
     Target(id::Target),
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -190,6 +190,11 @@
         Summary { region: self.region.to_string(), age_ms: 0, lines }
     }
 
+    /// The targets of this region that may get new work at `now`.
+    pub fn usable(&self, now: Instant) -> impl Iterator<Item = &Announcement> {
+        self.holding(now).map(|report| &report.announcement)
+    }
+
     /// The targets of this region that meet `need` at `now`.
     pub fn capable<'a>(
         &'a self,
@@ -222,6 +227,14 @@
         )
     }
 
+    /// What every other region can serve, as far as its summary holds.
+    pub fn capacities(&self, now: Instant) -> impl Iterator<Item = (&id::Region, &Need, Capacity)> {
+        let holds = move |known: &Elsewhere| now - known.written < self.settings.summary;
+        self.regions.iter().filter(move |(_, known)| holds(known)).flat_map(|(region, known)| {
+            known.lines.iter().map(move |(need, capacity)| (region, need, *capacity))
+        })
+    }
+
     /// How long ago the summary of `region` was written there.
     pub fn summary_age(&self, region: &id::Region, now: Instant) -> Option<Duration> {
         self.regions.get(region).map(|known| now.saturating_duration_since(known.written))
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -1,5 +1,6 @@
 //! The shell of one VM: sockets and tasks around the decisions.
 
+mod admin;
 mod agreement;
 mod calls;
 mod directory;
@@ -8,6 +9,8 @@
 mod inbound;
 mod lists;
 mod node;
+mod observe;
+mod operate;
 mod routes;
 mod serve;
 
--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -91,7 +91,7 @@
                 let _ = group.propose(Bytes::from(command), DECISION).await;
             }
             Some(state::Verdict::Issued(_)) => {
-                event::path::CLAIMS_LOST.emit(&self.logger, &[("group", &group.name())]);
+                event::lists::CLAIMS_INCOMPLETE.emit(&self.logger, &[("group", &group.name())]);
             }
             _ => {}
         }
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     event, id,
-    list::{self, Book, Fault, Kind, Known},
+    list::{self, Book, Draft, Fault, Kind, Known},
     name::Kind as Named,
     outcome::{Reason, Refusal},
     settings::Peer,
@@ -195,7 +195,7 @@
         match smol::unblock(move || state::save(&folder, &image)).await {
             Ok(()) => self.follower().saved().unwrap_or_default(),
             Err(cause) => {
-                event::path::NOT_SAVED.emit(&self.logger, &[("cause", &cause)]);
+                event::lists::CACHE_FAILED.emit(&self.logger, &[("cause", &cause)]);
                 Vec::new()
             }
         }
@@ -218,16 +218,33 @@
     /// Checks a new version of a list, has it committed, and says where it is in force; waits for
     /// that at most for `wait`.
     pub async fn change(&self, kind: Kind, text: &str, wait: Duration) -> Changed {
+        let draft = match self.examine(kind, text).await {
+            Ok(draft) => draft,
+            Err(changed) => return changed,
+        };
+        let command = match &self.agreement.lists {
+            Some(lists) => lists.read(|machine| Command::difference(draft, machine.store())),
+            None => Command::change(draft),
+        };
+        self.decide_lists(command, kind.into(), wait).await
+    }
+
+    /// Checks a version of a list as a change does before it is proposed.
+    ///
+    /// One that stands already, and is sent again, is not checked against what stands by now.
+    pub(super) async fn examine(&self, kind: Kind, text: &str) -> Result<Draft, Changed> {
         let book = match self.current_book().await {
             Ok(book) => book,
-            Err(refusal) => return Changed::NotCommitted(refusal.to_string()),
+            Err(refusal) => return Err(Changed::NotCommitted(refusal.to_string())),
         };
-        let draft = match list::check(kind, text, &self.known(), &book) {
-            Ok(draft) => draft,
-            Err(faults) => return Changed::Faulty(faults),
+        let stands = match kind {
+            Kind::Plans => book.plans().version,
+            Kind::Allowances => book.allowances().version,
         };
-        let command = Command::change(draft);
-        self.decide_lists(command, kind.into(), wait).await
+        match list::draft(kind, text) {
+            Ok(draft) if draft.version <= stands => Ok(draft),
+            _ => list::check(kind, text, &self.known(), &book).map_err(Changed::Faulty),
+        }
     }
 
     /// Announces a planned stop, or withdraws it.
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -20,12 +20,14 @@
 
 use super::agreement::Agreement;
 use crate::{
+    admin::Trail,
     clock::{Clock, within},
     event,
+    figure::{Board, Statsd},
     http::{self, Limits, Stop, Stopped},
     id,
     limit::{self, Admission},
-    link::{self, Hub, Inbound},
+    link::{Hub, Inbound},
     list::{Book, List},
     member,
     name::{self, Catalogue},
@@ -55,6 +57,8 @@
     pub(super) incarnation: u64,
     pub(super) members: Mutex<member::Core>,
     pub(super) in_flight: AtomicU32,
+    pub(super) board: Board,
+    trail: Mutex<Trail>,
     random: Mutex<StdRng>,
     stopped: Stopped,
     busy: Mutex<Option<Sender<Infallible>>>,
@@ -81,6 +85,8 @@
     Agreement(replica::Error),
     /// The saved lists cannot be used.
     Lists(String),
+    /// The socket for figures cannot be opened.
+    Statsd(io::Error),
     /// A file cannot be read.
     Read(std::path::PathBuf, io::Error),
     /// The catalogue of names cannot be used.
@@ -101,6 +107,9 @@
             Self::Random(cause) => {
                 write!(f, "no random numbers: {cause}; check the operating system")
             }
+            Self::Statsd(cause) => {
+                write!(f, "no socket for figures: {cause}; leave out `figures.statsd`")
+            }
             Self::Read(path, cause) => {
                 write!(
                     f,
@@ -133,11 +142,12 @@
         let (admission, expire) = Admission::new(limit::Settings::default(), Arc::clone(&clock));
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
+        let statsd = Statsd::open(&settings.figures).map_err(Error::Statsd)?;
         let mut random = StdRng::try_from_rng(&mut SysRng).map_err(Error::Random)?;
         let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
         let incarnation = incarnation(&*clock);
         let hello = hello(&settings, incarnation);
-        let hub = Hub::with_logger(hello, link::Settings::default(), sender, logger.clone());
+        let hub = Hub::with_logger(hello, settings.link.settings(), sender, logger.clone());
         let members = member::Core::new(
             member::Settings::default(),
             settings.this(),
@@ -166,6 +176,8 @@
             follower: Mutex::new(follower),
             fixed,
             incarnation,
+            board: Board::with(statsd),
+            trail: Mutex::default(),
             random: Mutex::new(random),
             stopped: stopped.clone(),
             busy: Mutex::new(Some(busy)),
@@ -219,6 +231,11 @@
         lock(&self.busy).clone()
     }
 
+    /// The ways of the latest requests.
+    pub(super) fn trail(&self) -> MutexGuard<'_, Trail> {
+        lock(&self.trail)
+    }
+
     /// A new identifier for a request.
     pub(super) fn request_id(&self) -> id::Request {
         let number: u64 = lock(&self.random).random();
--- a/src/vm/routes.rs
+++ b/src/vm/routes.rs
@@ -14,6 +14,7 @@
 
 const ANNOUNCEMENT_LIMIT: usize = 256 * 1024;
 const DIRECTORY_TTL_SECONDS: u64 = 5;
+const ADMIN: &str = "/admin/";
 const TARGETS: &str = "/v1/targets";
 
 impl Vm {
@@ -25,6 +26,7 @@
             (&Method::GET, "/v1/directory", _) => self.directory(request.uri().query()),
             (&Method::POST, TARGETS, _) => self.announce(request).await,
             (&Method::DELETE, _, Some(target)) => self.leave(target).await,
+            _ if path.starts_with(ADMIN) => self.administer(request).await,
             _ => self.count(request).await,
         }
     }
@@ -43,7 +45,7 @@
     async fn count(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let vm = Arc::clone(&self);
         let _counted = InFlight::new(&vm);
-        self.serve(request).await
+        self.observe(request).await
     }
 
     async fn announce(&self, request: Request<Incoming>) -> Response<Body> {
