--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,14 @@
 //!
 //! Decisions are state machines without I/O: input and time in, actions out. Shells carry them
 //! over sockets and disk.
+//!
+//! - The request path: [`path`], [`name`], [`limit`], [`place`], [`crash`], [`outcome`].
+//! - What VMs know of each other and of targets: [`member`], [`target`], [`link`], [`wire`].
+//! - What replicas agree on: [`consensus`], [`disk`], [`replica`], [`state`], [`list`], [`stop`],
+//!   [`claim`], [`order`].
+//! - The daemon, [`vm`], and what surrounds it: [`settings`], [`event`], [`figure`], [`admin`],
+//!   [`tool`], [`http`].
+//! - For tests and experiments: [`standin`], [`emulator`].
 
 pub mod admin;
 pub mod claim;
@@ -32,3 +40,10 @@
 pub mod tool;
 pub mod vm;
 pub mod wire;
+
+pub use self::{
+    list::{Allowance, Book, Plan},
+    outcome::{Doubt, Outcome, Reason, Refusal},
+    settings::Settings,
+    vm::{Running, Vm},
+};
