Route requests by the placement policy, the crash ledger and the retry budget

Cause: the path took the least reported load and any other region; the policy, the ledger of crashing requests and the retry budget had tests but no caller. Change: Vm::choose asks a policy for models and one for services, fed with reports, summaries, own dispatches and live VMs; permitted regions, planned stops and targets tried are left out before. Failed targets are passed over for a second. A request in flight where a target died is noted and told to the region's VMs before it is retried; after two deaths it is refused. Retries spend the customer's budget. Class and time left reach targets as headers. Settings sections placement, limits and crashes. Not proved: suspects that run through different VMs may meet on one engine.

--- a/examples/decide.rs
+++ b/examples/decide.rs
@@ -34,7 +34,14 @@
     let region = id::Region::from("here");
     let load = Load { running: 8, slots: 16, ..Load::default() };
     let age = Duration::from_millis(500);
-    let candidate = |target| Candidate { target, region: &region, incarnation: 1, load, age };
+    let candidate = |target| Candidate {
+        target,
+        region: &region,
+        incarnation: 1,
+        load,
+        age,
+        distance: age / 100,
+    };
     let candidates: Vec<Candidate<'_>> = targets.iter().map(candidate).collect();
     let mut policy = Policy::new(Settings { vms: 3, ..Settings::default() }, 1);
     let start = Instant::now();
--- a/src/crash/ledger.rs
+++ b/src/crash/ledger.rs
@@ -154,6 +154,15 @@
         Notice { records: records.collect() }
     }
 
+    /// The records whose last death is the newest, at most `limit`.
+    pub fn newest(&self, now: Instant, limit: usize) -> Notice {
+        let mut notice = self.export(now);
+        let left = |record: &Record| record.deaths.iter().map(|death| death.left_ms).max();
+        notice.records.sort_by_key(|record| std::cmp::Reverse(left(record)));
+        notice.records.truncate(limit);
+        notice
+    }
+
     /// Takes the records of another VM. The order of merges, and a merge made twice, change
     /// nothing; a record that is not well formed is passed over.
     pub fn merge(&mut self, now: Instant, notice: &Notice) {
--- a/src/emulator/world.rs
+++ b/src/emulator/world.rs
@@ -207,6 +207,7 @@
         let candidates: Vec<Candidate<'_>> = here
             .filter_map(|place| place.visible(now).map(|seen| (place, seen)))
             .map(|(place, (written, load))| Candidate {
+                distance: Duration::ZERO,
                 target: &place.target,
                 region: &self.regions[place.region],
                 incarnation: place.engine.incarnation,
--- a/src/limit/settings.rs
+++ b/src/limit/settings.rs
@@ -25,7 +25,8 @@
     /// The least time that a refused caller is told to wait.
     #[serde(rename = "retry_after_ms", with = "crate::clock::millis")]
     pub retry_after: Duration,
-    /// The VMs of this region that share each customer's limits.
+    /// The VMs of this region that share each customer's limits; membership tells how many.
+    #[serde(skip)]
     pub vms: u32,
 }
 
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use hyper::body::Bytes;
 use smol::channel::Receiver;
 
@@ -14,6 +16,7 @@
     body: Receiver<Part>,
     bytes: usize,
     permit: Option<Permit>,
+    watch: Option<Watch>,
 }
 
 /// A piece of the body of an answer.
@@ -27,11 +30,20 @@
     Abort(String),
 }
 
+/// What is told of the end of an answer.
+struct Watch(Box<dyn FnOnce(bool) + Send>);
+
+impl fmt::Debug for Watch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Watch")
+    }
+}
+
 impl Answer {
     /// Creates an answer whose pieces come through `body`; the last is [`Part::End`] where the
     /// body is whole.
     pub fn new(head: Head, way: Vec<String>, body: Receiver<Part>) -> Self {
-        Self { head, way, body, bytes: 0, permit: None }
+        Self { head, way, body, bytes: 0, permit: None, watch: None }
     }
 
     /// The same answer with the request's place in its customer's limits, which is given back
@@ -41,13 +53,25 @@
         Self { permit: Some(permit), ..self }
     }
 
+    /// The same answer; `watch` is told at its last piece whether it was whole, and dropped where
+    /// nobody takes it to its end.
+    #[must_use]
+    pub fn watched(self, watch: impl FnOnce(bool) + Send + 'static) -> Self {
+        Self { watch: Some(Watch(Box::new(watch))), ..self }
+    }
+
     /// Waits for the next piece of the body.
     pub async fn next(&mut self) -> Part {
         let lost = |_| Part::Abort("the answer was lost on its way".to_owned());
         let part = self.body.recv().await.unwrap_or_else(lost);
         match &part {
             Part::Chunk(bytes) => self.bytes += bytes.len(),
-            Part::End | Part::Abort(_) => self.release(),
+            Part::End | Part::Abort(_) => {
+                self.release();
+                if let Some(Watch(watch)) = self.watch.take() {
+                    watch(part == Part::End);
+                }
+            }
         }
         part
     }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -26,6 +26,7 @@
     left: u32,
     targets: BTreeSet<id::Target>,
     vms: BTreeSet<id::Vm>,
+    regions: BTreeSet<id::Region>,
     refusal: Option<Refusal>,
     doubt: Option<Doubt>,
 }
@@ -38,6 +39,7 @@
             left: limit,
             targets: BTreeSet::new(),
             vms: BTreeSet::new(),
+            regions: BTreeSet::new(),
             refusal: None,
             doubt: None,
         }
@@ -48,6 +50,11 @@
         self.left > 0
     }
 
+    /// Whether no attempt was made yet.
+    pub fn is_first(&self) -> bool {
+        self.targets.is_empty() && self.vms.is_empty()
+    }
+
     /// Notes that `target` is tried.
     pub fn target(&mut self, target: &id::Target) {
         self.left = self.left.saturating_sub(1);
@@ -60,6 +67,16 @@
         self.vms.insert(vm.clone());
     }
 
+    /// Notes that `region` keeps its free places for its own callers.
+    pub fn region(&mut self, region: &id::Region) {
+        self.regions.insert(region.clone());
+    }
+
+    /// The regions that have no place to spare.
+    pub fn regions(&self) -> &BTreeSet<id::Region> {
+        &self.regions
+    }
+
     /// The targets tried.
     pub fn targets(&self) -> &BTreeSet<id::Target> {
         &self.targets
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -60,7 +60,7 @@
     limits: Dispatch,
     left: Duration,
 ) -> Outcome<Answer> {
-    let message = match message(request, target) {
+    let message = match message(request, target, left) {
         Ok(message) => message,
         Err(cause) => return Outcome::Refused(malformed(&cause.to_string())),
     };
@@ -78,14 +78,18 @@
 fn message(
     request: &Request<Admitted>,
     target: &Announcement,
+    left: Duration,
 ) -> Result<hyper::Request<http::Body>, hyper::http::Error> {
     let resolved = &request.stage.resolved;
     let mut message = hyper::Request::builder()
         .method(request.method.clone())
         .uri(&resolved.target_path)
         .header(HOST, target.address.to_string())
-        .header(header::REQUEST, request.id.as_str());
-    for Pair { name, value } in &resolved.headers {
+        .header(header::REQUEST, request.id.as_str())
+        .header(header::CLASS, request.class.as_str())
+        .header(header::TIMEOUT_MS, left.as_millis().to_string());
+    let told = |pair: &&Pair| pair.name != header::CLASS;
+    for Pair { name, value } in resolved.headers.iter().filter(told) {
         message = message.header(name, value.as_slice());
     }
     message.body(http::full(resolved.body.clone()))
--- a/src/place/candidate.rs
+++ b/src/place/candidate.rs
@@ -15,4 +15,6 @@
     pub load: Load,
     /// The time since the report was written.
     pub age: Duration,
+    /// The time that a message takes to it.
+    pub distance: Duration,
 }
--- a/src/place/estimate.rs
+++ b/src/place/estimate.rs
@@ -37,7 +37,8 @@
         let wait = backlog / settings.prefill + turn(queued, slots, hold);
         let slow = slow_start(settings, hold, track, slots, now);
         let crowd = settings.crowding * (queued / slots).min(1.0);
-        let cost = wait + prefill + slow + crowd + settings.price * prefill;
+        let way = 2.0 * candidate.distance.as_secs_f64();
+        let cost = way + wait + prefill + slow + crowd + settings.price * prefill;
         Self { cost, cached }
     }
 }
--- a/src/place/policy.rs
+++ b/src/place/policy.rs
@@ -61,7 +61,7 @@
     /// let load = Load { slots: 16, ..Load::default() };
     /// let age = Duration::from_millis(200);
     /// let candidates =
-    ///     [Candidate { target: &target, region: &region, incarnation: 1, load, age }];
+    ///     [Candidate { target: &target, region: &region, incarnation: 1, load, age, distance: age / 100 }];
     /// let query = Query {
     ///     prompt: &Prompt::new("assistant", b"hello"),
     ///     allowed: &[region.clone()],
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,7 +9,9 @@
 mod log;
 mod peer;
 mod place;
+mod placement;
 mod problem;
+mod sections;
 mod vm;
 
 pub use self::{
@@ -18,6 +20,7 @@
     link::Link,
     log::{Format, Level, Log},
     peer::Peer,
+    placement::{Placement, Preset},
     problem::{Problem, Severity},
     vm::{Loaded, Settings},
 };
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,7 @@
 use super::{
     Problem, Settings,
     place::{character, elements, members},
+    sections,
 };
 
 const REPLICA_LIMIT: usize = 7;
@@ -129,6 +130,7 @@
     problems.extend(replicas(settings));
     problems.extend(operators(settings));
     problems.extend(ranges(settings));
+    problems.extend(sections::ranges(settings));
     problems.extend(files(settings, folder));
     problems
 }
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Figures, Link, Log, Peer, check};
-use crate::{id, path::Dispatch};
+use super::{Error, Figures, Link, Log, Peer, Placement, check};
+use crate::{crash, id, limit, path::Dispatch};
 
 /// The settings of one VM.
 ///
@@ -55,6 +55,12 @@
     pub figures: Figures,
     /// Links to other VMs.
     pub link: Link,
+    /// How requests are placed.
+    pub placement: Placement,
+    /// The limits on requests that run at once.
+    pub limits: limit::Settings,
+    /// Requests that crash targets.
+    pub crashes: crash::Settings,
 }
 
 /// Settings that can be used, and what is doubtful about them.
@@ -170,6 +176,9 @@
             log: Log::default(),
             figures: Figures::default(),
             link: Link::default(),
+            placement: Placement::default(),
+            limits: limit::Settings::default(),
+            crashes: crash::Settings::default(),
         }
     }
 }
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -235,6 +235,11 @@
         })
     }
 
+    /// What is known of one target, whether it may get new work or not.
+    pub fn report(&self, target: &id::Target) -> Option<&Report> {
+        self.reports.get(target)
+    }
+
     /// How long ago the summary of `region` was written there.
     pub fn summary_age(&self, region: &id::Region, now: Instant) -> Option<Duration> {
         self.regions.get(region).map(|known| now.saturating_duration_since(known.written))
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod agreement;
 mod calls;
+mod choose;
+mod crashes;
 mod directory;
 mod gossip;
 mod handover;
@@ -12,7 +14,9 @@
 mod observe;
 mod operate;
 mod routes;
+mod routing;
 mod serve;
+mod trip;
 
 pub use self::{
     directory::{Directory, Entry},
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -35,6 +35,9 @@
                 Inbound::Call { topic: Topic::Lists, payload, reply, .. } => {
                     smol::spawn(Arc::clone(&self).answer_lists(payload, reply)).detach();
                 }
+                Inbound::Call { topic: Topic::Crashes, payload, reply, .. } => {
+                    let _ = reply.try_send(self.hear_of_crashes(payload));
+                }
                 Inbound::Notice { .. } | Inbound::Call { .. } => {}
             }
         }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -18,7 +18,7 @@
     net::TcpListener,
 };
 
-use super::agreement::Agreement;
+use super::{agreement::Agreement, routing::Routing};
 use crate::{
     admin::Trail,
     clock::{Clock, within},
@@ -26,7 +26,7 @@
     figure::{Board, Statsd},
     http::{self, Limits, Stop, Stopped},
     id,
-    limit::{self, Admission},
+    limit::Admission,
     link::{Hub, Inbound},
     list::{Book, List},
     member,
@@ -58,6 +58,7 @@
     pub(super) members: Mutex<member::Core>,
     pub(super) in_flight: AtomicU32,
     pub(super) board: Board,
+    routing: Mutex<Routing>,
     trail: Mutex<Trail>,
     random: Mutex<StdRng>,
     stopped: Stopped,
@@ -139,7 +140,7 @@
     ) -> Result<Running, Error> {
         let fixed = fixed_book(&settings)?;
         let names = names(&settings)?;
-        let (admission, expire) = Admission::new(limit::Settings::default(), Arc::clone(&clock));
+        let (admission, expire) = Admission::new(settings.limits, Arc::clone(&clock));
         let callers = listen(settings.callers).await?;
         let links = listen(settings.links).await?;
         let statsd = Statsd::open(&settings.figures).map_err(Error::Statsd)?;
@@ -162,6 +163,7 @@
         let (stop, stopped) = Stop::new();
         let (busy, idle) = smol::channel::bounded(1);
         let (name, region) = (settings.vm.clone(), settings.region.clone());
+        let routing = Routing::new(&settings, random.random());
         let vm = Arc::new(Self {
             settings,
             clock,
@@ -177,6 +179,7 @@
             fixed,
             incarnation,
             board: Board::with(statsd),
+            routing: Mutex::new(routing),
             trail: Mutex::default(),
             random: Mutex::new(random),
             stopped: stopped.clone(),
@@ -193,6 +196,7 @@
             smol::spawn(Arc::clone(&vm).follow()),
             smol::spawn(Arc::clone(&vm).seed()),
             smol::spawn(Arc::clone(&vm).tend_claims()),
+            smol::spawn(Arc::clone(&vm).tend_routing()),
         ]);
         Ok(Running { vm, tasks, server, stop, idle })
     }
@@ -220,6 +224,11 @@
         lock(&self.targets)
     }
 
+    /// What this VM decides with where requests go.
+    pub(super) fn routing(&self) -> MutexGuard<'_, Routing> {
+        lock(&self.routing)
+    }
+
     /// Whether the VM was told to stop, or an operator planned its stop.
     pub(super) fn is_stopping(&self) -> bool {
         let Settings { vm, zone, region, .. } = &self.settings;
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -12,7 +12,7 @@
 };
 use smol::Timer;
 
-use super::Vm;
+use super::{Vm, choose::Choice, routing::Route, trip::Trip};
 use crate::{
     clock::within,
     event,
@@ -20,22 +20,14 @@
     id,
     outcome::{Outcome, Reason, Refusal},
     path::{self, Admitted, Answer, Attempts, Authenticated, Class, Received},
-    settings::Peer,
-    target::Announcement,
 };
 
 /// Attempts at one request on one VM.
 const ATTEMPTS: u32 = 3;
 /// How long a request that may wait does so before it looks for a target again.
 const BATCH_PAUSE: Duration = Duration::from_millis(250);
-
-/// Where to send a request next.
-enum Choice {
-    /// To a target of this region.
-    Target(Announcement),
-    /// To a VM of another region.
-    Vm(Peer),
-}
+/// How long a request that has to run apart waits before it looks for a target again.
+const APART_PAUSE: Duration = Duration::from_millis(50);
 
 impl Vm {
     /// Serves a caller's request.
@@ -139,9 +131,11 @@
         self: &Arc<Self>,
         request: path::Request<Admitted>,
     ) -> Outcome<Answer> {
+        let route = Arc::new(Route::new(&request));
+        self.routing().budget.attempt(&request.stage.resolved.plan.customer);
         let request = Arc::new(request);
         loop {
-            let outcome = self.attempt(&request).await;
+            let outcome = self.attempt(&request, &route).await;
             let waits = request.class == Class::Batch
                 && matches!(&outcome, Outcome::Refused(refusal) if may_pass(refusal.reason))
                 && request.left(self.clock.now()) > BATCH_PAUSE
@@ -159,28 +153,42 @@
     }
 
     /// Finds a target here or in another region; what failed is tried elsewhere as long as that
-    /// can do no harm.
-    async fn attempt(self: &Arc<Self>, request: &Arc<path::Request<Admitted>>) -> Outcome<Answer> {
+    /// can do no harm and the customer has retries left.
+    async fn attempt(
+        self: &Arc<Self>,
+        request: &Arc<path::Request<Admitted>>,
+        route: &Arc<Route>,
+    ) -> Outcome<Answer> {
         let mut attempts = Attempts::new(request.stage.resolved.idempotent, ATTEMPTS);
         while attempts.may_try() {
             let left = request.left(self.clock.now());
             if left.is_zero() {
                 return attempts.end(late());
             }
-            let Some(choice) = self.choose(request, &attempts) else { break };
+            let choice = self.choose(request, route, &attempts);
+            let goes = matches!(choice, Choice::Target(_) | Choice::Vm(_));
+            if goes && !attempts.is_first() && !self.may_retry(request) {
+                break;
+            }
             let outcome = match choice {
-                Choice::Target(target) => {
-                    attempts.target(&target.target);
-                    if request.stage.resolved.idempotent {
-                        path::dispatch(request, &target, self.settings.dispatch(), left).await
-                    } else {
-                        self.run_once(request, &target, left).await
-                    }
+                Choice::Target(trip) => {
+                    attempts.target(&trip.target.target);
+                    self.send(request, trip, left).await
                 }
                 Choice::Vm(peer) => {
                     attempts.vm(&peer.vm);
-                    self.hand_over(request, &peer, left).await
+                    let outcome = self.hand_over(request, &peer, left).await;
+                    if is_overloaded(&outcome) {
+                        attempts.region(&peer.region);
+                    }
+                    outcome
                 }
+                Choice::Wait => {
+                    Timer::after(APART_PAUSE.min(left)).await;
+                    continue;
+                }
+                Choice::Refuse(refusal) => return attempts.end(refusal),
+                Choice::None => break,
             };
             if let ControlFlow::Break(outcome) = attempts.note(outcome) {
                 return outcome;
@@ -189,35 +197,65 @@
         attempts.end(no_target(request))
     }
 
-    fn choose(&self, request: &path::Request<Admitted>, attempts: &Attempts) -> Option<Choice> {
-        let resolved = &request.stage.resolved;
-        let now = self.clock.now();
-        let stops = self.stops();
-        let targets = self.targets();
-        let fresh = targets
-            .capable(&resolved.need, now)
-            .filter(|target| !stops.target(&target.target, &target.zone, &target.region))
-            .filter(|target| !attempts.targets().contains(&target.target));
-        if let Some(target) = fresh.min_by_key(|target| target.load.running) {
-            return Some(Choice::Target(target.clone()));
-        }
-        if !self.may_hand_over(request) {
-            return None;
+    fn may_retry(&self, request: &path::Request<Admitted>) -> bool {
+        let customer = &request.stage.resolved.plan.customer;
+        let left = self.routing().budget.retry(customer).is_ok();
+        if !left {
+            let fields: [event::Field<'_>; 2] = [("request", &request.id), ("customer", customer)];
+            event::placement::RETRIES_SPENT.emit(&self.logger, &fields);
         }
-        let regions: Vec<_> = targets
-            .elsewhere(&resolved.need, now)
-            .map(|(region, _)| region.clone())
-            .filter(|region| resolved.allowance.regions.contains(region))
-            .collect();
-        drop(targets);
-        if regions.is_empty() {
-            return None;
+        left
+    }
+
+    /// Sends the request to a target, and learns from what becomes of it.
+    async fn send(
+        self: &Arc<Self>,
+        request: &Arc<path::Request<Admitted>>,
+        trip: Trip,
+        left: Duration,
+    ) -> Outcome<Answer> {
+        let target = trip.target.clone();
+        let outcome = if request.stage.resolved.idempotent {
+            path::dispatch(request, &target, self.settings.dispatch(), left).await
+        } else {
+            self.run_once(request, &target, left).await
+        };
+        let now = self.clock.now();
+        match outcome {
+            Outcome::Answered(answer) => Outcome::Answered(watched(answer, trip)),
+            Outcome::Unknown(doubt) => {
+                if !request.left(now).is_zero() {
+                    self.routing().failed(now, &target.target, target.incarnation);
+                    self.inspect(trip).await;
+                }
+                Outcome::Unknown(doubt)
+            }
+            Outcome::Refused(refusal) => {
+                if refusal.reason == Reason::NoTarget {
+                    self.routing().failed(now, &target.target, target.incarnation);
+                }
+                Outcome::Refused(refusal)
+            }
         }
-        let peers = self.peers_in(&regions);
-        peers.into_iter().find(|peer| !attempts.vms().contains(&peer.vm)).map(Choice::Vm)
     }
 }
 
+/// The answer, whose end tells placement and the ledger what became of the request.
+fn watched(answer: Answer, trip: Trip) -> Answer {
+    answer.watched(move |whole| {
+        if whole {
+            trip.finish();
+        } else {
+            let vm = Arc::clone(&trip.vm);
+            smol::spawn(async move { vm.inspect(trip).await }).detach();
+        }
+    })
+}
+
+fn is_overloaded(outcome: &Outcome<Answer>) -> bool {
+    matches!(outcome, Outcome::Refused(refusal) if refusal.reason == Reason::Overloaded)
+}
+
 /// Whether waiting may mend what a request was refused for.
 fn may_pass(reason: Reason) -> bool {
     matches!(reason, Reason::NoTarget | Reason::Overloaded)
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -49,6 +49,7 @@
             .iter()
             .zip(&self.loads)
             .map(|(target, load)| Candidate {
+                distance: Duration::ZERO,
                 target,
                 region: &self.here,
                 incarnation: self.incarnation,
