--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -22,6 +22,8 @@
 const WITHIN_REGION_LIMIT: u32 = 1;
 const PIECE: usize = 256 * 1024;
 const WINDOW: usize = 32;
+/// How long the other VM may take to read the end of an answer.
+const END: Duration = Duration::from_secs(2);
 
 impl Vm {
     /// Whether the request may still be handed to another region.
@@ -225,6 +227,8 @@
             return;
         }
         if last {
+            // A VM that stops waits until the other has read the end.
+            let _ = within(END, exchange.receive()).await;
             return exchange.finish();
         }
     }
@@ -263,8 +267,9 @@
         let part = match exchange.receive().await {
             Ok(Body::Chunk(chunk)) => Part::Chunk(chunk.bytes),
             Ok(Body::End(_)) => {
+                // Dropping the exchange tells the other VM that the end was read.
+                drop(exchange);
                 let _ = parts.send(Part::End).await;
-                exchange.finish();
                 return;
             }
             Ok(Body::Abort(abort)) => Part::Abort(abort.detail),
