--- a/src/path/admit.rs
+++ b/src/path/admit.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{Allowed, Request, Resolved};
 use crate::{
@@ -19,6 +19,8 @@
     pub resolved: Resolved,
     /// The request's place in its customer's limits.
     pub permit: Permit,
+    /// How long it waited for that place.
+    pub waited: Duration,
 }
 
 impl Request<Allowed> {
@@ -38,7 +40,7 @@
         };
         let permit = admission.admit(offer).await?;
         let (request, Allowed { resolved }) = self.split();
-        Ok(request.at(Admitted { resolved, permit }))
+        Ok(request.at(Admitted { resolved, permit, waited: Duration::ZERO }))
     }
 }
 
--- a/src/vm/observe.rs
+++ b/src/vm/observe.rs
@@ -12,7 +12,7 @@
     header::{AUTHORIZATION, CONTENT_LENGTH},
 };
 
-use super::Vm;
+use super::{Vm, serve::Waited};
 use crate::{
     admin::Way,
     figure::{Outcome, Sample},
@@ -28,6 +28,7 @@
 struct Note {
     vm: Arc<Vm>,
     start: Instant,
+    waited: Duration,
     last: Option<Instant>,
     first_byte: Option<Duration>,
     between: Vec<Duration>,
@@ -67,8 +68,17 @@
             way: text(&head.headers, path::WAY).to_owned(),
             total_ms: 0,
         };
-        let note =
-            Note { vm: self, start, last: None, first_byte: None, between: vec![], class, way };
+        let waited = head.extensions.get().map_or(Duration::ZERO, |Waited(waited)| *waited);
+        let note = Note {
+            vm: self,
+            start,
+            waited,
+            last: None,
+            first_byte: None,
+            between: vec![],
+            class,
+            way,
+        };
         let left =
             if headless { Some(0) } else { body.size_hint().exact().or(length(&head.headers)) };
         let noted = Noted { body, note: Some(note), left };
@@ -112,9 +122,9 @@
             elsewhere: self.vm.is_elsewhere(&self.way.way),
             first_byte: self.first_byte.filter(|_| answered),
             total,
-            queue: None,
+            queue: answered.then_some(self.waited),
             between: if answered { &self.between } else { &[] },
-            engine: if answered { total } else { Duration::ZERO },
+            engine: if answered { total.saturating_sub(self.waited) } else { Duration::ZERO },
         });
         let total_ms = u64::try_from(total.as_millis()).unwrap_or(u64::MAX);
         self.vm.trail().push(Way { total_ms, ..self.way });
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -29,17 +29,22 @@
 /// How long a request that has to run apart waits before it looks for a target again.
 const APART_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a request waited for its place in its customer's limits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waited(pub(super) Duration);
+
 impl Vm {
     /// Serves a caller's request.
     pub(super) async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let id = self.request_id();
-        let outcome = self.take(id.clone(), request).await;
+        let (outcome, waited) = self.take(id.clone(), request).await;
         event::path::REQUEST.emit(&self.logger, &[("request", &id), ("outcome", &Word(&outcome))]);
         let mut response = match outcome {
             Outcome::Answered(answer) => path::relay(&id, answer),
             Outcome::Refused(refusal) => path::refusal(&id, &refusal),
             Outcome::Unknown(cause) => path::unknown(&id, &cause),
         };
+        response.extensions_mut().insert(Waited(waited));
         if self.is_stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -50,10 +55,13 @@
         self: &Arc<Self>,
         id: id::Request,
         request: Request<Incoming>,
-    ) -> Outcome<Answer> {
+    ) -> (Outcome<Answer>, Duration) {
         match self.prepare(id, request).await {
-            Ok(request) => self.place(request).await,
-            Err(refusal) => Outcome::Refused(refusal),
+            Ok(request) => {
+                let waited = request.stage.waited;
+                (self.place(request).await, waited)
+            }
+            Err(refusal) => (Outcome::Refused(refusal), Duration::ZERO),
         }
     }
 
@@ -84,7 +92,11 @@
             .permit_region(&self.settings.region)
             .map_err(|refusal| self.redirect(refusal, &request))?;
         let body = self.read(body, request.left(self.clock.now())).await?;
-        request.resolve(&self.names, body)?.allow()?.admit(&self.admission).await
+        let allowed = request.resolve(&self.names, body)?.allow()?;
+        let start = self.clock.now();
+        let mut admitted = allowed.admit(&self.admission).await?;
+        admitted.stage.waited = self.clock.now().saturating_duration_since(start);
+        Ok(admitted)
     }
 
     fn deadline(&self, headers: &HeaderMap) -> Result<Instant, Refusal> {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -8,13 +8,16 @@
 use hyper::Method;
 use pomelogate::{
     http::Failure,
-    standin::{Caller, Engine, Pace, Reply, Reporter, deployment},
+    list,
+    settings::Settings,
+    standin::{Caller, Engine, Fault, Pace, Reply, Reporter, deployment},
 };
 use smol::future;
 use support::{
     fleet::{Fleet, eventually, samples},
     targets,
 };
+use tempfile::TempDir;
 
 const LEADS: &str = "sample-key-crew-leads";
 const PLANNERS: &str = "sample-key-shift-planners";
@@ -67,17 +70,25 @@
     });
 }
 
-/// Two regions, of which `planning` may use the first alone: one engine here, three there.
-async fn two_regions(first: u64) -> (Fleet, Vec<(Engine, Reporter)>) {
+/// The sample lists with a change of the allowances.
+fn lists(change: impl FnOnce(&mut serde_json::Value)) -> TempDir {
     let folder = tempfile::tempdir().unwrap();
     for name in ["plans.json", "names.json"] {
         fs::copy(samples().join(name), folder.path().join(name)).unwrap();
     }
     let text = fs::read_to_string(samples().join("allowances.json")).unwrap();
     let mut list: serde_json::Value = serde_json::from_str(&text).unwrap();
-    list["entries"][1]["regions"] = serde_json::json!(["surabaya"]);
-    list["entries"][1]["limits"] = serde_json::json!({ "concurrency": 64, "queue": 64 });
+    change(&mut list["entries"]);
     fs::write(folder.path().join("allowances.json"), list.to_string()).unwrap();
+    folder
+}
+
+/// Two regions, of which `planning` may use the first alone: one engine here, three there.
+async fn two_regions(first: u64) -> (Fleet, Vec<(Engine, Reporter)>) {
+    let folder = lists(|entries| {
+        entries[1]["regions"] = serde_json::json!(["surabaya"]);
+        entries[1]["limits"] = serde_json::json!({ "concurrency": 64, "queue": 64 });
+    });
     let fleet = Fleet::with(deployment(folder.path(), &[("surabaya", 1), ("bandung", 1)])).await;
     let mut engines = Vec::new();
     for (name, place) in [("near", 0), ("far-one", 1), ("far-two", 1), ("far-three", 1)] {
@@ -171,3 +182,68 @@
         .await;
     });
 }
+
+#[test]
+fn retries_stay_within_the_customers_budget() {
+    smol::block_on(async {
+        let fleet = Fleet::start(&[("surabaya", 1)]).await;
+        let vms = [fleet.callers(0)];
+        let mut engines = Vec::new();
+        for name in ["one", "two", "three"] {
+            let fault = Fault::Overloaded;
+            let engine = targets::faulty(name, "surabaya", "planner", &vms, pace(5), fault).await;
+            engines.push(engine);
+        }
+        let caller = Caller::new(LEADS);
+        eventually("each engine was tried", async || {
+            let _ = chats(&caller, vms[0], 1).await;
+            started(&engines).iter().all(|started| *started > 0)
+        })
+        .await;
+        let total = || started(&engines).iter().sum::<u64>();
+        let before = total();
+        assert_eq!(answered(&chats(&caller, vms[0], 40).await), 0);
+        // Forty first attempts earn four retries, and at most ten were saved up.
+        let attempts = total() - before;
+        assert!((40..=54).contains(&attempts), "{attempts} attempts");
+    });
+}
+
+#[test]
+fn batch_work_finishes_beside_interactive_work_and_waits_show_in_the_figures() {
+    const OPERATOR: &str = "operator-key";
+    smol::block_on(async {
+        let limits = serde_json::json!({ "concurrency": 2, "queue": 64 });
+        let folder = lists(|entries| entries[0]["limits"] = limits);
+        let settings = deployment(folder.path(), &[("jakarta", 1)]);
+        let operators = vec![list::digest(OPERATOR)];
+        let settings = settings
+            .into_iter()
+            .map(|settings| Settings { operators: operators.clone(), ..settings });
+        let fleet = Fleet::with(settings.collect()).await;
+        let vms = [fleet.callers(0)];
+        let (_engine, _reporter) =
+            targets::engine("one", "jakarta", "planner", &vms, pace(30)).await;
+        let caller = Caller::new(LEADS);
+        eventually("the engine answers", async || answered(&chats(&caller, vms[0], 1).await) == 1)
+            .await;
+        let interactive = async {
+            loop {
+                assert_eq!(answered(&chats(&caller, vms[0], 8).await), 8);
+            }
+        };
+        let batch = async {
+            let batch = caller.clone().with("pomelogate-class", "batch");
+            assert_eq!(answered(&chats(&batch, vms[0], 12).await), 12);
+        };
+        future::or(interactive, batch).await;
+        let operator = Caller::new(OPERATOR);
+        let figures = operator.send(vms[0], Method::GET, "/admin/v1/figures", String::new());
+        let figures: serde_json::Value =
+            serde_json::from_slice(&figures.await.unwrap().body).unwrap();
+        let summaries = figures["summaries"].as_array().unwrap();
+        let batch = summaries.iter().find(|summary| summary["class"] == "batch").unwrap();
+        assert_eq!(batch["queue"]["count"], 12, "{batch}");
+        assert!(batch["queue"]["max_ms"].as_u64().unwrap() > 0, "twelve share two places");
+    });
+}
