Prove lists, claims and lost disks with processes under failure

Cause: the agreement, the lists and the claims were proved as state machines only. Reading the shell for the proofs showed four faults: a VM that thawed trusted its old lists after one failed fetch, which a connection that broke during the freeze gives at once; a region silent for two minutes was no longer waited for, so a change could be called in force where it was not; links in the settings were passed over once gossip named others; running calls of a process that died were given up only at their deadline.

Change: a VM that was frozen decides again after one reply or three failures in a row; silent VMs count as serving unless their own region gave them up; links in the settings go first everywhere; the leader of the claims gives up calls of vanished processes.

One assertion of list_follower said that a single failed fetch after a freeze is enough; it is replaced by one that wants three.

--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -142,6 +142,23 @@
         self.entries.values().map(move |entry| (entry, self.state(entry, now)))
     }
 
+    /// The VMs that may be serving callers: a change of the lists is in force only once each of
+    /// them serves it.
+    ///
+    /// A VM that fell silent still counts, as it may be cut off, unless its own region goes on
+    /// without it: other VMs of the region are heard and don't name it any more.
+    pub fn serving(&self, now: Instant) -> Vec<Peer> {
+        let alive: BTreeSet<&id::Region> = self
+            .members(now)
+            .filter(|(_, state)| *state == State::Alive)
+            .map(|(entry, _)| &entry.peer.region)
+            .collect();
+        self.members(now)
+            .filter(|(entry, state)| *state != State::Gone || !alive.contains(&entry.peer.region))
+            .map(|(entry, _)| self.reach(entry))
+            .collect()
+    }
+
     /// The VMs that callers or hand-overs should use, best first: this region's before others',
     /// and within a region in a random order in which idle ones tend to come first.
     ///
@@ -290,7 +307,8 @@
         self.entries.retain(|_, entry| now.saturating_duration_since(entry.heard) < FORGET);
     }
 
-    fn reach(&self, entry: &Entry) -> Peer {
+    /// How to reach a member: where the settings name its links, there.
+    pub fn reach(&self, entry: &Entry) -> Peer {
         let links = self.links.get(&entry.peer.vm).copied().unwrap_or(entry.peer.links);
         Peer { links, ..entry.peer.clone() }
     }
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -8,7 +8,10 @@
 use hyper::{Request, Response, body::Incoming};
 use smol::{Task, Timer, net::TcpListener};
 
-use crate::http::{self, Body, Limits, Stop};
+use crate::{
+    http::{self, Body, Limits, Stop},
+    path::REQUEST,
+};
 
 const BODY_LIMIT: usize = 1024 * 1024;
 
@@ -29,6 +32,8 @@
     pub path: String,
     /// The idempotency key.
     pub key: Option<String>,
+    /// The request, as the VM that sent it names it.
+    pub request: Option<String>,
     /// The body.
     pub body: String,
 }
@@ -70,14 +75,14 @@
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
     let body = http::collect(body, BODY_LIMIT).await.unwrap_or_default();
+    let header = |name: &str| {
+        head.headers.get(name).and_then(|value| value.to_str().ok()).map(ToOwned::to_owned)
+    };
     let call = Call {
         method: head.method.to_string(),
         path: head.uri.to_string(),
-        key: head
-            .headers
-            .get("idempotency-key")
-            .and_then(|value| value.to_str().ok())
-            .map(ToOwned::to_owned),
+        key: header("idempotency-key"),
+        request: header(REQUEST),
         body: String::from_utf8_lossy(&body).into_owned(),
     };
     let answer = format!("{} {} {}", call.method, call.path, call.body);
--- a/src/state/follower.rs
+++ b/src/state/follower.rs
@@ -72,6 +72,7 @@
     next: Instant,
     heard: Option<Instant>,
     tried: Instant,
+    misses: VecDeque<Instant>,
     starting: Starting,
     served: BTreeMap<id::Vm, (Served, Instant)>,
 }
@@ -92,6 +93,9 @@
 
 /// Periods after which a VM that has neither heard nor failed must ask before it serves on.
 const STALE_PERIODS: u32 = 4;
+/// Peers that must fail one after the other before a VM counts as cut off from them: a single
+/// failure may be of a connection that broke while this process stood still.
+const MISSES: usize = 3;
 /// Periods for which a follower's report is passed on.
 const REPORT_PERIODS: u32 = 4;
 
@@ -136,6 +140,7 @@
             next: now,
             heard: None,
             tried: now,
+            misses: VecDeque::new(),
             starting: Starting::default(),
             served: BTreeMap::new(),
         };
@@ -160,7 +165,6 @@
     /// Passes time; call it a few times a period and at [`Follower::deadline`].
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         if let Some(asked) = self.asked.take_if(|asked| asked.until <= now) {
-            self.end(&asked, now);
             self.missed(&asked.peer, now);
         }
         let mut actions = self.begin();
@@ -192,14 +196,18 @@
         update: &Update,
         now: Instant,
     ) -> Result<Vec<Action>, Refused> {
-        if let Some(asked) = self.asked.take_if(|asked| asked.peer == *from) {
-            self.end(&asked, now);
+        let asked = self.asked.take_if(|asked| asked.peer == *from);
+        if asked.is_some() {
             self.next = now + self.pause();
         }
         let mut after = self.saving.clone().unwrap_or_else(|| self.store.clone());
         match after.take(update) {
             Ok(changed) => {
                 self.attempt = 0;
+                self.misses.clear();
+                if let Some(asked) = asked {
+                    self.end(&asked, now);
+                }
                 self.heard = Some(now);
                 self.starting.answered = true;
                 self.starting.tried.insert(from.clone());
@@ -216,8 +224,7 @@
 
     /// Takes the failure of a fetch.
     pub fn failed(&mut self, from: &id::Vm, now: Instant) {
-        if let Some(asked) = self.asked.take_if(|asked| asked.peer == *from) {
-            self.end(&asked, now);
+        if self.asked.take_if(|asked| asked.peer == *from).is_some() {
             self.missed(from, now);
         }
     }
@@ -288,8 +295,9 @@
         self.store.versions()
     }
 
-    /// Whether this VM must hear from a peer, or fail to, before it decides anything: it has
-    /// done neither for long, as after a freeze. What was asked before a freeze doesn't count.
+    /// Whether this VM must hear from a peer, or fail to reach several, before it decides
+    /// anything: it has done neither for long, as after a freeze. What was asked before a freeze
+    /// doesn't count.
     pub fn stale(&self, now: Instant) -> bool {
         let limit = self.settings.period * STALE_PERIODS + self.settings.timeout;
         self.books.is_empty() || (!self.sources.is_empty() && now > self.tried + limit)
@@ -338,7 +346,7 @@
         self.served.values().map(|(served, _)| served.clone()).collect()
     }
 
-    /// Notes the end of a fetch, unless a freeze lies between the fetch and its end.
+    /// Notes the reply to a fetch, unless a freeze lies between the fetch and its end.
     fn end(&mut self, asked: &Asked, now: Instant) {
         if now < asked.until + self.settings.period {
             self.tried = now;
@@ -347,10 +355,22 @@
 
     fn missed(&mut self, peer: &id::Vm, now: Instant) {
         self.attempt += 1;
+        self.note_miss(now);
         self.starting.tried.insert(peer.clone());
         self.next = now + self.settings.period / 4;
     }
 
+    /// Notes a failed fetch; enough of them in a short time mean that this VM is cut off.
+    fn note_miss(&mut self, now: Instant) {
+        let window = self.settings.period * STALE_PERIODS;
+        self.misses.push_back(now);
+        self.misses.retain(|at| now.saturating_duration_since(*at) <= window);
+        if self.misses.len() >= MISSES.min(self.sources.len()) {
+            self.misses.clear();
+            self.tried = now;
+        }
+    }
+
     /// Ends the start once each peer of the region was asked and one answered.
     fn begin(&mut self) -> Vec<Action> {
         let asked = self.near.iter().all(|vm| self.starting.tried.contains(vm));
--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -11,8 +11,9 @@
     agreement::{LISTS, Undecided, claims},
 };
 use crate::{
-    claim::{self, Claim, Command, Operation, Rebuilt, Release, Settle, Verdict},
+    claim::{self, Abandon, Claim, Command, Operation, Rebuilt, Release, Settle, Verdict},
     event, id,
+    member::State,
     outcome::{Doubt, Outcome, Reason, Refusal},
     path::{self, Admitted, Answer, Part, Resolved},
     replica::Group,
@@ -67,14 +68,35 @@
             if group.read(|machine| machine.complete_since_ms().is_none()) {
                 self.vouch(&group).await;
             }
-            if group.read(|machine| !machine.runners().is_empty()) {
-                let sweep = Operation::Abandon(claim::Abandon::default());
+            for abandon in self.abandoned(&group) {
+                let sweep = Operation::Abandon(abandon);
                 let command = Command::new(self.clock.wall(), sweep).encode_to_vec();
                 let _ = group.propose(Bytes::from(command), DECISION).await;
             }
         }
     }
 
+    /// Whose running calls are to be given up: those of processes that ended, as a later one of
+    /// the VM is known or the VM is gone, and those past their deadline.
+    fn abandoned(&self, group: &Group<claim::Machine>) -> Vec<Abandon> {
+        let runners: Vec<(String, u64)> = group.read(|machine| {
+            machine.runners().into_iter().map(|(vm, number)| (vm.to_owned(), number)).collect()
+        });
+        let late = (!runners.is_empty()).then(Abandon::default);
+        let now = self.clock.now();
+        let members = self.members();
+        let ended = runners.into_iter().filter_map(|(vm, incarnation)| {
+            let (entry, state) =
+                members.members(now).find(|(entry, _)| entry.peer.vm.as_str() == vm)?;
+            let below = match state {
+                State::Gone => entry.incarnation.max(incarnation) + 1,
+                _ => entry.incarnation,
+            };
+            (incarnation < below).then_some(Abandon { vm, below })
+        });
+        late.into_iter().chain(ended).collect()
+    }
+
     /// Vouches for the records of a group that is the first of its region. The group of the
     /// lists counts the groups of each region, so that one that lost its disks is told from it.
     async fn vouch(&self, group: &Group<claim::Machine>) {
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -295,7 +295,7 @@
     /// What every known VM serves, gathered from the replicas.
     pub(super) async fn progress(&self) -> Progress {
         let mut progress = Progress::default();
-        for peer in self.peers() {
+        for peer in self.serving() {
             progress.expect(peer.vm, peer.region);
         }
         let asked = self.replicas().into_iter().map(|replica| async move {
@@ -311,6 +311,18 @@
         progress
     }
 
+    /// The VMs that may be serving callers, those of the settings among them even when they have
+    /// been forgotten.
+    fn serving(&self) -> Vec<Peer> {
+        let members = self.members();
+        let mut serving = members.serving(self.clock.now());
+        let known: BTreeSet<_> =
+            members.members(self.clock.now()).map(|(entry, _)| &entry.peer.vm).collect();
+        let forgotten = self.settings.peers.iter().filter(|peer| !known.contains(&peer.vm));
+        serving.extend(forgotten.cloned());
+        serving
+    }
+
     /// Proposes the lists of the files, where no list was accepted yet.
     pub(super) async fn seed(self: Arc<Self>) {
         let Some(lists) = &self.agreement.lists else { return };
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -260,7 +260,7 @@
         let now = self.clock.now();
         let members = self.members();
         let alive = members.members(now).filter(|(_, state)| *state != member::State::Gone);
-        alive.map(|(entry, _)| entry.peer.clone()).collect()
+        alive.map(|(entry, _)| members.reach(entry)).collect()
     }
 
     /// How to reach `vm`, alive or not.
@@ -268,7 +268,7 @@
         let now = self.clock.now();
         let members = self.members();
         let found = members.members(now).find(|(entry, _)| entry.peer.vm == *vm);
-        let known = found.map(|(entry, _)| entry.peer.clone());
+        let known = found.map(|(entry, _)| members.reach(entry));
         known.or_else(|| self.settings.peers.iter().find(|peer| peer.vm == *vm).cloned())
     }
 }
--- a/tests/list_follower.rs
+++ b/tests/list_follower.rs
@@ -178,7 +178,14 @@
     let Some(Action::Fetch { to, .. }) = follower.tick(now).pop() else { panic!() };
     assert!(follower.stale(now), "asked, not answered");
     follower.failed(&to, now);
-    assert!(!follower.stale(now));
+    assert!(follower.stale(now), "its connection may have broken during the freeze");
+    for _ in 0..2 {
+        now += Duration::from_secs(1);
+        let Some(Action::Fetch { to, .. }) = follower.tick(now).pop() else { panic!() };
+        assert!(follower.stale(now), "others may answer");
+        follower.failed(&to, now);
+    }
+    assert!(!follower.stale(now), "it is cut off");
 }
 
 #[test]
--- /dev/null
+++ b/tests/lost_disk.rs
@@ -0,0 +1,154 @@
+//! VMs that lose their disks: what they may vote on and vouch for afterwards.
+
+mod support;
+
+use std::{fs, time::Duration};
+
+use hyper::Method;
+use pomelogate::{
+    claim::RISK_ACCEPTED,
+    standin::{Caller, Reply, Service},
+};
+use serde_json::{Value, json};
+use support::{
+    fleet::eventually,
+    grid::{Grid, plans},
+    targets,
+};
+
+const REGIONS: [(&str, usize); 3] = [("jakarta", 1), ("surabaya", 1), ("bandung", 1)];
+
+/// Kills a VM, deletes its data folder and starts it again.
+async fn lose_disk(grid: &mut Grid, place: usize) {
+    let vm = &mut grid.fleet.vms[place];
+    vm.kill();
+    let folder = vm.settings.data.clone().expect("a VM with a disk");
+    assert!(folder.starts_with(grid.data.path()));
+    fs::remove_dir_all(folder).expect("the folder is ours");
+    vm.start();
+    vm.ready().await;
+}
+
+/// Whether some VM of `places` says that the replica of `vm` is empty.
+async fn is_empty(grid: &Grid, places: &[usize], vm: &str) -> bool {
+    for place in places {
+        let known = grid.operators.replicas(*place).await;
+        if known.is_some_and(|known| known.empty.iter().any(|empty| empty.as_str() == vm)) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Whether a VM holds the newest entries as a voter, as it says itself.
+async fn is_voter(grid: &Grid, place: usize, index: u64) -> bool {
+    let own = grid.fleet.vms[place].settings.vm.clone();
+    let known = grid.operators.replicas(place).await.unwrap_or_default();
+    let own = known.replicas.into_iter().find(|replica| replica.vm == own);
+    own.is_some_and(|own| own.voter && own.index >= Some(index))
+}
+
+/// Readmits `vm` through whichever of `places` leads.
+async fn readmit(grid: &Grid, places: &[usize], vm: &str) {
+    let path = format!("replicas/{vm}/readmit");
+    eventually("the replica is readmitted", async || {
+        for place in places {
+            let reply = grid.operators.send(*place, Method::POST, &path, &Value::Null).await;
+            if reply.is_some_and(|reply| reply.status == 200) {
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+}
+
+#[test]
+fn a_lost_disk_does_not_vote_until_readmitted_and_a_second_failure_is_survived() {
+    smol::block_on(async {
+        let mut grid = Grid::start(&REGIONS).await;
+        let second = grid.operators.commit(&[0, 1, 2], "plans", &plans(2, "second")).await;
+        assert_eq!(second.version, 2);
+        lose_disk(&mut grid, 0).await;
+        eventually("the VM is seen to be empty", async || {
+            is_empty(&grid, &[1, 2], "jakarta-1").await
+        })
+        .await;
+        grid.fleet.vms[1].kill();
+        for _ in 0..3 {
+            let reply = grid.operators.change(2, "plans", &plans(3, "lone")).await;
+            assert!(reply.is_none_or(|reply| reply.status != 200), "an empty replica voted");
+        }
+        grid.fleet.vms[1].start();
+        grid.fleet.vms[1].ready().await;
+        readmit(&grid, &[1, 2], "jakarta-1").await;
+        eventually("it counts again", async || is_voter(&grid, 0, 1).await).await;
+        grid.fleet.vms[1].kill();
+        let third = grid.operators.commit(&[0, 2], "plans", &plans(3, "lone")).await;
+        assert!(third.committed);
+        eventually("both serve the newest", async || {
+            let first = grid.operators.served(0).await;
+            first == Some((3, 1)) && grid.operators.served(2).await == first
+        })
+        .await;
+        let again = grid.operators.commit(&[0], "plans", &plans(2, "second")).await;
+        assert_eq!(again.version, 2, "what was accepted before the loss stands");
+    });
+}
+
+async fn book(grid: &Grid, place: usize, key: &str) -> Option<Reply> {
+    let caller = Caller::new("sample-key-crew-leads").with("idempotency-key", key);
+    let (vm, path) = (grid.operators.vms[place], "/v1/services/jobs/book");
+    caller.send(vm, Method::POST, path, "crew 7".to_owned()).await.ok()
+}
+
+fn runs(service: &Service, key: &str) -> usize {
+    service.calls().iter().filter(|call| call.key.as_deref() == Some(key)).count()
+}
+
+#[test]
+fn a_home_that_lost_its_disk_runs_nothing_until_an_operator_accepts_the_risk() {
+    smol::block_on(async {
+        let mut grid = Grid::start(&REGIONS).await;
+        let vms = [grid.operators.vms[2]];
+        let (service, _reporter) =
+            targets::plain("jobs-1", "bandung", "jobs", &vms, Duration::ZERO).await;
+        eventually("a call is answered", async || {
+            book(&grid, 1, "k-1").await.is_some_and(|reply| reply.status == 200)
+        })
+        .await;
+        // A kill without a loss leaves the home able to vouch.
+        grid.fleet.vms[0].kill();
+        grid.fleet.vms[0].start();
+        grid.fleet.vms[0].ready().await;
+        eventually("the home is back", async || {
+            book(&grid, 1, "k-2").await.is_some_and(|reply| reply.status == 200)
+        })
+        .await;
+        lose_disk(&mut grid, 0).await;
+        readmit(&grid, &[1, 2], "jakarta-1").await;
+        eventually("it counts again", async || is_voter(&grid, 0, 1).await).await;
+        let mut refused = 0;
+        eventually("the home refuses for its lost disk", async || {
+            for key in ["k-1", "k-3"] {
+                let reply = book(&grid, 1, key).await.expect("a reply");
+                assert_eq!(reply.outcome(), "refused", "{}", reply.body_text());
+                refused += u32::from(!reply.body_text().contains("did not decide"));
+            }
+            refused >= 20
+        })
+        .await;
+        assert_eq!((runs(&service, "k-1"), runs(&service, "k-3")), (1, 0));
+        let wrong = json!({ "words": "go on", "operator": "test" });
+        let refused = grid.operators.send(0, Method::POST, "claims/accept-risk", &wrong).await;
+        assert_eq!(refused.map(|reply| reply.status), Some(409));
+        let words = json!({ "words": RISK_ACCEPTED, "operator": "test" });
+        let taken = grid.operators.send(0, Method::POST, "claims/accept-risk", &words).await;
+        assert_eq!(taken.map(|reply| reply.status), Some(200));
+        eventually("calls run again", async || {
+            book(&grid, 1, "k-3").await.is_some_and(|reply| reply.status == 200)
+        })
+        .await;
+        assert_eq!(runs(&service, "k-3"), 1);
+    });
+}
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -225,3 +225,22 @@
         assert!(bytes < BUDGET, "{what}: {bytes} B/s");
     }
 }
+
+#[test]
+fn a_silent_region_counts_as_serving_and_a_vm_that_its_region_gave_up_does_not() {
+    let mut net = Net::new(&[2, 2]);
+    net.run(60, |_, _| true);
+    let (here, there) = (net.peers[0].vm.clone(), net.peers[2].region.clone());
+    let serving = |net: &Net| {
+        let peers = net.cores[&here].serving(net.now);
+        peers.into_iter().filter(|peer| peer.region == there).count()
+    };
+    assert_eq!(serving(&net), 2);
+    net.run(300, |from, to| from.as_str()[..9] == to.as_str()[..9]);
+    let gone = net.cores[&here].members(net.now).filter(|(_, state)| *state == State::Gone);
+    assert_eq!(gone.count(), 2, "they are gone as far as callers are concerned");
+    assert_eq!(serving(&net), 2, "a region that is cut off may serve its callers");
+    let dead = net.peers[3].vm.clone();
+    net.run(300, |from, to| *from != dead && *to != dead);
+    assert_eq!(serving(&net), 1, "its own region goes on without it");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,5 +3,7 @@
 
 pub mod cluster;
 pub mod fleet;
+pub mod grid;
+pub mod history;
 pub mod proxy;
 pub mod targets;
