Keep new work from VMs under a planned stop

Cause: the directory and hand-overs chose among all living VMs and did not look at the planned stops, and a VM under a stop refused without naming another one.

A VM that starts joins through any living peer, whether under a stop or not.

--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -148,10 +148,15 @@
     /// Only `regions` count, or all where there are none. VMs that are leaving, suspect or gone
     /// are named only where there is no other.
     pub fn directory(&mut self, regions: &[id::Region], now: Instant) -> Vec<Peer> {
+        self.directory_of(now, |peer| regions.is_empty() || regions.contains(&peer.region))
+    }
+
+    /// The same, of the VMs for which `counts` holds.
+    pub fn directory_of(&mut self, now: Instant, counts: impl Fn(&Peer) -> bool) -> Vec<Peer> {
         let mut ranked = Vec::new();
         let entries: Vec<(Peer, u32, State)> = self
             .members(now)
-            .filter(|(entry, _)| regions.is_empty() || regions.contains(&entry.peer.region))
+            .filter(|(entry, _)| counts(&entry.peer))
             .map(|(entry, state)| (self.reach(entry), entry.load, state))
             .collect();
         let best = entries.iter().map(|(_, _, state)| *state).min();
--- a/src/vm/gossip.rs
+++ b/src/vm/gossip.rs
@@ -39,7 +39,8 @@
         }
         let mut peers = self.members().neighbours(now);
         if peers.is_empty() {
-            peers = self.peers_in(&[]);
+            peers = self.peers();
+            peers.retain(|peer| peer.vm != self.settings.vm);
         }
         let limit = async {
             Timer::after(JOIN_LIMIT).await;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -247,10 +247,20 @@
         lock(&self.members)
     }
 
+    /// The VMs of `regions`, or of all where there are none, that are under no planned stop, best
+    /// first.
+    pub(super) fn usable(&self, regions: &[id::Region]) -> Vec<Peer> {
+        let now = self.clock.now();
+        let stops = self.stops();
+        self.members().directory_of(now, |peer| {
+            let wanted = regions.is_empty() || regions.contains(&peer.region);
+            wanted && !stops.vm(&peer.vm, &peer.zone, &peer.region)
+        })
+    }
+
     /// The other VMs of `regions` to hand a request to or to name to a caller, best first.
     pub(super) fn peers_in(&self, regions: &[id::Region]) -> Vec<Peer> {
-        let now = self.clock.now();
-        let mut peers = self.members().directory(regions, now);
+        let mut peers = self.usable(regions);
         peers.retain(|peer| peer.vm != self.settings.vm);
         peers
     }
--- a/src/vm/routes.rs
+++ b/src/vm/routes.rs
@@ -32,8 +32,7 @@
     }
 
     fn directory(&self, query: Option<&str>) -> Response<Body> {
-        let now = self.clock.now();
-        let vms = self.members().directory(&regions(query), now).into_iter().map(|peer| Entry {
+        let vms = self.usable(&regions(query)).into_iter().map(|peer| Entry {
             vm: peer.vm,
             region: peer.region,
             zone: peer.zone,
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -19,7 +19,7 @@
     http::{self, Body, Incomplete},
     id,
     outcome::{Outcome, Reason, Refusal},
-    path::{self, Admitted, Answer, Attempts, Authenticated, Class, Received},
+    path::{self, Admitted, Answer, Attempts, Class, Received},
     settings::Peer,
     target::Announcement,
 };
@@ -70,11 +70,11 @@
         id: id::Request,
         request: Request<Incoming>,
     ) -> Result<path::Request<Admitted>, Refusal> {
-        if self.is_stopping() {
-            return Err(stopping());
-        }
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        if self.is_stopping() {
+            return Err(self.redirect(stopping(), &[], &path));
+        }
         let received = path::Request {
             id,
             book: self.current_book().await?,
@@ -88,9 +88,10 @@
             stage: Received { headers: head.headers },
         };
         let request = received.authenticate()?;
-        request
-            .permit_region(&self.settings.region)
-            .map_err(|refusal| self.redirect(refusal, &request))?;
+        request.permit_region(&self.settings.region).map_err(|refusal| {
+            let regions = &request.stage.allowance.regions;
+            self.redirect(refusal, regions, &request.path)
+        })?;
         let body = self.read(body, request.left(self.clock.now())).await?;
         request.resolve(&self.names, body)?.allow()?.admit(&self.admission).await
     }
@@ -109,11 +110,10 @@
         Ok(self.clock.now() + Duration::from_millis(timeout).min(self.settings.deadline()))
     }
 
-    /// Names a VM that stands in a permitted region, where one is known.
-    fn redirect(&self, refusal: Refusal, request: &path::Request<Authenticated>) -> Refusal {
-        let regions = &request.stage.allowance.regions;
+    /// Names another VM of `regions`, or of any where there are none, if one is known.
+    fn redirect(&self, refusal: Refusal, regions: &[id::Region], path: &str) -> Refusal {
         match self.peers_in(regions).first() {
-            Some(peer) => refusal.location(format!("http://{}{}", peer.callers, request.path)),
+            Some(peer) => refusal.location(format!("http://{}{path}", peer.callers)),
             None => refusal,
         }
     }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -117,6 +117,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Asks the process to stop, without waiting for its end.
+    pub fn ask_to_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Asks the process to stop and gives its exit code.
     pub fn terminate(&mut self) -> Option<i32> {
         self.signal(Signal::TERM);
