Operate planned stops, replicas, claims and ways with the tool; tell a leave at once

A VM that stopped told the others with the number of its latest heartbeat, so VMs that knew it dropped the news and went on naming the VM; and a change waited for VMs that had left.

Change: a leave counts as a heartbeat; a change no longer waits for VMs that have announced their stop. The tool accepts the risk of reruns, finds the leader for readmitting and removing a replica, joins what each VM on a request's way knows (hand-overs are noted under its identifier), checks both lists against the names, and puts the operator's file before each fault.

Ruled out: excluding suspect VMs from what a change waits for; they may still decide.

--- a/src/admin/problem.rs
+++ b/src/admin/problem.rs
@@ -5,7 +5,7 @@
 /// Why a request of an operator was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Problem {
-    /// The kind, such as `not_built`.
+    /// The kind, such as `conflict`.
     pub kind: String,
     /// What was found.
     pub detail: String,
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -20,6 +20,9 @@
     pub versions: Versions,
     /// The VMs that it does not take for gone, itself included.
     pub members: Vec<Member>,
+    /// The VMs that hold the lists, as its settings name them.
+    #[serde(default)]
+    pub replicas: Vec<id::Vm>,
     /// The targets of its region that may get new work.
     pub targets: Vec<Target>,
     /// What other regions can serve.
--- a/src/admin/trail.rs
+++ b/src/admin/trail.rs
@@ -9,6 +9,8 @@
 /// What became of one request, without its body or key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Way {
+    /// The VM that noted it.
+    pub vm: id::Vm,
     /// The request.
     pub request: id::Request,
     /// The customer; nothing where the key is unknown.
--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -129,11 +129,13 @@
         digest.members.iter().filter_map(|member| self.merge_one(member, now)).collect()
     }
 
-    /// Marks this VM as leaving; the next heartbeats tell the others.
+    /// Marks this VM as leaving, as a heartbeat of its own, so that VMs which know the latest one
+    /// take it.
     pub fn leave(&mut self) {
         let this = self.this.clone();
         if let Some(entry) = self.entries.get_mut(&this) {
             entry.leaving = true;
+            entry.beat += 1;
         }
     }
 
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -4,7 +4,9 @@
 mod command;
 mod diff;
 mod error;
+mod fleet;
 mod help;
+mod lists;
 mod options;
 mod print;
 
--- a/src/tool/client.rs
+++ b/src/tool/client.rs
@@ -37,6 +37,17 @@
         Ok(Self { vms: options.vms.clone(), key: key.trim().to_owned() })
     }
 
+    /// The same client for one VM alone.
+    #[must_use]
+    pub fn at(&self, vm: SocketAddr) -> Self {
+        Self { vms: vec![vm], key: self.key.clone() }
+    }
+
+    /// The VMs that it asks, in order.
+    pub fn vms(&self) -> &[SocketAddr] {
+        &self.vms
+    }
+
     /// Gets what stands at `path` below the API's base.
     ///
     /// # Errors
--- a/src/tool/command.rs
+++ b/src/tool/command.rs
@@ -10,9 +10,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 
-use super::{Client, Error, Options, diff, print};
+use super::{Client, Error, Options, diff, fleet, lists, print};
 use crate::{
-    admin::{Applied, Change, Replicas, Status, Stop, Stops, Way},
+    admin::{Applied, Change, Status, Stop, Stops},
     figure::Snapshot,
     id,
     list::{self, Allowance, Plan, digest},
@@ -32,7 +32,7 @@
     Help,
     /// Check a settings file.
     Check(PathBuf),
-    /// Check the form of the plans and allowances.
+    /// Check the plans and allowances, against the names where a catalogue is given.
     CheckLists(PathBuf, PathBuf),
     /// Print the digest of the key on standard input.
     KeyDigest,
@@ -58,6 +58,10 @@
     Replicas,
     /// Readmit a replica that lost its disk.
     Readmit(id::Vm),
+    /// Remove a replica.
+    Remove(id::Vm),
+    /// Accept, as the operator named and in the words given, that calls may run a second time.
+    AcceptRisk(String, String),
 }
 
 /// One of the two lists.
@@ -102,7 +106,9 @@
     match &options.command {
         Command::Help => Ok(super::HELP.to_owned().into()),
         Command::Check(path) => check(path),
-        Command::CheckLists(plans, allowances) => check_lists(plans, allowances),
+        Command::CheckLists(plans, allowances) => {
+            lists::check(plans, allowances, options.names.as_deref())
+        }
         Command::KeyDigest => key_digest(),
         command => ask(command, options),
     }
@@ -113,9 +119,7 @@
     match command {
         Command::Status => show(&client.get::<Status>("/status")?, options, print::status),
         Command::Figures => show(&client.get::<Snapshot>("/figures")?, options, print::figures),
-        Command::Way(id) => {
-            show(&client.get::<Way>(&format!("/requests/{id}"))?, options, print::way)
-        }
+        Command::Way(id) => show(&fleet::ways(&client, id)?, options, |ways| print::ways(ways)),
         Command::Get(List::Plans) => json(&client.get::<list::List<Plan>>("/plans")?),
         Command::Get(List::Allowances) => {
             json(&client.get::<list::List<Allowance>>("/allowances")?)
@@ -127,11 +131,10 @@
         Command::Stops => json(&client.get::<Stops>("/stops")?),
         Command::Announce(scope) => stop(&client, &Method::POST, scope, options),
         Command::Withdraw(scope) => stop(&client, &Method::DELETE, scope, options),
-        Command::Replicas => json(&client.get::<Replicas>("/replicas")?),
-        Command::Readmit(vm) => {
-            let path = format!("/replicas/{vm}/readmit");
-            json(&client.ask::<_, Replicas>(&Method::POST, &path, &())?)
-        }
+        Command::Replicas => json(&fleet::replicas(&client)?),
+        Command::Readmit(vm) => json(&fleet::readmit(&client, vm)?),
+        Command::Remove(vm) => json(&fleet::remove(&client, vm)?),
+        Command::AcceptRisk(operator, words) => json(&fleet::accept(&client, operator, words)?),
         other => Err(Error::Usage(format!("{other:?} asks no VM"))),
     }
 }
@@ -141,13 +144,6 @@
     Ok(format!("{}the settings are valid\n", loaded.warnings.report()).into())
 }
 
-fn check_lists(plans: &Path, allowances: &Path) -> Result<Output, Error> {
-    let plans: list::List<Plan> = read(plans)?;
-    let allowances: list::List<Allowance> = read(allowances)?;
-    let (plans, allowances) = (plans.entries.len(), allowances.entries.len());
-    Ok(format!("the form is valid: {plans} plans, {allowances} allowances\n").into())
-}
-
 fn key_digest() -> Result<Output, Error> {
     let mut key = String::new();
     std::io::stdin()
@@ -184,7 +180,9 @@
     let text = fs::read_to_string(path).map_err(|cause| Error::file(path, &cause))?;
     let raw: &RawValue = serde_json::from_str(&text).map_err(|cause| Error::file(path, &cause))?;
     let change = Change { list: raw, dry_run: options.dry_run, wait_ms: 0 };
-    settle(options, || client.ask(&Method::PUT, list.path(), &change))
+    settle(options, || {
+        client.ask(&Method::PUT, list.path(), &change).map_err(|error| error.within(path))
+    })
 }
 
 fn stop(
@@ -212,7 +210,7 @@
     Ok(Output { text: pretty(&applied)?, code })
 }
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+pub(super) fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
     let text = fs::read_to_string(path).map_err(|cause| Error::file(path, &cause))?;
     let mut reader = serde_json::Deserializer::from_str(&text);
     serde_path_to_error::deserialize(&mut reader).map_err(|cause| Error::file(path, &cause))
--- a/src/tool/help.rs
+++ b/src/tool/help.rs
@@ -7,8 +7,8 @@
 Commands without a VM:
   check <settings.json>          check a settings file
       pomelogate check samples/kapsul-bersih/vms/jakarta-1.json
-  check-lists <plans> <allowances>   check the form of two lists
-      pomelogate check-lists plans.json allowances.json
+  check-lists <plans> <allowances>   check two lists: their form, and with `--names` all of it
+      pomelogate check-lists plans.json allowances.json --names names.json
   key digest                     print the digest of the key on standard input
       printf %s \"$KEY\" | pomelogate key digest
 
@@ -17,7 +17,7 @@
       pomelogate status --vm 127.0.0.1:7101 --key-file operator.key
   figures                        counters and histograms for each customer and class
       pomelogate figures --vm 127.0.0.1:7101 --key-file operator.key --json
-  way <request>                  the way that a recent request took
+  way <request>                  the way of a recent request, as each VM on it knows it
       pomelogate way 00c0ffee00c0ffee --vm 127.0.0.1:7101 --key-file operator.key
   plans get                      print the plans in force
   plans diff <file>              compare them with a file
@@ -25,21 +25,27 @@
   allowances diff <file>         compare them with a file
       pomelogate plans diff plans.json --vm 127.0.0.1:7101 --key-file operator.key
 
-Commands for which a VM's side is not built yet; the VM refuses them (exit code 1):
+Commands that change something:
   plans apply <file>             make the plans in a file those in force
       pomelogate plans apply plans.json --dry-run --vm 127.0.0.1:7101 --key-file operator.key
   allowances apply <file>        the same for the allowances
-  stop list                      show the planned stops
+  stop list                      show the planned stops; changes nothing
   stop announce <kind> <name>    announce a planned stop of a target, vm, zone or region
       pomelogate stop announce vm jakarta-2 --vm 127.0.0.1:7101 --key-file operator.key
   stop withdraw <kind> <name>    withdraw it
-  replica status                 show the replicas of the lists
-  replica readmit <vm>           readmit a replica that lost its disk
+  replica status                 show the replicas of the lists; changes nothing
+  replica readmit <vm>           have the leader readmit a replica that lost its disk, or admit a new one
       pomelogate replica readmit jakarta-1 --vm 127.0.0.1:7102 --key-file operator.key
+  replica remove <vm>            have the leader remove a replica
+  claims accept-risk <operator> <words>   after a lost disk: say that calls may run twice;
+                                 asks the one VM named, for its region
+      pomelogate claims accept-risk rina 'calls made before may run a second time' \\
+        --vm 127.0.0.1:7101 --key-file operator.key
 
 Options:
   --vm <address>       a VM's IP number and port; repeat it to name VMs to try next
   --key-file <file>    the file that holds the operator's key
+  --names <file>       the catalogue of names, for `check-lists`
   --json               print JSON, for machines
   --dry-run            check a change, but don't make it
   --wait               wait up to a minute until a change is in force everywhere
@@ -50,7 +56,7 @@
 ";
 
 /// The first words of the commands.
-const WORDS: [&str; 10] = [
+const WORDS: [&str; 11] = [
     "check",
     "check-lists",
     "key",
@@ -61,6 +67,7 @@
     "allowances",
     "stop",
     "replica",
+    "claims",
 ];
 const LARGEST_DISTANCE: usize = 3;
 
--- a/src/tool/options.rs
+++ b/src/tool/options.rs
@@ -14,6 +14,8 @@
     pub vms: Vec<SocketAddr>,
     /// The file that holds the operator's key.
     pub key_file: Option<PathBuf>,
+    /// The catalogue of names against which lists are checked.
+    pub names: Option<PathBuf>,
     /// Whether to print JSON.
     pub json: bool,
     /// Whether a change is only checked.
@@ -45,6 +47,7 @@
             command: Command::Help,
             vms: Vec::new(),
             key_file: None,
+            names: None,
             json: false,
             dry_run: false,
             wait: false,
@@ -56,6 +59,7 @@
             match argument {
                 Arg::Long("vm") => options.vms.push(parser.value()?.parse()?),
                 Arg::Long("key-file") => options.key_file = Some(parser.value()?.into()),
+                Arg::Long("names") => options.names = Some(parser.value()?.into()),
                 Arg::Long("json") => options.json = true,
                 Arg::Long("dry-run") => options.dry_run = true,
                 Arg::Long("wait") => options.wait = true,
@@ -89,6 +93,10 @@
         ["stop", "withdraw", kind, name] => Ok(Command::Withdraw(scope(kind, name)?)),
         ["replica", "status"] => Ok(Command::Replicas),
         ["replica", "readmit", vm] => Ok(Command::Readmit(id::Vm::from(*vm))),
+        ["replica", "remove", vm] => Ok(Command::Remove(id::Vm::from(*vm))),
+        ["claims", "accept-risk", operator, words] => {
+            Ok(Command::AcceptRisk((*operator).to_owned(), (*words).to_owned()))
+        }
         [] => Err(Error::Usage("there is no command; see `pomelogate --help`".to_owned())),
         [word, ..] => Err(unknown(word)),
     }
--- a/src/tool/print.rs
+++ b/src/tool/print.rs
@@ -78,12 +78,17 @@
     )
 }
 
-pub(super) fn way(way: &Way) -> String {
+pub(super) fn ways(ways: &[Way]) -> String {
+    ways.iter().map(way).collect()
+}
+
+fn way(way: &Way) -> String {
     let customer = way.customer.as_ref().map_or("(unknown)", |customer| customer.as_str());
     let reason = way.reason.map(|reason| format!(" ({})", word(&reason))).unwrap_or_default();
     let trail = if way.way.is_empty() { "(no target)" } else { &way.way };
     format!(
-        "request {} of {customer}: {} {}{reason} in {} ms\nway: {trail}\n",
+        "{}: request {} of {customer}: {} {}{reason} in {} ms\n  way: {trail}\n",
+        way.vm,
         way.request,
         way.status,
         word(&way.outcome),
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -50,6 +50,7 @@
             (&Method::DELETE, ["stops"]) => answer(self.stop(body, false).await),
             (&Method::GET, ["replicas"]) => answer(self.replica_states()),
             (&Method::POST, ["replicas", vm, "readmit"]) => answer(self.readmit(vm).await),
+            (&Method::DELETE, ["replicas", vm]) => answer(self.remove_replica(vm).await),
             (&Method::POST, ["claims", "accept-risk"]) => answer(self.accept(body).await),
             _ => problem(StatusCode::NOT_FOUND, &no_such_path(&steps.join("/"))),
         }
@@ -80,6 +81,7 @@
                 allowances: book.allowances().version,
             },
             members: members.collect(),
+            replicas: self.settings.replicas.clone(),
             targets: targets.usable(now).map(target).collect(),
             elsewhere: targets.capacities(now).map(elsewhere).collect(),
         }
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -76,6 +76,8 @@
         mut exchange: Exchange,
     ) {
         let _busy = self.busy();
+        let start = self.clock.now();
+        let (request, customer) = (handover.request.clone(), handover.customer.clone());
         let limit = self.settings.body_limit;
         let time = Duration::from_millis(handover.deadline_ms);
         let Some(Some(body)) = within(time, read_body(&mut exchange, limit)).await else { return };
@@ -84,7 +86,9 @@
             Either::Left((outcome, _)) => outcome,
             Either::Right(_) => return,
         };
-        answer(exchange, outcome).await;
+        let way = self.taken_over(request.into(), customer.into(), &outcome);
+        let whole = answer(exchange, outcome).await;
+        self.note_end(way, start, whole);
     }
 
     async fn run(
@@ -189,17 +193,18 @@
     }
 }
 
-/// Sends the outcome back, stopping the work when the other VM's caller goes away.
-async fn answer(mut exchange: Exchange, outcome: Outcome<Answer>) {
+/// Sends the outcome back, stopping the work when the other VM's caller goes away; whether all of it went
+/// out.
+async fn answer(mut exchange: Exchange, outcome: Outcome<Answer>) -> bool {
     let mut answer = match outcome {
         Outcome::Answered(answer) => answer,
         Outcome::Refused(refusal) => {
             let _ = exchange.send(Body::Abort(abort(&refusal))).await;
-            return;
+            return true;
         }
         Outcome::Unknown(cause) => {
             let _ = exchange.send(Body::Abort(uncertain(cause))).await;
-            return;
+            return true;
         }
     };
     let mut head = std::mem::take(&mut answer.head);
@@ -208,24 +213,26 @@
         value: answer.way.join(" > ").into_bytes(),
     });
     if exchange.send(Body::Head(head)).await.is_err() {
-        return;
+        return false;
     }
     loop {
         let part = match select(pin!(answer.next()), pin!(exchange.receive())).await {
             Either::Left((part, _)) => part,
-            Either::Right(_) => return,
+            Either::Right(_) => return false,
         };
         let last = !matches!(part, Part::Chunk(_));
+        let whole = part == Part::End;
         let body = match part {
             Part::Chunk(bytes) => Body::Chunk(Chunk { bytes }),
             Part::End => Body::End(End {}),
             Part::Abort(cause) => Body::Abort(uncertain(cause.into())),
         };
         if exchange.send(body).await.is_err() {
-            return;
+            return false;
         }
         if last {
-            return exchange.finish();
+            exchange.finish();
+            return whole;
         }
     }
 }
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::BTreeSet,
     fs,
     path::Path,
     sync::{Arc, MutexGuard},
@@ -16,7 +15,6 @@
 use crate::{
     event, id,
     list::{self, Book, Draft, Fault, Kind, Known},
-    name::Kind as Named,
     outcome::{Reason, Refusal},
     settings::Peer,
     state::{
@@ -295,7 +293,7 @@
     /// What every known VM serves, gathered from the replicas.
     pub(super) async fn progress(&self) -> Progress {
         let mut progress = Progress::default();
-        for peer in self.peers() {
+        for peer in self.deciding() {
             progress.expect(peer.vm, peer.region);
         }
         let asked = self.replicas().into_iter().map(|replica| async move {
@@ -352,13 +350,7 @@
 
     /// The canonical names that lists may use.
     pub(super) fn known(&self) -> Known {
-        let names = |kind| self.names.names(kind);
-        Known {
-            regions: names(Named::Region).map(id::Region::from).collect(),
-            models: names(Named::Model).map(id::Model::from).collect(),
-            services: names(Named::Service).map(id::Service::from).collect(),
-            schemes: self.names.schemes().map(ToString::to_string).collect::<BTreeSet<_>>(),
-        }
+        Known::from(&self.names)
     }
 
     pub(super) fn follower(&self) -> MutexGuard<'_, Follower> {
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -273,6 +273,14 @@
         alive.map(|(entry, _)| entry.peer.clone()).collect()
     }
 
+    /// Every VM that may decide on new requests: none that has announced that it stops.
+    pub(super) fn deciding(&self) -> Vec<Peer> {
+        let now = self.clock.now();
+        let members = self.members();
+        let deciding = members.members(now).filter(|(_, state)| *state < member::State::Leaving);
+        deciding.map(|(entry, _)| entry.peer.clone()).collect()
+    }
+
     /// How to reach `vm`, alive or not.
     pub(super) fn peer(&self, vm: &id::Vm) -> Option<Peer> {
         let now = self.clock.now();
--- a/src/vm/observe.rs
+++ b/src/vm/observe.rs
@@ -18,7 +18,7 @@
     figure::{Outcome, Sample},
     http::{self, Body, Broken},
     id,
-    outcome::Reason,
+    outcome::{Outcome as Answered, Reason},
     path::{self, Class},
 };
 
@@ -59,6 +59,7 @@
             _ => (body, None),
         };
         let way = Way {
+            vm: self.settings.vm.clone(),
             request: id::Request::from(text(&head.headers, path::REQUEST)),
             customer,
             status: head.status.as_u16(),
@@ -80,6 +81,40 @@
         self.book()?.holder(key).map(|plan| plan.customer.clone())
     }
 
+    /// The way of a request that another VM handed over, under the identifier that it has there.
+    pub(super) fn taken_over(
+        &self,
+        request: id::Request,
+        customer: id::Customer,
+        outcome: &Answered<path::Answer>,
+    ) -> Way {
+        let (status, word, reason, way) = match outcome {
+            Answered::Answered(answer) => {
+                let status = u16::try_from(answer.head.status).unwrap_or_default();
+                (status, Outcome::Answered, None, answer.way.join(" > "))
+            }
+            Answered::Refused(refusal) => {
+                let status = path::refusal(&request, refusal).status().as_u16();
+                (status, Outcome::Refused, Some(refusal.reason), String::new())
+            }
+            Answered::Unknown(doubt) => {
+                let status = path::unknown(&request, doubt).status().as_u16();
+                (status, Outcome::Unknown, None, String::new())
+            }
+        };
+        let (vm, customer, outcome) = (self.settings.vm.clone(), Some(customer), word);
+        Way { vm, request, customer, status, outcome, reason, way, total_ms: 0 }
+    }
+
+    /// Keeps the way of a request that another VM handed over, once its answer has ended.
+    pub(super) fn note_end(&self, mut way: Way, start: Instant, whole: bool) {
+        if !whole && way.outcome == Outcome::Answered {
+            way.outcome = Outcome::Unknown;
+        }
+        way.total_ms = millis(self.clock.now() - start);
+        self.trail().push(way);
+    }
+
     fn is_elsewhere(&self, way: &str) -> bool {
         way.split(" > ").any(|step| {
             let peer = self.peer(&id::Vm::from(step));
@@ -116,8 +151,7 @@
             between: if answered { &self.between } else { &[] },
             engine: if answered { total } else { Duration::ZERO },
         });
-        let total_ms = u64::try_from(total.as_millis()).unwrap_or(u64::MAX);
-        self.vm.trail().push(Way { total_ms, ..self.way });
+        self.vm.trail().push(Way { total_ms: millis(total), ..self.way });
     }
 }
 
@@ -196,6 +230,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn length(headers: &HeaderMap) -> Option<u64> {
     text(headers, CONTENT_LENGTH.as_str()).parse().ok()
 }
--- a/src/vm/operate.rs
+++ b/src/vm/operate.rs
@@ -102,6 +102,16 @@
         self.replica_states()
     }
 
+    /// Removes the replica of a VM.
+    pub(super) async fn remove_replica(&self, vm: &str) -> Result<Replicas, Refused> {
+        let lists = self.agreement.lists.as_ref().ok_or_else(|| self.no_replica())?;
+        lists
+            .remove(id::Vm::from(vm), MEMBERSHIP)
+            .await
+            .map_err(|failure| not_changed(&failure))?;
+        self.replica_states()
+    }
+
     /// Takes an operator's word that calls made before may run a second time.
     pub(super) async fn accept(&self, body: &[u8]) -> Result<Risk, Refused> {
         let risk = read::<Risk>(body).map_err(|problem| (StatusCode::BAD_REQUEST, problem))?;
@@ -176,9 +186,11 @@
 
 fn not_changed(failure: &Failure) -> Refused {
     let (status, kind, remedy) = match failure {
-        Failure::NotLeader(_) | Failure::Refused(Denied::NotLeader(_)) => {
-            (StatusCode::CONFLICT, "not_leader", "name the leader with `--vm`")
-        }
+        Failure::NotLeader(_) | Failure::Refused(Denied::NotLeader(_)) => (
+            StatusCode::CONFLICT,
+            "not_leader",
+            "ask the leader, which `GET /admin/v1/replicas` names",
+        ),
         Failure::Unknown => (StatusCode::BAD_GATEWAY, "unknown", "look at the replicas again"),
         Failure::Refused(_) | Failure::Stopped => {
             (StatusCode::CONFLICT, "refused", "look at the replicas")
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -225,3 +225,18 @@
         assert!(bytes < BUDGET, "{what}: {bytes} B/s");
     }
 }
+
+#[test]
+fn a_leave_told_between_two_heartbeats_is_taken() {
+    let mut net = Net::new(&[2]);
+    net.run(3, |_, _| true);
+    let (vm, other) = (net.peers[0].vm.clone(), net.peers[1].vm.clone());
+    let now = net.now;
+    let leaver = net.cores.get_mut(&vm).expect("it runs");
+    leaver.leave();
+    let digest = leaver.digest(now);
+    let hearer = net.cores.get_mut(&other).expect("it runs");
+    hearer.merge(&digest, now);
+    let named: Vec<_> = hearer.directory(&[], now).into_iter().map(|peer| peer.vm).collect();
+    assert_eq!(named, [other]);
+}
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -24,7 +24,7 @@
     Pace { first: Duration::from_millis(5), between: Duration::from_millis(100), tokens: 1 };
 const WORDS: usize = 50;
 
-/// Two regions with a model in both, and an operator.
+/// Three regions, a model in two of them, and an operator.
 struct Place {
     fleet: Fleet,
     near: (Engine, Reporter),
@@ -36,7 +36,7 @@
     async fn start() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         fs::write(folder.path().join("operator.key"), KEY).expect("the key written");
-        let settings = deployment(&samples(), &[("jakarta", 2), ("surabaya", 1)]);
+        let settings = deployment(&samples(), &[("jakarta", 2), ("surabaya", 1), ("bandung", 1)]);
         let operators = vec![list::digest(KEY)];
         let settings = with_disks(settings, folder.path())
             .into_iter()
@@ -54,7 +54,7 @@
     }
 
     fn vms(&self) -> Vec<SocketAddr> {
-        (0..3).map(|place| self.fleet.callers(place)).collect()
+        (0..4).map(|place| self.fleet.callers(place)).collect()
     }
 
     /// Waits until a request through `vm` is answered.
@@ -70,8 +70,9 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_pomelogate"));
         command.arg("stop").args(words).args(["--wait", "--key-file"]);
         command.arg(self.folder.path().join("operator.key"));
-        command.args(["--vm", &self.fleet.callers(0).to_string()]);
-        command.args(["--vm", &self.fleet.callers(2).to_string()]);
+        for vm in [self.fleet.callers(0), self.fleet.callers(2)] {
+            command.args(["--vm", &vm.to_string()]);
+        }
         let output = smol::unblock(move || command.output()).await.expect("the tool runs");
         assert_eq!(output.status.code(), Some(0), "{words:?}: {output:?}");
     }
@@ -115,7 +116,7 @@
         let stream = place.stream().await;
         place.stop(&["announce", "vm", "jakarta-1"]).await;
         for vm in place.vms() {
-            assert_eq!(place.directory(vm).await, names(&["jakarta-2", "surabaya-1"]));
+            assert_eq!(place.directory(vm).await, names(&["bandung-1", "jakarta-2", "surabaya-1"]));
         }
         let refused = ask(stopped).await.unwrap();
         assert_eq!((refused.status, refused.outcome()), (503, "refused"));
@@ -127,7 +128,7 @@
         place.stop(&["withdraw", "vm", "jakarta-1"]).await;
         assert_eq!(ask(stopped).await.unwrap().status, 200);
         for vm in place.vms() {
-            assert_eq!(place.directory(vm).await.len(), 3);
+            assert_eq!(place.directory(vm).await.len(), 4);
         }
     });
 }
@@ -136,11 +137,12 @@
 fn no_work_reaches_targets_under_a_stop_through_any_vm() {
     smol::block_on(async {
         let place = Place::start().await;
-        let all = ["jakarta-1", "jakarta-2", "surabaya-1"];
+        let all = ["bandung-1", "jakarta-1", "jakarta-2", "surabaya-1"];
+        let others = ["bandung-1", "surabaya-1"];
         let cases: [(&str, &str, &[&str]); 3] = [
             ("target", "near", &all),
-            ("zone", "jakarta-a", &all[2..]),
-            ("region", "jakarta", &all[2..]),
+            ("zone", "jakarta-a", &others),
+            ("region", "jakarta", &others),
         ];
         for (kind, name, named) in cases {
             let stream = place.stream().await;
@@ -172,11 +174,12 @@
         place.fleet.vms[0].ask_to_stop();
         for vm in [place.fleet.callers(1), place.fleet.callers(2)] {
             eventually("the directory no longer names it", async || {
-                place.directory(vm).await == names(&["jakarta-2", "surabaya-1"])
+                place.directory(vm).await == names(&["bandung-1", "jakarta-2", "surabaya-1"])
             })
             .await;
         }
         assert!(stream.await, "the stream in flight was cut off");
         assert_eq!(place.fleet.vms[0].terminate(), Some(0));
+        place.stop(&["announce", "target", "near"]).await;
     });
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -142,6 +142,11 @@
     .await;
     assert!(shown.contains("of crew-leads: 200 answered"), "{shown}");
     assert!(shown.contains("way: jakarta-1 > surabaya-1 > far\n"), "{shown}");
+    eventually("the second VM knows it too", async || {
+        let (_, text, _) = operator.run(&format!("way {request}"));
+        text.contains(&format!("surabaya-1: request {request} of crew-leads: 200 answered"))
+    })
+    .await;
     let (code, text, _) = operator.run("figures --json");
     let snapshot: Snapshot = serde_json::from_str(&text).unwrap();
     let one = &snapshot.summaries[0];
@@ -198,6 +203,7 @@
         ("stop announce vm jakarta-1", "not_committed"),
         ("replica status", "no_replica"),
         ("replica readmit jakarta-1", "no_replica"),
+        ("replica remove jakarta-1", "no_replica"),
     ];
     for (words, kind) in without_replicas {
         let (code, text, error) = operator.run(words);
