--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -129,11 +129,13 @@
         digest.members.iter().filter_map(|member| self.merge_one(member, now)).collect()
     }
 
-    /// Marks this VM as leaving; the next heartbeats tell the others.
+    /// Marks this VM as leaving, as a heartbeat of its own, so that VMs which know the latest one
+    /// take it.
     pub fn leave(&mut self) {
         let this = self.this.clone();
         if let Some(entry) = self.entries.get_mut(&this) {
             entry.leaving = true;
+            entry.beat += 1;
         }
     }
 
@@ -146,7 +148,8 @@
     /// them serves it.
     ///
     /// A VM that fell silent still counts, as it may be cut off, unless its own region goes on
-    /// without it: other VMs of the region are heard and don't name it any more.
+    /// without it: other VMs of the region are heard and don't name it any more. One that said
+    /// that it stops takes no new requests.
     pub fn serving(&self, now: Instant) -> Vec<Peer> {
         let alive: BTreeSet<&id::Region> = self
             .members(now)
@@ -154,7 +157,11 @@
             .map(|(entry, _)| &entry.peer.region)
             .collect();
         self.members(now)
-            .filter(|(entry, state)| *state != State::Gone || !alive.contains(&entry.peer.region))
+            .filter(|(entry, state)| match state {
+                State::Alive | State::Suspect => true,
+                State::Leaving => false,
+                State::Gone => !alive.contains(&entry.peer.region),
+            })
             .map(|(entry, _)| self.reach(entry))
             .collect()
     }
@@ -165,10 +172,15 @@
     /// Only `regions` count, or all where there are none. VMs that are leaving, suspect or gone
     /// are named only where there is no other.
     pub fn directory(&mut self, regions: &[id::Region], now: Instant) -> Vec<Peer> {
+        self.directory_of(now, |peer| regions.is_empty() || regions.contains(&peer.region))
+    }
+
+    /// The same, of the VMs for which `counts` holds.
+    pub fn directory_of(&mut self, now: Instant, counts: impl Fn(&Peer) -> bool) -> Vec<Peer> {
         let mut ranked = Vec::new();
         let entries: Vec<(Peer, u32, State)> = self
             .members(now)
-            .filter(|(entry, _)| regions.is_empty() || regions.contains(&entry.peer.region))
+            .filter(|(entry, _)| counts(&entry.peer))
             .map(|(entry, state)| (self.reach(entry), entry.load, state))
             .collect();
         let best = entries.iter().map(|(_, _, state)| *state).min();
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -16,7 +16,6 @@
 use crate::{
     event, id,
     list::{self, Book, Draft, Fault, Kind, Known},
-    name::Kind as Named,
     outcome::{Reason, Refusal},
     settings::Peer,
     state::{
@@ -364,13 +363,7 @@
 
     /// The canonical names that lists may use.
     pub(super) fn known(&self) -> Known {
-        let names = |kind| self.names.names(kind);
-        Known {
-            regions: names(Named::Region).map(id::Region::from).collect(),
-            models: names(Named::Model).map(id::Model::from).collect(),
-            services: names(Named::Service).map(id::Service::from).collect(),
-            schemes: self.names.schemes().map(ToString::to_string).collect::<BTreeSet<_>>(),
-        }
+        Known::from(&self.names)
     }
 
     pub(super) fn follower(&self) -> MutexGuard<'_, Follower> {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -244,3 +244,18 @@
     net.run(300, |from, to| *from != dead && *to != dead);
     assert_eq!(serving(&net), 1, "its own region goes on without it");
 }
+
+#[test]
+fn a_leave_told_between_two_heartbeats_is_taken() {
+    let mut net = Net::new(&[2]);
+    net.run(3, |_, _| true);
+    let (vm, other) = (net.peers[0].vm.clone(), net.peers[1].vm.clone());
+    let now = net.now;
+    let leaver = net.cores.get_mut(&vm).expect("it runs");
+    leaver.leave();
+    let digest = leaver.digest(now);
+    let hearer = net.cores.get_mut(&other).expect("it runs");
+    hearer.merge(&digest, now);
+    let named: Vec<_> = hearer.directory(&[], now).into_iter().map(|peer| peer.vm).collect();
+    assert_eq!(named, [other]);
+}
