Give orders to targets end to end, from one VM of each region

Cause: the controller and the fencing numbers stood, but no VM gave an order and no stand-in took one.

Change: the first relay of each region asks the leader of the lists' group twice a second for the right to give orders (order::Leases, order::Ask, order::Grant), counts the grant from before it asked, and gives its region's targets their orders over HTTP (POST /orders) within 0.4 s. A new holder gets a number that the group commits for it, after the former holder's lease, or all those of a former leader, has ended; it takes the weight store's rate as used up. Targets announce `models`, how many they can hold; one that can may announce no offers. The stand-in engine takes orders, fenced, unfenced or refusing, and loads from a stand-in store.

Each seen to fail without its mechanism: orders, thawed VM (right kept after its lease); orders, refusing target (no pause); orders, load (no limit on loads); order_leases (no wait for the holder; no wait for a former leader's leases); order_controller, take-over (rate not taken as used up). A question is 32 bytes, its answer 37.

Ruled out: one controller for all regions, as every region's targets would have to be known at one VM (57 KB/s, worked out); the term as number, as two holders of one term would share it; a reservation that outlives the grant, as it kept a successor waiting 100 ms longer than the lease (found by order_leases).

Not built: orders about adapters and roles, and an operator's own orders. The look at the clock when the connection asks for the bytes has no test of its own.

--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -124,6 +124,7 @@
         zone: id::Zone::from("jakarta-a"),
         offers: vec![offer],
         fenced: false,
+        models: 0,
         load: Load::default(),
     };
     Reporter::start(vec![vm], RENEWAL, move || announcement.clone())
--- a/examples/tour.rs
+++ b/examples/tour.rs
@@ -86,6 +86,7 @@
         zone: id::Zone::from(format!("{region}-a")),
         offers: vec![offer],
         fenced: false,
+        models: 0,
         load: Load::default(),
     };
     Reporter::start(vec![vm], RENEWAL, move || Announcement {
--- a/src/event/lists.rs
+++ b/src/event/lists.rs
@@ -41,6 +41,9 @@
 /// A target refused an order or did not answer.
 pub const ORDER_REFUSED: Event =
     Event { number: 241, severity: Severity::Warning, text: "order refused or not answered" };
+/// This VM may give orders in its region.
+pub const ORDERS_HELD: Event =
+    Event { number: 242, severity: Severity::Info, text: "VM may give orders in its region" };
 
 /// Every event of this part.
 pub const ALL: &[Event] = &[
@@ -56,4 +59,5 @@
     RISK_ACCEPTED,
     ORDER,
     ORDER_REFUSED,
+    ORDERS_HELD,
 ];
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// A controller that takes over from one whose loads it does not know: it takes the weight
+    /// store's rate as used up at `now`.
+    #[must_use]
+    pub fn resumed(settings: Settings, now: Instant) -> Self {
+        let loads = std::iter::repeat_n(now, settings.loads).collect();
+        Self { loads, ..Self::new(settings) }
+    }
+
     /// The orders to give now. Without a lease that outlasts their deadline there are none.
     pub fn decide(
         &mut self,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod link;
 mod log;
+mod orders;
 mod peer;
 mod place;
 mod problem;
@@ -17,6 +18,7 @@
     figures::Figures,
     link::Link,
     log::{Format, Level, Log},
+    orders::{Orders, Stock},
     peer::Peer,
     problem::{Problem, Severity},
     vm::{Loaded, Settings},
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -20,6 +20,8 @@
 /// The fields whose checks look at one another.
 const ADDRESSING: [&str; 8] =
     ["vm", "region", "zone", "callers", "links", "peers", "replicas", "data"];
+const ORDER_LOADS: RangeInclusive<u64> = 1..=1_000;
+const ORDER_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 const QUEUE_FRAMES: RangeInclusive<u64> = 1..=1_048_576;
 
 /// The problems of the text's form: each field is read alone, so that all errors come at once.
@@ -129,6 +131,7 @@
     problems.extend(replicas(settings));
     problems.extend(operators(settings));
     problems.extend(ranges(settings));
+    problems.extend(stocks(settings));
     problems.extend(files(settings, folder));
     problems
 }
@@ -240,6 +243,11 @@
         ("deadline_ms", settings.deadline_ms, DEADLINE_MS, "milliseconds"),
         ("link.connect_ms", settings.link.connect_ms, CONNECT_MS, "milliseconds"),
         ("link.queue", count(settings.link.queue), QUEUE_FRAMES, "frames"),
+        ("orders.loads", count(settings.orders.loads), ORDER_LOADS, "loads"),
+        ("orders.window_ms", settings.orders.window_ms, ORDER_MS, "milliseconds"),
+        ("orders.refusal_pause_ms", settings.orders.refusal_pause_ms, ORDER_MS, "milliseconds"),
+        ("orders.residence_ms", settings.orders.residence_ms, ORDER_MS, "milliseconds"),
+        ("orders.patience_ms", settings.orders.patience_ms, ORDER_MS, "milliseconds"),
     ];
     checks
         .into_iter()
@@ -252,6 +260,24 @@
         .collect()
 }
 
+fn stocks(settings: &Settings) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let mut seen = BTreeSet::new();
+    for (place, stock) in settings.orders.weights.iter().enumerate() {
+        if stock.minimum == 0 {
+            let remedy = "use at least 1 target, or leave the model out";
+            let field = format!("orders.weights[{place}].minimum");
+            problems.push(Problem::error(&field, "0 targets would never load it", remedy));
+        }
+        if !seen.insert((&stock.model, &stock.version)) {
+            let detail = format!("`{}@{}` stands here twice", stock.model, stock.version);
+            let field = format!("orders.weights[{place}]");
+            problems.push(Problem::error(&field, detail, "name each version of a model once"));
+        }
+    }
+    problems
+}
+
 fn files(settings: &Settings, folder: &Path) -> Vec<Problem> {
     let named = [
         ("names", &settings.names),
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Figures, Link, Log, Peer, check};
+use super::{Error, Figures, Link, Log, Orders, Peer, check};
 use crate::{id, path::Dispatch};
 
 /// The settings of one VM.
@@ -55,6 +55,8 @@
     pub figures: Figures,
     /// Links to other VMs.
     pub link: Link,
+    /// Orders to load and unload models.
+    pub orders: Orders,
 }
 
 /// Settings that can be used, and what is doubtful about them.
@@ -170,6 +172,7 @@
             log: Log::default(),
             figures: Figures::default(),
             link: Link::default(),
+            orders: Orders::default(),
         }
     }
 }
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -4,8 +4,10 @@
 mod deployment;
 mod engine;
 mod fault;
+mod loader;
 mod reporter;
 mod service;
+mod store;
 mod stream;
 
 pub use self::{
@@ -13,6 +15,8 @@
     deployment::{deployment, free_address, with_disks},
     engine::{Engine, Pace},
     fault::Fault,
+    loader::{Loader, Manner, Received},
     reporter::Reporter,
     service::{Call, Service},
+    store::Store,
 };
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -17,16 +17,18 @@
 use serde_json::{Value, json};
 use smol::{Task, Timer, channel::Sender, net::TcpListener};
 
-use super::{Fault, stream::Stream};
+use super::{Fault, Loader, stream::Stream};
 use crate::{
     http::{self, Body, Broken, Limits, Stop},
     id,
+    order::Answer,
     path::RESUME,
     target::Load,
 };
 
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 const STREAMS: &str = "/v1/streams/";
+const ORDERS: &str = "/orders";
 const SLOTS: u32 = 16;
 
 /// How fast a stand-in engine answers.
@@ -62,6 +64,7 @@
     name: id::Target,
     pace: Pace,
     fault: Fault,
+    loader: Option<Arc<Loader>>,
     crash: Sender<()>,
     running: AtomicU32,
     started: AtomicU64,
@@ -80,12 +83,30 @@
         Self::faulty(name, pace, Fault::None).await
     }
 
+    /// Starts an engine that takes orders.
+    ///
+    /// # Errors
+    ///
+    /// Where no port can be taken.
+    pub async fn ordered(name: id::Target, pace: Pace, loader: Arc<Loader>) -> io::Result<Self> {
+        Self::build(name, pace, Fault::None, Some(loader)).await
+    }
+
     /// Starts an engine that misbehaves as `fault` says.
     ///
     /// # Errors
     ///
     /// Where no port can be taken.
     pub async fn faulty(name: id::Target, pace: Pace, fault: Fault) -> io::Result<Self> {
+        Self::build(name, pace, fault, None).await
+    }
+
+    async fn build(
+        name: id::Target,
+        pace: Pace,
+        fault: Fault,
+        loader: Option<Arc<Loader>>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let (crash, crashed) = smol::channel::bounded(1);
@@ -93,6 +114,7 @@
             name,
             pace,
             fault,
+            loader,
             crash,
             running: AtomicU32::new(0),
             started: AtomicU64::new(0),
@@ -146,9 +168,13 @@
         if let Some(number) = request.uri().path().strip_prefix(STREAMS) {
             return self.resume(request.method(), number, request.headers());
         }
+        let is_order = request.uri().path() == ORDERS;
         let Ok(body) = http::collect(request.into_body(), BODY_LIMIT).await else {
             return problem(StatusCode::BAD_REQUEST, "the body is not whole");
         };
+        if is_order {
+            return self.take_order(&body);
+        }
         let Ok(json) = serde_json::from_slice::<Value>(&body) else {
             return problem(StatusCode::BAD_REQUEST, "the body is not JSON");
         };
@@ -173,6 +199,25 @@
         }
     }
 
+    fn take_order(&self, body: &[u8]) -> Response<Body> {
+        let Some(loader) = &self.loader else {
+            return problem(StatusCode::NOT_FOUND, "this engine takes no orders");
+        };
+        let Ok(order) = serde_json::from_slice(body) else {
+            return problem(StatusCode::BAD_REQUEST, "the body is no order");
+        };
+        let answer = loader.take(order);
+        let status = match answer {
+            Answer::Accepted => StatusCode::ACCEPTED,
+            Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Answer::StaleFence { .. } => StatusCode::CONFLICT,
+        };
+        let answer = serde_json::to_vec(&answer).unwrap_or_default();
+        let mut response = respond("application/json", http::full(answer));
+        *response.status_mut() = status;
+        response
+    }
+
     async fn plain(self: Arc<Self>, model: &str, text: &str) -> Response<Body> {
         let guard = Guard::new(&self);
         Timer::after(self.pace.first + self.pace.between * self.pace.tokens).await;
--- a/src/target/announcement.rs
+++ b/src/target/announcement.rs
@@ -24,6 +24,9 @@
     /// Whether the target refuses orders that carry an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// How many models the target can hold at once; zero where it takes no orders.
+    #[serde(default)]
+    pub models: u32,
     /// The target's load when it wrote the announcement.
     #[serde(default)]
     pub load: Load,
--- a/src/target/message.rs
+++ b/src/target/message.rs
@@ -67,6 +67,9 @@
     /// Whether the target leaves.
     #[prost(bool, tag = "14")]
     pub leaving: bool,
+    /// How many models it can hold at once.
+    #[prost(uint32, tag = "15")]
+    pub models: u32,
 }
 
 /// An [`Offer`] on its way.
@@ -136,6 +139,7 @@
             by: report.by.to_string(),
             age_ms: millis(report.age(now)),
             leaving: report.leaving,
+            models: said.models,
         }
     }
 
@@ -175,6 +179,7 @@
             zone: self.zone.as_str().into(),
             offers: self.offers.iter().map(Served::decode).collect(),
             fenced: self.fenced,
+            models: self.models,
             load: Load::default(),
         })
     }
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -292,7 +292,7 @@
     fn check(&self, announcement: &Announcement) -> Result<(), Nonsense> {
         let Settings { offers, adapters, name, .. } = self.settings;
         let said = &announcement.offers;
-        if said.is_empty() {
+        if said.is_empty() && announcement.models == 0 {
             return Err(Nonsense::NoOffers);
         }
         if said.len() > offers || said.iter().any(|offer| offer.adapters().len() > adapters) {
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod agreement;
 mod calls;
+mod deliver;
 mod directory;
 mod gossip;
 mod handover;
@@ -11,6 +12,7 @@
 mod node;
 mod observe;
 mod operate;
+mod orders;
 mod routes;
 mod serve;
 
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -35,6 +35,9 @@
                 Inbound::Call { topic: Topic::Lists, payload, reply, .. } => {
                     smol::spawn(Arc::clone(&self).answer_lists(payload, reply)).detach();
                 }
+                Inbound::Call { from, topic: Topic::Orders, payload, reply } => {
+                    smol::spawn(Arc::clone(&self).answer_ask(from, payload, reply)).detach();
+                }
                 Inbound::Notice { .. } | Inbound::Call { .. } => {}
             }
         }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -31,7 +31,7 @@
     list::{Book, List},
     member,
     name::{self, Catalogue},
-    replica,
+    order, replica,
     settings::{Peer, Settings},
     state::{self, Follower},
     target::{self, View},
@@ -58,6 +58,8 @@
     pub(super) members: Mutex<member::Core>,
     pub(super) in_flight: AtomicU32,
     pub(super) board: Board,
+    /// Who may give orders in each region, where this VM leads the group of the lists.
+    pub(super) leases: Mutex<order::Leases>,
     trail: Mutex<Trail>,
     random: Mutex<StdRng>,
     stopped: Stopped,
@@ -177,6 +179,7 @@
             fixed,
             incarnation,
             board: Board::with(statsd),
+            leases: Mutex::default(),
             trail: Mutex::default(),
             random: Mutex::new(random),
             stopped: stopped.clone(),
@@ -193,6 +196,7 @@
             smol::spawn(Arc::clone(&vm).follow()),
             smol::spawn(Arc::clone(&vm).seed()),
             smol::spawn(Arc::clone(&vm).tend_claims()),
+            smol::spawn(Arc::clone(&vm).tend_orders()),
         ]);
         Ok(Running { vm, tasks, server, stop, idle })
     }
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -15,10 +15,12 @@
     Claims,
     /// Requests that crashed targets: [`crate::crash`].
     Crashes,
+    /// The right to give orders to targets: [`crate::order`].
+    Orders,
 }
 
 impl Topic {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
@@ -26,6 +28,7 @@
         Self::Proposals,
         Self::Claims,
         Self::Crashes,
+        Self::Orders,
     ];
 
     /// The number that stands for the topic in a frame.
--- a/tests/order_controller.rs
+++ b/tests/order_controller.rs
@@ -151,3 +151,16 @@
     let mut controller = Controller::new(settings.clone());
     assert_eq!(controller.decide(&demands, &fenced, at(issued), issued).len(), 1);
 }
+
+#[test]
+fn a_controller_that_takes_over_loads_nothing_for_a_window() {
+    let engines: Vec<Engine> = (0..3).map(|number| engine(number, &[])).collect();
+    let settings = Settings::default();
+    let demands = [Demand { minimum: 3, ..demand("plum", 0.0) }];
+    let start = Instant::now();
+    let mut controller = Controller::resumed(settings.clone(), start);
+    let before = start + settings.window - Duration::from_millis(1);
+    assert!(controller.decide(&demands, &engines, fence(before), before).is_empty());
+    let after = start + settings.window;
+    assert_eq!(controller.decide(&demands, &engines, fence(after), after).len(), 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod cluster;
 pub mod fleet;
+pub mod ordered;
 pub mod proxy;
 pub mod targets;
--- a/tests/support/targets.rs
+++ b/tests/support/targets.rs
@@ -8,7 +8,7 @@
     target::{Announcement, Load, Offer},
 };
 
-const RENEWAL: Duration = Duration::from_millis(200);
+pub const RENEWAL: Duration = Duration::from_millis(200);
 
 /// What a target says of itself at first.
 pub fn announcement(target: &str, region: &str, address: SocketAddr, offer: Offer) -> Announcement {
@@ -20,6 +20,7 @@
         zone: id::Zone::from(format!("{region}-a")),
         offers: vec![offer],
         fenced: false,
+        models: 0,
         load: Load::default(),
     }
 }
