Prove that an order's body isn't sent from its deadline on

Cause: the look at the clock between dial and write had no test of its own.

Change: the body moves to http::timed, with an example on a clock that the test moves.

Ruled out: a test that freezes the sender between dial and write, as no signal can be timed to hit it.

Conclusion: a sender frozen after the look remains possible and is listed.

--- a/src/http.rs
+++ b/src/http.rs
@@ -4,9 +4,11 @@
 mod client;
 mod server;
 mod tap;
+mod timed;
 
 pub use self::{
     body::{Body, Broken, Incomplete, channel, collect, empty, full},
     client::{Failure, open},
     server::{Limits, Stop, Stopped, serve},
+    timed::timed,
 };
