--- a/examples/standin.rs
+++ b/examples/standin.rs
@@ -127,6 +127,7 @@
         zone: options.zone.clone().unwrap_or_else(|| format!("{}-a", options.region)).into(),
         offers: vec![offer],
         fenced: false,
+        models: 0,
         load: Load::default(),
     };
     Reporter::start(options.vms.clone(), RENEWAL, move || Announcement {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod link;
 mod log;
+mod orders;
 mod peer;
 mod place;
 mod placement;
@@ -19,6 +20,7 @@
     figures::Figures,
     link::Link,
     log::{Format, Level, Log},
+    orders::{Orders, Stock},
     peer::Peer,
     placement::{Placement, Preset},
     problem::{Problem, Severity},
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Figures, Link, Log, Peer, Placement, check};
+use super::{Error, Figures, Link, Log, Orders, Peer, Placement, check};
 use crate::{crash, id, limit, path::Dispatch};
 
 /// The settings of one VM.
@@ -61,6 +61,8 @@
     pub limits: limit::Settings,
     /// Requests that crash targets.
     pub crashes: crash::Settings,
+    /// Orders to load and unload models.
+    pub orders: Orders,
 }
 
 /// Settings that can be used, and what is doubtful about them.
@@ -179,6 +181,7 @@
             placement: Placement::default(),
             limits: limit::Settings::default(),
             crashes: crash::Settings::default(),
+            orders: Orders::default(),
         }
     }
 }
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -38,6 +38,9 @@
                 Inbound::Call { topic: Topic::Crashes, payload, reply, .. } => {
                     let _ = reply.try_send(self.hear_of_crashes(payload));
                 }
+                Inbound::Call { from, topic: Topic::Orders, payload, reply } => {
+                    smol::spawn(Arc::clone(&self).answer_ask(from, payload, reply)).detach();
+                }
                 Inbound::Notice { .. } | Inbound::Call { .. } => {}
             }
         }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -31,7 +31,7 @@
     list::{Book, List},
     member,
     name::{self, Catalogue},
-    replica,
+    order, replica,
     settings::{Peer, Settings},
     state::{self, Follower},
     target::{self, View},
@@ -59,6 +59,8 @@
     pub(super) in_flight: AtomicU32,
     pub(super) board: Board,
     routing: Mutex<Routing>,
+    /// Who may give orders in each region, where this VM leads the group of the lists.
+    pub(super) leases: Mutex<order::Leases>,
     trail: Mutex<Trail>,
     random: Mutex<StdRng>,
     stopped: Stopped,
@@ -180,6 +182,7 @@
             incarnation,
             board: Board::with(statsd),
             routing: Mutex::new(routing),
+            leases: Mutex::default(),
             trail: Mutex::default(),
             random: Mutex::new(random),
             stopped: stopped.clone(),
@@ -197,6 +200,7 @@
             smol::spawn(Arc::clone(&vm).seed()),
             smol::spawn(Arc::clone(&vm).tend_claims()),
             smol::spawn(Arc::clone(&vm).tend_routing()),
+            smol::spawn(Arc::clone(&vm).tend_orders()),
         ]);
         Ok(Running { vm, tasks, server, stop, idle })
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,5 +5,6 @@
 pub mod fleet;
 pub mod grid;
 pub mod history;
+pub mod ordered;
 pub mod proxy;
 pub mod targets;
