--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -6,6 +6,7 @@
 
 use std::{
     error::Error,
+    fs,
     net::SocketAddr,
     path::Path,
     sync::Arc,
@@ -16,6 +17,7 @@
 use hdrhistogram::Histogram;
 use pomelogate::{
     clock, id,
+    settings::Settings,
     standin::{Caller, Engine, Pace, Reporter, deployment},
     target::{Announcement, Load, Offer},
     vm::Vm,
@@ -41,7 +43,11 @@
 
 async fn bench() -> Result<(), Box<dyn Error>> {
     let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/kapsul-bersih");
+    let folder = tempfile::tempdir()?;
+    let allowances = folder.path().join("allowances.json");
+    fs::write(&allowances, unlimited(&samples)?)?;
     let settings = deployment(&samples, &[("jakarta", 1)]).remove(0);
+    let settings = Settings { allowances: Some(allowances), ..settings };
     let logger = slog::Logger::root(slog::Discard, slog::o!());
     let vm = Vm::start(settings.clone(), Arc::new(clock::System), logger).await?;
     let pace = Pace { first: Duration::ZERO, between: Duration::ZERO, tokens: 0 };
@@ -114,6 +120,16 @@
     one as f64 / other as f64
 }
 
+/// The sample allowances with so many tokens that the limit of tokens is not what is measured.
+fn unlimited(samples: &Path) -> Result<String, Box<dyn Error>> {
+    let text = fs::read_to_string(samples.join("allowances.json"))?;
+    let mut list: serde_json::Value = serde_json::from_str(&text)?;
+    list["entries"][0]["limits"] = serde_json::json!({
+        "concurrency": 64, "queue": 256, "tokens_per_minute": 1_000_000_000,
+    });
+    Ok(list.to_string())
+}
+
 fn announce(vm: SocketAddr, address: SocketAddr) -> Reporter {
     let offer = Offer::Model { model: "assistant".into(), version: "1".into(), adapters: vec![] };
     let announcement = Announcement {
