--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -193,8 +193,8 @@
     }
 }
 
-/// Sends the outcome back, stopping the work when the other VM's caller goes away; whether all of it went
-/// out.
+/// Sends the outcome back, stopping the work when the other VM's caller goes away; gives whether
+/// all of it was sent.
 async fn answer(mut exchange: Exchange, outcome: Outcome<Answer>) -> bool {
     let mut answer = match outcome {
         Outcome::Answered(answer) => answer,
