Send heartbeats of links often only while something is at stake

Cause: each end of each open connection wrote a heartbeat every 500 ms, so a relay that keeps about a hundred ends open would have spent its whole budget on them while idle. Change: urgent heartbeats every 500 ms while exchanges are open or the agreement sends, which the other end answers at once; every 5 s otherwise. A connection that was quiet for 3 s is tried before an exchange opens on it and replaced if it does not answer; one that carried but heartbeats for 60 s is closed. Unacknowledged bytes end a connection after 3 s (TCP_USER_TIMEOUT). A hub counts what it sends by topic. Ruled out: no heartbeat at all while idle, as the first use of a dead connection would fail. Conclusion: the promises on silent links keep their bounds for exchanges; a notice on a link that nothing uses may be lost for up to 15 s.

--- a/src/link.rs
+++ b/src/link.rs
@@ -2,7 +2,8 @@
 //!
 //! The VM that dials opens exchanges; the VM that accepts answers them. An exchange belongs to
 //! one connection and ends with it, so a frame of an earlier connection reaches nobody. Both ends
-//! write heartbeats; an end that hears nothing for the silence limit drops the connection.
+//! write heartbeats, often while exchanges are open and rarely otherwise; an end that hears nothing
+//! for the silence limit drops the connection. One that carries nothing for long is closed.
 
 mod backoff;
 mod connection;
@@ -14,6 +15,7 @@
 mod liveness;
 mod opened;
 mod settings;
+mod traffic;
 mod window;
 
 use self::connection::Connection;
@@ -26,6 +28,7 @@
     liveness::{Due, Liveness},
     opened::Opened,
     settings::Settings,
+    traffic::{Sent, Traffic},
     window::{CHUNK_COST, Window},
 };
 
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -4,12 +4,13 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use smol::channel::{Receiver, Sender};
 
-use super::{CHUNK, CHUNK_COST, Error, Exchange, Settings, WINDOW, Window};
-use crate::wire::{Body, Frame};
+use super::{CHUNK, CHUNK_COST, Error, Exchange, Liveness, Settings, WINDOW, Window};
+use crate::wire::{Body, Frame, Heartbeat};
 
 /// The frames that an exchange may hold beside its chunks.
 const OTHER_FRAMES: usize = 16;
@@ -24,6 +25,17 @@
     bulk: Sender<Frame>,
     exchanges: Mutex<HashMap<u64, Arc<Route>>>,
     next: AtomicU64,
+    liveness: Mutex<Liveness>,
+    /// Until when something is at stake without an exchange.
+    vital: Mutex<Instant>,
+    /// When a frame other than a heartbeat last came or was queued.
+    used: Mutex<Instant>,
+    /// Signals to who watches the connection that something else may be due.
+    wake: Sender<()>,
+    pub(super) woken: Receiver<()>,
+    /// Signals that a frame came.
+    came: Sender<()>,
+    comes: Receiver<()>,
 }
 
 /// The receiving ends of the two queues of a connection.
@@ -48,18 +60,37 @@
 }
 
 impl Connection {
-    pub(super) fn new(settings: Settings) -> (Arc<Self>, Queues) {
+    pub(super) fn new(settings: Settings, now: Instant) -> (Arc<Self>, Queues) {
         let (small, small_frames) = smol::channel::bounded(settings.queue);
         let (bulk, bulk_frames) = smol::channel::bounded(settings.queue);
         let next = AtomicU64::new(1);
-        let connection = Self { small, bulk, exchanges: Mutex::default(), next };
+        let (wake, woken) = smol::channel::bounded(1);
+        let (came, comes) = smol::channel::bounded(1);
+        let connection = Self {
+            small,
+            bulk,
+            exchanges: Mutex::default(),
+            next,
+            liveness: Mutex::new(Liveness::new(settings, now)),
+            vital: Mutex::new(now),
+            used: Mutex::new(now),
+            wake,
+            woken,
+            came,
+            comes,
+        };
         (Arc::new(connection), Queues { small: small_frames, bulk: bulk_frames })
     }
 
-    /// Opens a new exchange.
-    pub(super) fn open(self: &Arc<Self>) -> Exchange {
+    /// Opens a new exchange; nothing where the connection has ended.
+    pub(super) fn open(self: &Arc<Self>) -> Option<Exchange> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        self.register(number)
+        let exchange = self.register(number);
+        if self.exchanges().contains_key(&number) {
+            return Some(exchange);
+        }
+        exchange.finish();
+        None
     }
 
     /// Whether the connection can still carry frames.
@@ -67,7 +98,69 @@
         !self.small.is_closed()
     }
 
+    /// Decides on heartbeats and silence.
+    pub(super) fn liveness(&self) -> MutexGuard<'_, Liveness> {
+        lock(&self.liveness)
+    }
+
+    /// Whether something is at stake at `now`.
+    pub(super) fn is_busy(&self, now: Instant) -> bool {
+        !self.exchanges().is_empty() || now < *lock(&self.vital)
+    }
+
+    /// Something is at stake for `time` from `now` on, as if an exchange were open.
+    pub(super) fn set_vital(&self, time: Duration, now: Instant) {
+        let before = std::mem::replace(&mut *lock(&self.vital), now + time);
+        if before <= now {
+            self.wake();
+        }
+    }
+
+    /// Lets who watches the connection look again at what is due.
+    pub(super) fn wake(&self) {
+        let _ = self.wake.try_send(());
+    }
+
+    /// A frame came at `now`.
+    pub(super) fn heard(&self, now: Instant) {
+        self.liveness().heard(now);
+        let _ = self.came.try_send(());
+    }
+
+    /// Something other than a heartbeat came or was queued at `now`.
+    pub(super) fn used(&self, now: Instant) {
+        *lock(&self.used) = now;
+    }
+
+    /// Asks the other end for a sign of life and waits for it; fails where the connection ends
+    /// before.
+    pub(super) async fn answered(self: &Arc<Self>) -> Result<(), Error> {
+        let _ = self.comes.try_recv();
+        let asking = self.open().ok_or(Error::Closed)?;
+        self.write_now(Frame::new(0, Body::Heartbeat(Heartbeat { urgent: true })));
+        let now = Instant::now();
+        self.liveness().stake(true, now);
+        self.liveness().beat(now);
+        let answered = self.comes.recv().await.map_err(|_| Error::Closed);
+        asking.finish();
+        answered
+    }
+
+    /// Closes the connection if it has carried but heartbeats for `limit` before `now`.
+    pub(super) fn close_if_idle(&self, limit: Duration, now: Instant) -> bool {
+        let exchanges = self.exchanges();
+        let queued = !self.small.is_empty() || !self.bulk.is_empty();
+        let idle = now.saturating_duration_since(*lock(&self.used)) >= limit;
+        if !idle || queued || !exchanges.is_empty() {
+            return false;
+        }
+        self.small.close();
+        self.bulk.close();
+        true
+    }
+
     pub(super) async fn write(&self, frame: Frame) -> Result<(), Error> {
+        self.used(Instant::now());
         self.queue(&frame).send(frame).await.map_err(|_| Error::Closed)
     }
 
@@ -87,12 +180,16 @@
         let windows = Windows { out: Window::new(WINDOW), inward: Window::new(WINDOW) };
         let route = Arc::new(Route { incoming: sender, granted, windows: Mutex::new(windows) });
         let mut exchanges = self.exchanges();
+        let first = exchanges.is_empty();
         if self.is_open() {
             exchanges.insert(number, Arc::clone(&route));
         } else {
             route.close();
         }
         drop(exchanges);
+        if first {
+            self.wake();
+        }
         Exchange::new(number, Arc::clone(self), route, incoming, grants)
     }
 
@@ -106,6 +203,7 @@
     pub(super) fn close(&self) {
         self.small.close();
         self.bulk.close();
+        self.came.close();
         for (_, route) in self.exchanges().drain() {
             route.close();
         }
@@ -123,13 +221,17 @@
     }
 
     fn exchanges(&self) -> MutexGuard<'_, HashMap<u64, Arc<Route>>> {
-        self.exchanges.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.exchanges)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Route {
     pub(super) fn windows(&self) -> MutexGuard<'_, Windows> {
-        self.windows.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.windows)
     }
 
     fn take(&self, body: Body) -> Result<(), Error> {
--- a/src/link/driver.rs
+++ b/src/link/driver.rs
@@ -1,8 +1,4 @@
-use std::{
-    io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
-};
+use std::{io, sync::Arc, time::Instant};
 
 use futures_util::{SinkExt, StreamExt};
 use prost::{Message, bytes::Bytes};
@@ -18,7 +14,7 @@
 };
 
 use super::{
-    Connection, Due, Error, Inbound, Liveness, Opened, Settings, connection::Queues, hub::within,
+    Connection, Due, Error, Inbound, Opened, Settings, Traffic, connection::Queues, hub::within,
 };
 use crate::{
     id,
@@ -76,7 +72,7 @@
         let other = within(settings.connect, greet)
             .await
             .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no hello came"))??;
-        let (connection, queues) = Connection::new(settings);
+        let (connection, queues) = Connection::new(settings, Instant::now());
         let driver =
             Self { socket, queues, connection: Arc::clone(&connection), settings, other, end };
         Ok((connection, driver))
@@ -87,11 +83,10 @@
         self,
         inbound: Sender<Inbound>,
         closing: Receiver<()>,
+        traffic: Arc<Traffic>,
     ) -> Result<(), Error> {
         let Self { socket, queues, connection, settings, other, end } = self;
         let (sink, source) = socket.split();
-        let now = Instant::now();
-        let liveness = Mutex::new(Liveness::new(settings.heartbeat, settings.silence, now));
         let reader = Reader {
             connection: &connection,
             other: &other,
@@ -103,9 +98,9 @@
             let _ = closing.recv().await;
             Ok(())
         };
-        let read = reader.run(source, &liveness);
-        let write = write(sink, queues, &liveness);
-        let watch = watch(&connection, &liveness);
+        let read = reader.run(source);
+        let write = write(sink, queues, &connection, &traffic);
+        let watch = watch(&connection, settings, end);
         let result = closed.or(or(read, or(write, watch))).await;
         connection.close();
         result
@@ -120,37 +115,60 @@
     }
 }
 
-async fn write(mut sink: Sink, queues: Queues, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+async fn write(
+    mut sink: Sink,
+    queues: Queues,
+    connection: &Connection,
+    traffic: &Traffic,
+) -> Result<(), Error> {
     loop {
         let frame = or(queues.small.recv(), queues.bulk.recv()).await;
         let frame = frame.map_err(|_| Error::Closed)?;
         sink.send(encode(&frame)).await.map_err(|_| Error::Closed)?;
-        lock(liveness).wrote(Instant::now());
+        traffic.count(&frame);
+        connection.liveness().wrote(Instant::now());
     }
 }
 
-async fn watch(connection: &Connection, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+async fn watch(connection: &Connection, settings: Settings, end: End) -> Result<(), Error> {
     loop {
-        let due = lock(liveness).due(Instant::now());
+        let now = Instant::now();
+        if end == End::Dialler && connection.close_if_idle(settings.idle_close, now) {
+            return Err(Error::Closed);
+        }
+        let busy = connection.is_busy(now);
+        let due = {
+            let mut liveness = connection.liveness();
+            liveness.stake(busy, now);
+            liveness.due(now)
+        };
         match due {
-            Due::Wait(time) => drop(Timer::after(time).await),
+            Due::Wait(time) => {
+                let timer = async {
+                    Timer::after(time).await;
+                };
+                let woken = async {
+                    let _ = connection.woken.recv().await;
+                };
+                or(timer, woken).await;
+            }
             Due::Silent => return Err(Error::Silent),
-            Due::Heartbeat => {
-                connection.write_now(Frame::new(0, Body::Heartbeat(Heartbeat {})));
-                lock(liveness).wrote(Instant::now());
+            Due::Heartbeat { urgent } => {
+                connection.write_now(Frame::new(0, Body::Heartbeat(Heartbeat { urgent })));
+                connection.liveness().beat(now);
             }
         }
     }
 }
 
 impl Reader<'_> {
-    async fn run(mut self, mut source: Source, liveness: &Mutex<Liveness>) -> Result<(), Error> {
+    async fn run(mut self, mut source: Source) -> Result<(), Error> {
         while let Some(bytes) = source.next().await {
             let bytes = bytes.map_err(|cause| match cause.kind() {
                 io::ErrorKind::InvalidData => Error::Protocol("a frame beyond the size limit"),
                 _ => Error::Closed,
             })?;
-            lock(liveness).heard(Instant::now());
+            self.connection.heard(Instant::now());
             let frame = Frame::decode(bytes)
                 .map_err(|_| Error::Protocol("a frame that cannot be decoded"))?;
             self.take(frame)?;
@@ -160,15 +178,26 @@
 
     fn take(&mut self, frame: Frame) -> Result<(), Error> {
         let exchange = frame.exchange;
-        match frame.body.ok_or(Error::Protocol("a frame of an unknown kind"))? {
+        let body = frame.body.ok_or(Error::Protocol("a frame of an unknown kind"))?;
+        if let Body::Heartbeat(heartbeat) = body {
+            self.heartbeat(heartbeat);
+            return Ok(());
+        }
+        self.connection.used(Instant::now());
+        match body {
             Body::Notice(notice) => self.notice(notice),
-            Body::Heartbeat(_) => Ok(()),
             Body::Hello(_) => Err(Error::Protocol("a second hello")),
             body @ (Body::Call(_) | Body::Handover(_)) => self.open(exchange, body),
             body => self.connection.deliver(exchange, body),
         }
     }
 
+    fn heartbeat(&self, heartbeat: Heartbeat) {
+        if heartbeat.urgent && self.connection.liveness().urged(Instant::now()) {
+            self.connection.wake();
+        }
+    }
+
     fn notice(&self, notice: Notice) -> Result<(), Error> {
         let Notice { topic, payload } = notice;
         let topic = Topic::from_number(topic).ok_or(Error::Protocol("an unknown topic"))?;
@@ -245,7 +274,3 @@
 fn encode(frame: &Frame) -> Bytes {
     Bytes::from(frame.encode_to_vec())
 }
-
-fn lock(liveness: &Mutex<Liveness>) -> MutexGuard<'_, Liveness> {
-    liveness.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -17,9 +17,10 @@
     channel::{Receiver, Sender},
     net::{TcpListener, TcpStream},
 };
+use socket2::SockRef;
 
 use super::{
-    Backoff, Connection, Error, Exchange, Inbound, Settings,
+    Backoff, Connection, Error, Exchange, Inbound, Settings, Traffic,
     driver::{Driver, End},
 };
 use crate::{
@@ -27,6 +28,9 @@
     wire::{Body, Call, Frame, Handover, Hello, Notice, Topic},
 };
 
+/// How often an exchange is tried to be opened where connections end under it.
+const OPENINGS: usize = 3;
+
 /// All links of one VM.
 #[derive(Debug)]
 pub struct Hub {
@@ -39,6 +43,7 @@
     expected: Mutex<HashMap<SocketAddr, id::Vm>>,
     running: Sender<()>,
     closing: Receiver<()>,
+    traffic: Arc<Traffic>,
 }
 
 /// The connection to one address; whoever holds the lock dials, the others wait for the result.
@@ -46,6 +51,8 @@
 struct Slot {
     connection: smol::lock::Mutex<Option<Arc<Connection>>>,
     backoff: Mutex<Backoff>,
+    /// Held by who tries the connection.
+    trial: smol::lock::Mutex<()>,
 }
 
 impl Hub {
@@ -72,6 +79,7 @@
             expected: Mutex::default(),
             running,
             closing,
+            traffic: Arc::default(),
         })
     }
 
@@ -99,6 +107,11 @@
         lock(&self.expected).insert(address, vm);
     }
 
+    /// What was sent so far.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Ends every connection.
     pub fn close(&self) {
         self.running.close();
@@ -106,14 +119,24 @@
 
     /// Sends a message that wants no reply, if a connection to `to` is open or can be opened.
     ///
-    /// A receiver whose queue is full drops it, so that its links are read on.
+    /// A receiver whose queue is full drops it, so that its links are read on. Messages of
+    /// [`Topic::Consensus`] are at stake as exchanges are, so that a silent link is soon replaced.
     ///
     /// # Errors
     ///
     /// Where the VM cannot be reached.
     pub async fn notify(&self, to: SocketAddr, topic: Topic, payload: Bytes) -> Result<(), Error> {
         let body = Body::Notice(Notice { topic: topic.number(), payload });
-        self.connection(to).await?.write(Frame::new(0, body)).await
+        let frame = Frame::new(0, body);
+        let mut connection = self.connection(to).await?;
+        if connection.write(frame.clone()).await.is_err() {
+            connection = self.connection(to).await?;
+            connection.write(frame).await?;
+        }
+        if topic == Topic::Consensus {
+            connection.set_vital(self.settings.silence, Instant::now());
+        }
+        Ok(())
     }
 
     /// Sends a message and waits for its reply.
@@ -129,7 +152,7 @@
         payload: Bytes,
         limit: Duration,
     ) -> Result<Bytes, Error> {
-        let mut exchange = self.connection(to).await?.open();
+        let mut exchange = self.open_exchange(to).await?;
         exchange.send(Body::Call(Call { topic: topic.number(), payload })).await?;
         let reply = within(limit, exchange.receive()).await??;
         match reply {
@@ -144,11 +167,38 @@
     ///
     /// Where the VM cannot be reached.
     pub async fn hand_over(&self, to: SocketAddr, handover: Handover) -> Result<Exchange, Error> {
-        let mut exchange = self.connection(to).await?.open();
+        let mut exchange = self.open_exchange(to).await?;
         exchange.send(Body::Handover(Box::new(handover))).await?;
         Ok(exchange)
     }
 
+    /// Opens an exchange on a connection that has been heard of lately.
+    async fn open_exchange(&self, to: SocketAddr) -> Result<Exchange, Error> {
+        for _ in 0..OPENINGS {
+            if let Some(exchange) = self.lively(to).await?.open() {
+                return Ok(exchange);
+            }
+        }
+        let cause = io::Error::other("its connections end as soon as they are open");
+        Err(Error::Unreachable(to, cause))
+    }
+
+    /// A connection to `to`; one that has been quiet is tried first, and replaced if it does not
+    /// answer.
+    async fn lively(&self, to: SocketAddr) -> Result<Arc<Connection>, Error> {
+        let slot = self.slot(to);
+        let _trial = slot.trial.lock().await;
+        let connection = self.connection(to).await?;
+        if !connection.liveness().is_stale(Instant::now()) {
+            return Ok(connection);
+        }
+        if let Ok(Ok(())) = within(self.settings.trial, connection.answered()).await {
+            return Ok(connection);
+        }
+        slot.connection.lock().await.take_if(|found| Arc::ptr_eq(found, &connection));
+        self.connection(to).await
+    }
+
     async fn connection(&self, to: SocketAddr) -> Result<Arc<Connection>, Error> {
         let slot = self.slot(to);
         let mut dialled = slot.connection.lock().await;
@@ -198,6 +248,7 @@
 
     async fn open(&self, stream: TcpStream, end: End) -> io::Result<(Arc<Connection>, Driver)> {
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(self.settings.silence));
         let connection = self.next.fetch_add(1, Ordering::Relaxed);
         let hello = Hello { connection, ..self.hello.clone() };
         Driver::open(stream, hello, self.settings, end).await
@@ -206,7 +257,7 @@
     fn run(&self, driver: Driver) {
         let logger = self.logger.clone();
         let other = driver.other.vm.clone();
-        let run = driver.run(self.inbound.clone(), self.closing.clone());
+        let run = driver.run(self.inbound.clone(), self.closing.clone(), Arc::clone(&self.traffic));
         let run = async move {
             let event = match run.await {
                 Err(Error::Silent) => event::links::SILENT,
@@ -237,7 +288,8 @@
         let Settings { first_backoff, backoff_limit, .. } = self.settings;
         let slot = || {
             let backoff = Mutex::new(Backoff::new(first_backoff, backoff_limit));
-            Arc::new(Slot { connection: smol::lock::Mutex::default(), backoff })
+            let (connection, trial) = Default::default();
+            Arc::new(Slot { connection, backoff, trial })
         };
         Arc::clone(lock(&self.dialled).entry(to).or_insert_with(slot))
     }
--- a/src/link/settings.rs
+++ b/src/link/settings.rs
@@ -17,10 +17,19 @@
     pub frame_limit: usize,
     /// The frames that may wait to be written on one connection, in each of its two queues.
     pub queue: usize,
-    /// The longest time without writing: a heartbeat is written then.
+    /// The longest time without writing while exchanges are open: a heartbeat is written then.
     pub heartbeat: Duration,
-    /// The longest time without hearing: the connection is dropped then.
+    /// The longest time without hearing while exchanges are open: the connection is dropped then.
+    /// A connection that has been quiet for as long is tried before an exchange opens on it.
     pub silence: Duration,
+    /// The longest time without writing while no exchange is open.
+    pub idle_heartbeat: Duration,
+    /// The longest time without hearing while no exchange is open.
+    pub idle_silence: Duration,
+    /// The time after which the VM that dialled closes a connection that carried but heartbeats.
+    pub idle_close: Duration,
+    /// How long a quiet connection may take to answer when it is tried.
+    pub trial: Duration,
     /// The wait before dialling again after a first failure.
     pub first_backoff: Duration,
     /// The longest wait before dialling again.
@@ -35,6 +44,10 @@
             queue: 256,
             heartbeat: Duration::from_millis(500),
             silence: Duration::from_secs(3),
+            idle_heartbeat: Duration::from_secs(5),
+            idle_silence: Duration::from_secs(15),
+            idle_close: Duration::from_secs(60),
+            trial: Duration::from_millis(600),
             first_backoff: Duration::from_millis(100),
             backoff_limit: Duration::from_secs(2),
         }
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -68,7 +68,12 @@
 
 /// A sign of life.
 #[derive(Clone, Copy, PartialEq, Message)]
-pub struct Heartbeat {}
+pub struct Heartbeat {
+    /// Whether the sender has something at stake, so that the receiver must answer at once and
+    /// write often for a while.
+    #[prost(bool, tag = "1")]
+    pub urgent: bool,
+}
 
 /// A message that wants no reply.
 #[derive(Clone, PartialEq, Message)]
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -19,7 +19,7 @@
     /// ```
     /// use pomelogate::wire::{Body, Frame, Heartbeat};
     ///
-    /// let frame = Frame::new(0, Body::Heartbeat(Heartbeat {}));
+    /// let frame = Frame::new(0, Body::Heartbeat(Heartbeat { urgent: false }));
     /// assert_eq!(frame.exchange, 0);
     /// ```
     pub fn new(exchange: u64, body: Body) -> Self {
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -18,7 +18,8 @@
 }
 
 impl Topic {
-    const ALL: [Self; 7] = [
+    /// All topics, by their numbers.
+    pub const ALL: [Self; 7] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use pomelogate::{
-    link::{Error, Exchange, Hub, Inbound, Settings},
+    link::{Due, Error, Exchange, Hub, Inbound, Liveness, Settings},
     wire::{Body, Chunk, Frame, Handover, Hello, Topic},
 };
 use prost::{Message, bytes::Bytes};
@@ -273,3 +277,143 @@
         assert!(got < SIZE);
     });
 }
+
+/// Two ends for a minute; gives the heartbeats that each wrote, and when each dropped the other.
+fn minute(at_stake: [bool; 2], heard_by: [bool; 2]) -> ([usize; 2], [Option<Duration>; 2]) {
+    const STEP: Duration = Duration::from_millis(10);
+    let start = Instant::now();
+    let mut ends = [Liveness::new(Settings::default(), start); 2];
+    let (mut beats, mut dropped) = ([0; 2], [None; 2]);
+    for step in 0..6000 {
+        let now = start + STEP * step;
+        for (at, other) in [(0, 1), (1, 0)] {
+            ends[at].stake(at_stake[at], now);
+            match ends[at].due(now) {
+                Due::Heartbeat { urgent } => {
+                    ends[at].beat(now);
+                    beats[at] += 1;
+                    if heard_by[other] {
+                        ends[other].heard(now);
+                    }
+                    if heard_by[other] && urgent {
+                        ends[other].urged(now);
+                    }
+                }
+                Due::Silent => drop(dropped[at].get_or_insert(now - start)),
+                Due::Wait(_) => {}
+            }
+        }
+    }
+    (beats, dropped)
+}
+
+#[test]
+fn heartbeats_are_rare_on_an_idle_link_and_frequent_at_both_ends_while_one_has_exchanges() {
+    let (beats, dropped) = minute([false, false], [true, true]);
+    assert_eq!((beats, dropped), ([11, 11], [None, None]));
+    let (beats, dropped) = minute([true, false], [true, true]);
+    assert_eq!(dropped, [None, None], "an end without exchanges answers one that has some");
+    assert!(beats.iter().all(|beats| (110..=125).contains(beats)), "{beats:?}");
+}
+
+#[test]
+fn silence_is_seen_soon_where_exchanges_are_open_and_later_where_none_is() {
+    let Settings { heartbeat, silence, idle_heartbeat, idle_silence, .. } = Settings::default();
+    let (_, dropped) = minute([true, false], [false, true]);
+    // The other end hears its last heartbeat just before.
+    let other = silence - heartbeat + idle_silence;
+    assert_eq!(dropped, [Some(silence), Some(other)]);
+    let (_, dropped) = minute([false, false], [true, false]);
+    let other = idle_silence - idle_heartbeat + idle_silence;
+    assert_eq!(dropped, [Some(other), Some(idle_silence)]);
+}
+
+#[test]
+fn a_link_that_fell_silent_while_idle_is_replaced_before_an_exchange_opens() {
+    smol::block_on(async {
+        let hour = Duration::from_secs(3600);
+        let quiet = Settings { idle_heartbeat: hour, idle_silence: hour, ..Settings::default() };
+        let settings = Settings { silence: Duration::from_millis(50), ..quiet };
+        let (near, far) = (end_with("near", settings).await, end_with("far", quiet).await);
+        let proxy = Proxy::start(far.address).await;
+        let served = echo(&far);
+        call(&near, proxy.address()).await.unwrap();
+        served.cancel().await;
+        Timer::after(2 * settings.silence).await;
+        proxy.freeze();
+        let (ours, mut theirs) = exchange(&near, &far, proxy.address()).await;
+        drop(ours);
+        within("the cancel", theirs.receive()).await.unwrap();
+        assert_eq!(proxy.opened(), 2);
+    });
+}
+
+#[test]
+fn a_quiet_link_that_answers_stays_in_use() {
+    smol::block_on(async {
+        let hour = Duration::from_secs(3600);
+        let quiet = Settings { idle_heartbeat: hour, idle_silence: hour, ..Settings::default() };
+        let settings = Settings { silence: Duration::from_secs(2), trial: PATIENCE, ..quiet };
+        let (near, far) = (end_with("near", settings).await, end_with("far", quiet).await);
+        let _echo = echo(&far);
+        let proxy = Proxy::start(far.address).await;
+        call(&near, proxy.address()).await.unwrap();
+        Timer::after(settings.silence + settings.heartbeat).await;
+        let mut calls: FuturesUnordered<_> = (0..8).map(|_| call(&near, proxy.address())).collect();
+        while let Some(reply) = calls.next().await {
+            reply.unwrap();
+        }
+        assert_eq!(proxy.opened(), 1);
+    });
+}
+
+#[test]
+fn a_link_that_carries_nothing_is_closed_and_one_with_an_exchange_is_not() {
+    smol::block_on(async {
+        let settings = Settings {
+            idle_heartbeat: Duration::from_millis(20),
+            idle_close: Duration::from_millis(60),
+            ..Settings::default()
+        };
+        let (near, far) = (end_with("near", settings).await, end("far").await);
+        let proxy = Proxy::start(far.address).await;
+        let (ours, theirs) = exchange(&near, &far, proxy.address()).await;
+        let served = echo(&far);
+        Timer::after(10 * settings.idle_close).await;
+        call(&near, proxy.address()).await.unwrap();
+        assert_eq!(proxy.opened(), 1, "an exchange is open");
+        drop((ours, theirs));
+        eventually("a second connection", async || {
+            Timer::after(4 * settings.idle_close).await;
+            call(&near, proxy.address()).await.is_ok() && proxy.opened() == 2
+        })
+        .await;
+        served.cancel().await;
+    });
+}
+
+#[test]
+fn a_silent_link_that_carries_the_agreement_is_replaced_though_no_exchange_is_open() {
+    smol::block_on(async {
+        let hour = Duration::from_secs(3600);
+        let settings = Settings {
+            silence: Duration::from_secs(1),
+            idle_heartbeat: hour,
+            idle_silence: hour,
+            ..Settings::default()
+        };
+        let (near, far) = (end_with("near", settings).await, end("far").await);
+        let proxy = Proxy::start(far.address).await;
+        let send = async || {
+            near.hub.notify(proxy.address(), Topic::Consensus, Bytes::new()).await.unwrap();
+        };
+        send().await;
+        within("the first", far.inbound.recv()).await.unwrap();
+        proxy.freeze();
+        eventually("a message by a fresh link", async || {
+            send().await;
+            far.inbound.try_recv().is_ok()
+        })
+        .await;
+    });
+}
