Take extreme incarnations of members without a panic

Change: the refutation saturates. Random and extreme frames, digests and gossip are taken or refused.

--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -269,7 +269,7 @@
         if let Some(entry) = self.entries.get_mut(&this)
             && entry.incarnation < incarnation
         {
-            entry.incarnation = incarnation + 1;
+            entry.incarnation = incarnation.saturating_add(1);
         }
     }
 
--- /dev/null
+++ b/tests/link_decode.rs
@@ -0,0 +1,144 @@
+//! What other VMs send, at random: nothing panics, and little is kept of it.
+
+use std::time::{Duration, Instant};
+
+use pomelogate::{
+    link::Opened,
+    member::{self, Digest, Member},
+    settings::Peer,
+    target::{Gossip, Renewals, Sent, Settings, View},
+    wire::Frame,
+};
+use proptest::prelude::*;
+use prost::Message;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+fn view() -> View {
+    View::new(Settings::default(), "jakarta-1".into(), "jakarta".into())
+}
+
+fn core(now: Instant) -> member::Core {
+    let address = ([127, 0, 0, 1], 9).into();
+    let this = Peer {
+        vm: "jakarta-1".into(),
+        region: "jakarta".into(),
+        zone: "jakarta-a".into(),
+        callers: address,
+        links: address,
+    };
+    member::Core::new(member::Settings::default(), this, 1, [], 7, now)
+}
+
+fn extreme() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), Just(1), Just(u64::MAX - 1), Just(u64::MAX), any::<u64>()]
+}
+
+fn sent() -> impl Strategy<Value = Sent> {
+    let text = prop_oneof!["engine", "", "\\PC{0,8}"];
+    let address = prop_oneof!["127\\.0\\.0\\.1:9", "", "\\PC{0,8}"];
+    (text, address, extreme(), extreme(), any::<u32>(), any::<bool>()).prop_map(
+        |(target, address, incarnation, age_ms, load, leaving)| Sent {
+            target,
+            address,
+            region: "jakarta".to_owned(),
+            incarnation,
+            age_ms,
+            running: load,
+            waiting: load,
+            slots: load.reverse_bits(),
+            leaving,
+            ..Sent::default()
+        },
+    )
+}
+
+fn renewals() -> impl Strategy<Value = Renewals> {
+    let list = || prop::collection::vec(any::<u32>(), 0..6);
+    (list(), list(), list(), list(), list()).prop_map(
+        |(digests, ages_ms, running, waiting, waiting_tokens)| Renewals {
+            by: "jakarta-2".to_owned(),
+            digests,
+            ages_ms,
+            running,
+            waiting,
+            waiting_tokens,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn bytes_at_random_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
+        let now = Instant::now();
+        let _ = Frame::decode(&bytes[..]);
+        if let Ok(gossip) = Gossip::decode(&bytes[..]) {
+            view().merge(&gossip, now);
+        }
+        if let Ok(digest) = Digest::decode(&bytes[..]) {
+            core(now).merge(&digest, now);
+        }
+    }
+
+    #[test]
+    fn gossip_with_extreme_numbers_is_taken_and_forgotten(
+        reports in prop::collection::vec(sent(), 0..8),
+        renewals in prop::option::of(renewals()),
+        wanted in prop::collection::vec(any::<u32>(), 0..8),
+    ) {
+        let now = Instant::now();
+        let mut view = view();
+        let gossip = Gossip { reports, renewals, wanted, ..Gossip::default() };
+        view.merge(&gossip, now);
+        view.merge(&gossip, now);
+        view.unsent(now);
+        view.take_wanted();
+        view.summary(now, |_| true);
+        let later = now + Settings::default().memory + Duration::from_secs(1);
+        view.expire(now, later);
+        prop_assert!(view.all(later).reports.is_empty());
+        prop_assert!(view.take_wanted().is_empty());
+    }
+
+    #[test]
+    fn members_with_extreme_numbers_are_taken(
+        members in prop::collection::vec((0..3_u8, extreme(), extreme(), any::<u32>()), 0..8),
+    ) {
+        let now = Instant::now();
+        let mut core = core(now);
+        let member = |(vm, incarnation, beat, load): (u8, u64, u64, u32)| Member {
+            vm: format!("jakarta-{vm}"),
+            region: "jakarta".to_owned(),
+            zone: "jakarta-a".to_owned(),
+            callers: "127.0.0.1:9".to_owned(),
+            links: "127.0.0.1:9".to_owned(),
+            incarnation,
+            beat,
+            load,
+            leaving: false,
+        };
+        let digest = Digest { members: members.into_iter().map(member).collect() };
+        core.merge(&digest, now);
+        core.tick(0, now);
+        core.directory(&[], now);
+    }
+
+    #[test]
+    fn exchange_numbers_at_random_are_remembered_in_bounded_space(
+        numbers in prop::collection::vec(extreme(), 0..64),
+    ) {
+        let mut opened = Opened::default();
+        for number in numbers {
+            opened.first(number);
+            prop_assert!(!opened.first(number));
+        }
+    }
+}
