--- a/examples/control.rs
+++ b/examples/control.rs
@@ -1,6 +1,7 @@
 //! What control costs each VM, at rest and under changes, in bounded runs of VMs in one process.
 //!
-//! Usage: `control [VMS REGIONS TARGETS]`, targets for each region; without, a series of sizes.
+//! Usage: `control [VMS REGIONS TARGETS [CHANGES MILLISECONDS]]`, targets for each region and time
+//! between two changes; without, a series of sizes.
 //! Processor time and memory are those of the whole process divided by its VMs, the stand-ins that
 //! announce targets included, so they are upper bounds.
 #![expect(clippy::print_stdout, reason = "the figures go to the terminal")]
@@ -25,13 +26,8 @@
 };
 use smol::Timer;
 
-const SIZES: [Size; 5] = [
-    Size { vms: 4, regions: 2, targets: 10 },
-    Size { vms: 8, regions: 2, targets: 10 },
-    Size { vms: 8, regions: 4, targets: 10 },
-    Size { vms: 16, regions: 4, targets: 10 },
-    Size { vms: 16, regions: 4, targets: 50 },
-];
+const SIZES: [Size; 5] =
+    [size(4, 2, 10), size(8, 2, 10), size(8, 4, 10), size(16, 4, 10), size(16, 4, 50)];
 const SETTLE: Duration = Duration::from_secs(5);
 const REST: Duration = Duration::from_secs(6);
 const CHANGES: usize = 20;
@@ -40,6 +36,7 @@
 const IN_FORCE: Duration = Duration::from_secs(19);
 const RENEWAL: Duration = Duration::from_secs(1);
 const LIMIT: usize = 48;
+const LONGEST: Duration = Duration::from_secs(30);
 const KIB: f64 = 1024.0;
 
 /// A deployment to measure.
@@ -48,6 +45,8 @@
     vms: usize,
     regions: usize,
     targets: usize,
+    changes: usize,
+    pace: Duration,
 }
 
 /// What the process had used at a moment.
@@ -65,14 +64,26 @@
     );
     match given[..] {
         [] => SIZES.into_iter().try_for_each(|size| smol::block_on(bench(size))),
-        [vms, regions, targets] => smol::block_on(bench(Size { vms, regions, targets })),
-        _ => Err("usage: control [VMS REGIONS TARGETS]".into()),
+        [vms, regions, targets] => smol::block_on(bench(size(vms, regions, targets))),
+        [vms, regions, targets, changes, pace] => {
+            let pace = Duration::from_millis(u64::try_from(pace)?);
+            smol::block_on(bench(Size { changes, pace, ..size(vms, regions, targets) }))
+        }
+        _ => Err("usage: control [VMS REGIONS TARGETS [CHANGES MILLISECONDS]]".into()),
     }
 }
 
+const fn size(vms: usize, regions: usize, targets: usize) -> Size {
+    Size { vms, regions, targets, changes: CHANGES, pace: PACE }
+}
+
 async fn bench(size: Size) -> Result<(), Box<dyn Error>> {
-    if size.regions == 0 || size.vms < size.regions || size.vms > LIMIT {
-        return Err(format!("give from REGIONS to {LIMIT} VMs").into());
+    let time = size.pace * u32::try_from(size.changes)?;
+    if size.regions == 0 || size.vms < size.regions || size.vms > LIMIT || time > LONGEST {
+        return Err(format!(
+            "give from REGIONS to {LIMIT} VMs, and changes for {LONGEST:?} at most"
+        )
+        .into());
     }
     let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/kapsul-bersih");
     let names: Vec<String> = (0..size.regions).map(region).collect();
@@ -113,7 +124,7 @@
     Timer::after(REST).await;
     show(size, "rest", &rest, &mark(&vms)?, resident()? - before);
     let changing = mark(&vms)?;
-    let times = change(&vms).await;
+    let times = change(&vms, size).await;
     show(size, "changes", &changing, &mark(&vms)?, resident()? - before);
     summarise(times);
     drop(reporters);
@@ -124,25 +135,30 @@
     Ok(())
 }
 
-/// Announces stops of targets that nobody has, two a second; gives how long each took until it was
+/// Announces stops of targets that nobody has; gives how long each took until it was
 /// in force on every VM, and whether it was before the limit.
-async fn change(vms: &[Running]) -> Vec<(Duration, bool)> {
-    let changes = (0..CHANGES).map(async |number| {
-        Timer::after(PACE * u32::try_from(number).unwrap_or_default()).await;
+async fn change(vms: &[Running], size: Size) -> Vec<(Duration, bool)> {
+    let changes = (0..size.changes).map(async |number| {
+        Timer::after(size.pace * u32::try_from(number).unwrap_or_default()).await;
         let start = Instant::now();
         let scope = Scope::Target(id::Target::from(format!("nobody-{number}")));
         let vm = vms[number % vms.len()].vm();
         let operation = format!("control-{number}");
         let changed = vm.plan_stop(&scope, true, &operation, IN_FORCE).await;
-        (start.elapsed(), matches!(changed, Changed::Decided(Answer::Accepted { .. })))
+        let in_force = matches!(changed, Changed::Decided(Answer::Accepted { .. }));
+        if !in_force {
+            println!("    change {number}: {changed:?}");
+        }
+        (start.elapsed(), in_force)
     });
     join_all(changes).await
 }
 
 fn summarise(mut times: Vec<(Duration, bool)>) {
     times.sort();
+    let Some(last) = times.last().map(|(time, _)| *time) else { return };
     let in_force = times.iter().filter(|(_, in_force)| *in_force).count();
-    let (middle, last) = (times[times.len() / 2].0, times[times.len() - 1].0);
+    let middle = times[times.len() / 2].0;
     println!(
         "    {in_force} of {} changes in force on every VM, after {middle:.2?} in the middle, {last:.2?} at most",
         times.len()
@@ -162,7 +178,7 @@
         std::array::from_fn(|at| rates.iter().map(|rate| rate[at]).sum::<f64>() / count);
     let most = rates.iter().map(|rate| rate.iter().sum::<f64>()).fold(0.0, f64::max);
     let processor = (after.processor - before.processor).as_secs_f64() / seconds / count * 100.0;
-    let Size { vms, regions, targets } = size;
+    let Size { vms, regions, targets, .. } = size;
     let [members, views, lists, replies, heartbeats] = mean;
     let sum: f64 = mean.iter().sum();
     let memory = resident / KIB / count;
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -174,8 +174,8 @@
     }
 
     pub(super) fn register(self: &Arc<Self>, number: u64) -> Exchange {
-        let frames = usize::try_from(WINDOW / CHUNK_COST).unwrap_or(usize::MAX) + OTHER_FRAMES;
-        let (sender, incoming) = smol::channel::bounded(frames);
+        // Not bounded by its channel, which would take its room at once; see `Route::take`.
+        let (sender, incoming) = smol::channel::unbounded();
         let (granted, grants) = smol::channel::bounded(1);
         let windows = Windows { out: Window::new(WINDOW), inward: Window::new(WINDOW) };
         let route = Arc::new(Route { incoming: sender, granted, windows: Mutex::new(windows) });
@@ -246,12 +246,12 @@
             }
             _ => {}
         }
-        match self.incoming.try_send(body) {
-            Err(smol::channel::TrySendError::Full(_)) => {
-                Err(Error::Protocol("more frames than an exchange holds"))
-            }
-            _ => Ok(()),
+        let frames = usize::try_from(WINDOW / CHUNK_COST).unwrap_or(usize::MAX) + OTHER_FRAMES;
+        if self.incoming.len() >= frames {
+            return Err(Error::Protocol("more frames than an exchange holds"));
         }
+        let _ = self.incoming.try_send(body);
+        Ok(())
     }
 
     fn close(&self) {
--- a/src/settings/link.rs
+++ b/src/settings/link.rs
@@ -32,6 +32,6 @@
 
 impl Default for Link {
     fn default() -> Self {
-        Self { connect_ms: 2_000, queue: 1_024 }
+        Self { connect_ms: 2_000, queue: 256 }
     }
 }
