--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -19,7 +19,7 @@
     clock, id,
     settings::Settings,
     standin::{Caller, Engine, Pace, Reporter, deployment},
-    target::{Announcement, Load, Offer},
+    target::{Announcement, Offer},
     vm::Vm,
 };
 use smol::Timer;
@@ -134,14 +134,11 @@
     let offer = Offer::Model { model: "assistant".into(), version: "1".into(), adapters: vec![] };
     let announcement = Announcement {
         target: id::Target::from("engine"),
-        incarnation: 1,
         address,
         region: id::Region::from("jakarta"),
         zone: id::Zone::from("jakarta-a"),
         offers: vec![offer],
-        fenced: false,
-        models: 0,
-        load: Load::default(),
+        ..Announcement::default()
     };
     Reporter::start(vec![vm], RENEWAL, move || announcement.clone())
 }
--- a/examples/standin.rs
+++ b/examples/standin.rs
@@ -126,9 +126,7 @@
         region: id::Region::from(options.region.as_str()),
         zone: options.zone.clone().unwrap_or_else(|| format!("{}-a", options.region)).into(),
         offers: vec![offer],
-        fenced: false,
-        models: 0,
-        load: Load::default(),
+        ..Announcement::default()
     };
     Reporter::start(options.vms.clone(), RENEWAL, move || Announcement {
         load: load(),
--- a/examples/tour.rs
+++ b/examples/tour.rs
@@ -80,14 +80,11 @@
 ) -> Reporter {
     let announcement = Announcement {
         target: id::Target::from(target),
-        incarnation: 1,
         address,
         region: id::Region::from(region),
         zone: id::Zone::from(format!("{region}-a")),
         offers: vec![offer],
-        fenced: false,
-        models: 0,
-        load: Load::default(),
+        ..Announcement::default()
     };
     Reporter::start(vec![vm], RENEWAL, move || Announcement {
         load: load(),
--- a/src/target/announcement.rs
+++ b/src/target/announcement.rs
@@ -6,6 +6,18 @@
 use crate::id;
 
 /// What a target says of itself, at first and at each renewal.
+///
+/// ```
+/// use pomelogate::target::{Announcement, Offer};
+///
+/// let announcement = Announcement {
+///     target: "jobs-1".into(),
+///     region: "jakarta".into(),
+///     offers: vec![Offer::Service { service: "jobs".into() }],
+///     ..Announcement::default()
+/// };
+/// assert_eq!(announcement.incarnation, 1);
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
@@ -31,3 +43,29 @@
     #[serde(default)]
     pub load: Load,
 }
+
+impl Default for Announcement {
+    /// The first announcement of a target without a name, place, address or offer.
+    fn default() -> Self {
+        Self {
+            target: id::Target::from(""),
+            incarnation: 1,
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            region: id::Region::from(""),
+            zone: id::Zone::from(""),
+            offers: Vec::new(),
+            fenced: false,
+            models: 0,
+            load: Load::default(),
+        }
+    }
+}
+
+impl Announcement {
+    /// Whether `later` says nothing new but load, the size of the batch apart.
+    pub(super) fn is_renewed_by(&self, later: &Self) -> bool {
+        let load = Load { slots: later.load.slots, ..self.load };
+        let slots = self.load.slots == later.load.slots;
+        slots && *self == Self { load, ..later.clone() }
+    }
+}
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -20,7 +20,8 @@
 }
 
 impl Topic {
-    const ALL: [Self; 8] = [
+    /// All topics, by their numbers.
+    pub const ALL: [Self; 8] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
--- a/tests/support/targets.rs
+++ b/tests/support/targets.rs
@@ -5,7 +5,7 @@
 use pomelogate::{
     id,
     standin::{Engine, Fault, Pace, Reporter, Service},
-    target::{Announcement, Load, Offer},
+    target::{Announcement, Offer},
 };
 
 pub const RENEWAL: Duration = Duration::from_millis(200);
@@ -14,14 +14,11 @@
 pub fn announcement(target: &str, region: &str, address: SocketAddr, offer: Offer) -> Announcement {
     Announcement {
         target: id::Target::from(target),
-        incarnation: 1,
         address,
         region: id::Region::from(region),
         zone: id::Zone::from(format!("{region}-a")),
         offers: vec![offer],
-        fenced: false,
-        models: 0,
-        load: Load::default(),
+        ..Announcement::default()
     }
 }
 
