--- a/src/state/follower.rs
+++ b/src/state/follower.rs
@@ -75,6 +75,12 @@
     misses: VecDeque<Instant>,
     starting: Starting,
     served: BTreeMap<id::Vm, (Served, Instant)>,
+    /// The VMs that fetched from this one, and when.
+    fetchers: BTreeMap<id::Vm, Instant>,
+    /// When to fetch beside the period, so that what became known here is reported soon.
+    report: Option<Instant>,
+    /// Whether new versions are in force here that no fetch has reported.
+    unreported: bool,
 }
 
 #[derive(Debug)]
@@ -96,6 +102,8 @@
 /// Peers that must fail one after the other before a VM counts as cut off from them: a single
 /// failure may be of a connection that broke while this process stood still.
 const MISSES: usize = 3;
+/// How long reports are gathered before they are passed on.
+const GATHER: Duration = Duration::from_millis(300);
 /// Periods for which a follower's report is passed on.
 const REPORT_PERIODS: u32 = 4;
 
@@ -143,6 +151,9 @@
             misses: VecDeque::new(),
             starting: Starting::default(),
             served: BTreeMap::new(),
+            fetchers: BTreeMap::new(),
+            report: None,
+            unreported: false,
         };
         if let Some(image) = image {
             let update = Update::decode(image).map_err(|error| error.to_string())?;
@@ -168,9 +179,13 @@
             self.missed(&asked.peer, now);
         }
         let mut actions = self.begin();
-        if self.asked.is_some() || now < self.next {
+        if std::mem::take(&mut self.unreported) {
+            self.report.get_or_insert(now);
+        }
+        if self.asked.is_some() || now < self.next.min(self.report.unwrap_or(self.next)) {
             return actions;
         }
+        self.report = None;
         let Some(peer) = self.choose() else {
             self.next = now + self.settings.period;
             return actions;
@@ -182,7 +197,8 @@
 
     /// When [`Follower::tick`] has something to do.
     pub fn deadline(&self) -> Instant {
-        self.asked.as_ref().map_or(self.next, |asked| asked.until)
+        let due = self.next.min(self.report.unwrap_or(self.next));
+        self.asked.as_ref().map_or(due, |asked| asked.until)
     }
 
     /// Takes the reply to a fetch.
@@ -222,6 +238,18 @@
         }
     }
 
+    /// Takes the news that a peer serves `versions`: what is newer is fetched at once.
+    pub fn hint(&mut self, versions: &Versions, now: Instant) {
+        if !self.versions().covers(versions) {
+            self.report = Some(now);
+        }
+    }
+
+    /// The VMs that fetch from this one, to be told of new versions in force.
+    pub fn fetchers(&self) -> Vec<id::Vm> {
+        self.fetchers.keys().cloned().collect()
+    }
+
     /// Takes the failure of a fetch.
     pub fn failed(&mut self, from: &id::Vm, now: Instant) {
         if self.asked.take_if(|asked| asked.peer == *from).is_some() {
@@ -265,12 +293,29 @@
     pub fn serve(&mut self, fetch: &Fetch, now: Instant) -> Update {
         let own =
             Served { vm: fetch.vm.clone(), region: fetch.region.clone(), versions: fetch.versions };
+        let limit = self.settings.period * REPORT_PERIODS;
+        self.fetchers.retain(|_, at| now.saturating_duration_since(*at) < limit);
+        self.fetchers.insert(id::Vm::from(fetch.vm.as_str()), now);
         for served in fetch.served.iter().cloned().chain([own]) {
-            self.served.insert(id::Vm::from(served.vm.as_str()), (served, now));
+            self.note(served, now);
         }
         self.store.serve(fetch)
     }
 
+    /// Notes what a VM serves. Copies of a report come by several ways, late ones too: since a VM
+    /// never goes back to an older version, the newest is the one that holds.
+    fn note(&mut self, served: Served, now: Instant) {
+        let vm = id::Vm::from(served.vm.as_str());
+        let known = self.served.get(&vm).map(|(known, _)| known.versions);
+        if known.is_some_and(|known| known != served.versions && known.covers(&served.versions)) {
+            return;
+        }
+        if known != Some(served.versions) {
+            self.report.get_or_insert(now + GATHER);
+        }
+        self.served.insert(vm, (served, now));
+    }
+
     /// The lists in force on this VM; none before it has learnt them.
     pub fn book(&self) -> Option<Arc<Book>> {
         let book = self.books.back().filter(|_| self.starting.done);
@@ -400,6 +445,7 @@
 
     fn put_in_force(&mut self, store: Store) -> Result<Vec<Action>, Refused> {
         self.install(store).map_err(Refused::Unfit)?;
+        self.unreported = true;
         let begun = self.starting.done.then(|| Action::InForce(self.versions()));
         Ok(begun.into_iter().collect())
     }
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -32,6 +32,9 @@
                 Inbound::Call { topic: Topic::Proposals, payload, reply, .. } => {
                     smol::spawn(Arc::clone(&self).forwarded(payload, reply)).detach();
                 }
+                Inbound::Notice { topic: Topic::Lists, payload, .. } => {
+                    self.hear_of_lists(payload);
+                }
                 Inbound::Call { topic: Topic::Lists, payload, reply, .. } => {
                     smol::spawn(Arc::clone(&self).answer_lists(payload, reply)).detach();
                 }
--- a/src/vm/lists.rs
+++ b/src/vm/lists.rs
@@ -20,7 +20,7 @@
     settings::Peer,
     state::{
         self, Action, Answer, Ask, Command, Follower, Progress, Question, Reply, Reported, Reports,
-        Subject, Update,
+        Subject, Update, Versions,
     },
     stop::{Plan, Scope},
     wire::Topic,
@@ -30,6 +30,8 @@
 const PROPOSAL: Duration = Duration::from_secs(8);
 /// How long a fetch may take.
 const FETCH: Duration = Duration::from_secs(2);
+/// How often the replicas are asked for the versions in force while a change waits for them.
+const REPORTS: Duration = Duration::from_secs(1);
 /// The longest pause between two looks at what there is to do.
 const LOOK: Duration = Duration::from_millis(200);
 /// How long a request waits for lists that this VM has not learnt yet.
@@ -167,11 +169,32 @@
                             ("stops", &versions.stops),
                         ],
                     );
+                    self.tell_fetchers(&versions);
                 }
             }
         }
     }
 
+    /// Tells the VMs that fetch from this one of new versions, so that they fetch at once.
+    fn tell_fetchers(&self, versions: &Versions) {
+        let payload = Bytes::from(versions.encode_to_vec());
+        let fetchers = self.follower().fetchers();
+        for peer in fetchers.iter().filter_map(|vm| self.peer(vm)) {
+            let (hub, payload) = (Arc::clone(&self.hub), payload.clone());
+            let notify = async move {
+                let _ = hub.notify(peer.links, Topic::Lists, payload).await;
+            };
+            smol::spawn(notify).detach();
+        }
+    }
+
+    /// Takes another VM's word of the versions that it serves.
+    pub(super) fn hear_of_lists(&self, payload: Bytes) {
+        if let Ok(versions) = Versions::decode(payload) {
+            self.follower().hint(&versions, self.clock.now());
+        }
+    }
+
     async fn fetch_lists(&self, from: id::Vm, question: Question) -> Vec<Action> {
         let update = self.question::<Update>(&from, question).await;
         let now = self.clock.now();
@@ -287,7 +310,7 @@
             if !waits || self.clock.now() >= end {
                 return answer;
             }
-            Timer::after(LOOK).await;
+            Timer::after(REPORTS).await;
         }
     }
 
--- a/tests/list_follower.rs
+++ b/tests/list_follower.rs
@@ -10,8 +10,8 @@
     list::{Draft, Kind},
     replica::Machine as _,
     state::{
-        Action, Answer, Command, Follower, HOPS, Machine, Peer, Progress, Refused, Reply, Settings,
-        Store, Subject, Update, load, save,
+        Action, Answer, Command, Fetch, Follower, HOPS, Machine, Peer, Progress, Refused, Reply,
+        Served, Settings, Store, Subject, Update, Versions, load, save,
     },
     stop::Scope,
 };
@@ -298,3 +298,47 @@
     pull(&mut follower, machine.store(), now);
     assert!(follower.stops().vm(&"a-2".into(), &"z".into(), &"a".into()));
 }
+
+#[test]
+fn news_of_a_newer_version_is_fetched_and_reported_at_once() {
+    let (mut machine, now) = (Machine::default(), Instant::now());
+    change(&mut machine, 1);
+    let mut follower = follower("a-1", None, false, now);
+    follower.peers(&[peer("a-9", true)]);
+    pull(&mut follower, machine.store(), now);
+    let settled = now + Duration::from_millis(1);
+    assert!(pull(&mut follower, machine.store(), settled).is_some(), "what came is reported");
+    let soon = now + Duration::from_millis(100);
+    assert!(pull(&mut follower, machine.store(), soon).is_none(), "the period has not passed");
+
+    change(&mut machine, 2);
+    follower.hint(&machine.store().versions(), soon);
+    assert!(pull(&mut follower, machine.store(), soon).is_some());
+    assert_eq!(follower.versions().allowances, 2);
+    follower.hint(&machine.store().versions(), soon);
+    let reported = pull(&mut follower, machine.store(), soon);
+    assert!(reported.is_some(), "the new version is reported");
+    assert!(pull(&mut follower, machine.store(), soon).is_none(), "old news fetches nothing");
+}
+
+#[test]
+fn an_old_copy_of_a_report_does_not_hide_a_newer_one() {
+    let now = Instant::now();
+    let mut relay = follower("a-1", None, false, now);
+    let served = |stops| Served {
+        vm: "a-3".to_owned(),
+        region: "a".to_owned(),
+        versions: Versions { stops, ..Versions::default() },
+    };
+    let fetch = |vm: &str, served| Fetch {
+        vm: vm.to_owned(),
+        region: "a".to_owned(),
+        served: vec![served],
+        ..Fetch::default()
+    };
+    relay.serve(&fetch("a-3", served(5)), now);
+    relay.serve(&fetch("a-2", served(4)), now);
+    let known = relay.reports(now);
+    let known = known.iter().find(|served| served.vm == "a-3").expect("it reported");
+    assert_eq!(known.versions.stops, 5);
+}
