--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -125,8 +125,8 @@
             handover.between_regions += 1;
             handover.within_region = 0;
         }
-        let circles = handover.way.iter().any(|vm| vm == self.settings.vm.as_str());
-        if circles
+        let loops = handover.way.iter().any(|vm| vm == self.settings.vm.as_str());
+        if loops
             || handover.between_regions > BETWEEN_REGIONS_LIMIT
             || handover.within_region > WITHIN_REGION_LIMIT
         {
