Look for an idle link at least as often as it may idle

Cause: the watch of a link slept to its next heartbeat and each exchange began that sleep anew, so a link used a little more often than that was never seen idle, however long the pauses. Change: it sleeps no longer than a link may idle. The test is as it was.

--- a/src/link/driver.rs
+++ b/src/link/driver.rs
@@ -144,8 +144,9 @@
         };
         match due {
             Due::Wait(time) => {
+                // Woken by each exchange, the wait could else outlast every idle time.
                 let timer = async {
-                    Timer::after(time).await;
+                    Timer::after(time.min(settings.idle_close)).await;
                 };
                 let woken = async {
                     let _ = connection.woken.recv().await;
