Ask for a sign of life on a link that is written to often

Cause: an end with something at stake wrote an urgent heartbeat only after a pause in its own writing. A leader writes to its followers several times within each heartbeat interval and hears them on the connections that they dialled, so it never asked, and dropped a sound link each time the silence limit passed. Ruled out: loss on the way (both directions carried frames), the silence limit alone (a longer one only spaces the drops out). Change: with something at stake an end asks once per heartbeat interval, however much it writes. Test: an_end_that_keeps_writing_still_asks_for_a_sign_of_life, which failed before (silent).

--- a/src/link/liveness.rs
+++ b/src/link/liveness.rs
@@ -15,8 +15,8 @@
     at_stake: bool,
     /// Since when this end waits to hear something, with something at stake.
     waiting: Option<Instant>,
-    /// Whether an urgent heartbeat was written since the other end was last heard.
-    asked: bool,
+    /// When an urgent heartbeat was last written since the other end was last heard.
+    asked: Option<Instant>,
     /// When the other end last sent an urgent heartbeat.
     urged: Option<Instant>,
     /// Whether an urgent heartbeat awaits its answer here.
@@ -59,7 +59,7 @@
             wrote: now,
             at_stake: false,
             waiting: None,
-            asked: false,
+            asked: None,
             urged: None,
             owed: false,
         }
@@ -70,7 +70,7 @@
         self.at_stake = at_stake;
         if at_stake {
             self.waiting.get_or_insert(now);
-        } else if !self.asked {
+        } else if self.asked.is_none() {
             self.waiting = None;
         }
     }
@@ -79,7 +79,7 @@
     pub fn heard(&mut self, now: Instant) {
         self.heard = self.heard.max(now);
         self.waiting = self.at_stake.then_some(self.heard);
-        self.asked = false;
+        self.asked = None;
     }
 
     /// An urgent heartbeat came at `now`; true where it changes what is due.
@@ -98,7 +98,9 @@
 
     /// The heartbeat that was due was written at `now`.
     pub fn beat(&mut self, now: Instant) {
-        self.asked |= self.at_stake;
+        if self.at_stake {
+            self.asked = Some(now);
+        }
         self.wrote(now);
     }
 
@@ -116,7 +118,12 @@
         };
         let silent = limit.saturating_duration_since(now);
         let pace = if self.at_stake || self.is_urged(now) { heartbeat } else { idle_heartbeat };
-        let quiet = (self.wrote + pace).saturating_duration_since(now);
+        let mut quiet = (self.wrote + pace).saturating_duration_since(now);
+        if let Some(since) = self.waiting.filter(|_| self.at_stake) {
+            // What is written besides asks for nothing: an end that writes often asks none the less.
+            let asked = self.asked.map_or(since, |asked| asked.max(since));
+            quiet = quiet.min((asked + pace).saturating_duration_since(now));
+        }
         if silent.is_zero() {
             Due::Silent
         } else if quiet.is_zero() || self.owed {
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -417,3 +417,27 @@
         .await;
     });
 }
+
+/// A group's leader writes to each follower several times between two heartbeats; the follower
+/// answers on the connection that it dialled itself.
+#[test]
+fn an_end_that_keeps_writing_still_asks_for_a_sign_of_life() {
+    let settings = Settings::default();
+    let start = Instant::now();
+    let mut liveness = Liveness::new(settings, start);
+    liveness.stake(true, start);
+    let mut asked = 0;
+    for step in 1..40 {
+        let now = start + settings.heartbeat / 3 * step;
+        match liveness.due(now) {
+            Due::Heartbeat { urgent: true } => {
+                asked += 1;
+                liveness.beat(now);
+                liveness.heard(now);
+            }
+            Due::Silent => panic!("silent after {step} steps, asked {asked} times"),
+            _ => liveness.wrote(now),
+        }
+    }
+    assert!(asked > 0);
+}
