Tell a replica that looks for its group who the members are

Cause: an empty replica makes itself known to the VMs that its settings name. Where settings hold a few seeds that change over time, none of them need be the leader, and the replica waits for ever. Change: the answer to an announcement names the members, which the replica then addresses too; the status tells how long a leader has not heard each member, and a replica its leader, for whoever decides on members without an operator. Ruled out: passing announcements on between replicas, which has no end that a sender can see.

--- a/src/consensus.rs
+++ b/src/consensus.rs
@@ -20,7 +20,7 @@
 
 pub(crate) use self::formation::FIRST;
 pub use self::{
-    core::{Core, Role, Start, Status},
+    core::{Core, Role, Silence, Start, Status},
     entry::{Entry, Hard, Kind, Record, Snapshot},
     leader::Fence,
     membership::{Change, Denied, Member, Membership},
--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -62,6 +62,19 @@
     pub membership: Membership,
     /// Empty replicas that wait to be admitted.
     pub announced: Vec<Peer>,
+    /// Where this replica leads: the time since each other member was last heard.
+    pub silences: Vec<Silence>,
+    /// The time since a leader was last heard; zero where this replica leads.
+    pub leaderless: Option<Duration>,
+}
+
+/// How long a leader has not heard a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// The member.
+    pub peer: Peer,
+    /// The time since its last message to this leader, or since this replica began to lead.
+    pub lasts: Duration,
 }
 
 #[derive(Debug)]
@@ -113,6 +126,8 @@
     pub(super) announce_at: Instant,
     pub(super) announced: BTreeMap<id::Vm, u64>,
     pub(super) blank: BTreeMap<id::Vm, u64>,
+    /// VMs that others named as members while this replica belonged to no group.
+    pub(super) contacts: BTreeSet<id::Vm>,
     pub(super) out: Output,
 }
 
@@ -145,6 +160,7 @@
             announce_at: now,
             announced: BTreeMap::new(),
             blank: BTreeMap::new(),
+            contacts: BTreeSet::new(),
             out: Output::default(),
         };
         core.first.sort();
@@ -248,6 +264,15 @@
             snapshot: self.tail.snapshot.index,
             membership: self.membership.clone(),
             announced: announced.filter(|peer| !self.membership.has(peer)).collect(),
+            silences: match &self.state {
+                State::Leader(lead) => lead.silences(self.now),
+                _ => Vec::new(),
+            },
+            leaderless: match &self.state {
+                State::Leader(_) => Some(Duration::ZERO),
+                _ if self.leader.is_none() => None,
+                _ => self.heard.map(|heard| self.now.saturating_duration_since(heard)),
+            },
         }
     }
 
--- a/src/consensus/formation.rs
+++ b/src/consensus/formation.rs
@@ -1,10 +1,14 @@
 use std::collections::BTreeSet;
 
 use super::{Announce, Body, Core, Membership, Peer, Record, Snapshot};
+use crate::id;
 
 /// The index and the term of the snapshot with which a group begins.
 pub(crate) const FIRST: u64 = 1;
 
+/// Members taken from one answer, well above the size of any group.
+const MOST_CONTACTS: usize = 64;
+
 impl Core {
     /// Whether the replica belongs to no group.
     pub(super) fn is_blank(&self) -> bool {
@@ -20,18 +24,25 @@
         self.announce_at = self.now + self.settings.election / 2;
         let mut others: BTreeSet<_> = self.membership.peers().map(|peer| peer.vm).collect();
         others.extend(self.first.iter().cloned());
+        others.extend(self.contacts.iter().cloned());
         others.remove(&self.me.vm);
         for vm in others {
-            self.send_late(&Peer { vm, disk: 0 }, Body::Announce(Announce { answers: 0 }));
+            self.send_late(&Peer { vm, disk: 0 }, Body::Announce(Announce::default()));
         }
     }
 
     pub(super) fn on_announce(&mut self, from: Peer, formation: u64, announce: Announce) {
         if announce.answers == 0 {
             self.announced.insert(from.vm.clone(), from.disk);
+            let members = self.membership.peers().map(|peer| peer.vm.to_string()).collect();
             let answers = from.disk;
-            self.send_late(&from, Body::Announce(Announce { answers }));
-        } else if announce.answers == self.me.disk && formation == 0 {
+            self.send_late(&from, Body::Announce(Announce { answers, members }));
+            self.form();
+            return;
+        }
+        let members = announce.members.iter().take(MOST_CONTACTS);
+        self.contacts.extend(members.map(|vm| id::Vm::from(vm.as_str())));
+        if announce.answers == self.me.disk && formation == 0 {
             self.blank.insert(from.vm, from.disk);
         } else {
             self.blank.remove(&from.vm);
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Append, Appended, Body, Change, Core, Denied, Entry, Install, Kind, Membership, Peer, ReadAsk,
-    ReadReply, core::State,
+    ReadReply, Silence, core::State,
 };
 use crate::id;
 
@@ -54,6 +54,15 @@
         self.reads.iter().filter(|read| read.asker.is_none()).map(|read| read.token)
     }
 
+    /// How long each other member has not been heard at `now`.
+    pub fn silences(&self, now: Instant) -> Vec<Silence> {
+        let silence = |(peer, progress): (&Peer, &Progress)| Silence {
+            peer: peer.clone(),
+            lasts: now.saturating_duration_since(progress.heard),
+        };
+        self.progress.iter().map(silence).collect()
+    }
+
     fn acknowledged(&self, me: &Peer, membership: &Membership) -> u64 {
         highest(membership, |peer| {
             if peer == me { self.round } else { self.progress.get(peer).map_or(0, |p| p.round) }
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -52,11 +52,15 @@
 }
 
 /// Makes an empty replica known.
-#[derive(Clone, Copy, PartialEq, Prost)]
+#[derive(Clone, PartialEq, Prost)]
 pub struct Announce {
     /// Zero when asking, else the disk of the replica that is answered.
     #[prost(uint64, tag = "1")]
     pub answers: u64,
+    /// In an answer, the VMs of the members that the answering replica knows: the asker makes
+    /// itself known to them too, as the VMs in its settings need not be members any more.
+    #[prost(string, repeated, tag = "2")]
+    pub members: Vec<String>,
 }
 
 /// Asks for a vote.
