--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,6 +1,7 @@
 //! The clock, passed in as an interface so that decisions can be driven by a bench.
 
 pub mod millis;
+pub mod seconds;
 
 use std::{
     fmt::Debug,
--- /dev/null
+++ b/src/control/follow.rs
@@ -0,0 +1,93 @@
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use prost::{Message, bytes::Bytes};
+use smol::{Timer, channel::Sender, future::or};
+
+use super::{Control, shell::lock};
+use crate::{
+    event,
+    registry::{Ask, Machine, News, Row, Seen, State},
+    replica::Group,
+};
+
+/// A replica that heard no leader for longer may miss changes: two heartbeats and the way.
+const FRESH: Duration = Duration::from_millis(1000);
+/// A target that missed two announcements, with what replicas tell each other once a second.
+const MISSED: u32 = 3;
+/// The most that a replica waits for something new.
+const MOST_WAIT: Duration = Duration::from_secs(2);
+
+impl Control {
+    /// Answers a VM that asks what changed, as soon as something did.
+    pub(super) async fn follow(self: Arc<Self>, payload: Bytes, reply: Sender<Bytes>) {
+        let ask = match Ask::decode(payload) {
+            Ok(ask) => ask,
+            Err(cause) => {
+                event::registry::UNREADABLE.emit(&self.logger, &[("cause", &cause)]);
+                return;
+            }
+        };
+        lock(&self.followers).insert(ask.entry.vm.clone());
+        self.roster().hear(ask.entry.clone(), self.clock.now());
+        let wait = Duration::from_millis(ask.wait_ms).min(MOST_WAIT);
+        let news = match self.group() {
+            Some(group) => {
+                self.wait_for_news(&group, &ask, wait).await;
+                self.news(&group, &ask)
+            }
+            None => News::default(),
+        };
+        let _ = reply.send(Bytes::from(news.encode_to_vec())).await;
+    }
+
+    async fn wait_for_news(&self, group: &Group<Machine>, ask: &Ask, wait: Duration) {
+        let known = |this: &Self| this.roster().fingerprint(this.clock.now()) == ask.known;
+        let change = group.read(|machine| (machine.index() <= ask.since).then(|| machine.listen()));
+        let Some(change) = change.filter(|_| known(self)) else { return };
+        or(change, async {
+            Timer::after(wait).await;
+        })
+        .await;
+    }
+
+    fn news(&self, group: &Group<Machine>, ask: &Ask) -> News {
+        let now = self.clock.now();
+        let mut news = group.read(|machine| News::since(machine, ask.since));
+        for row in &mut news.targets {
+            row.cold_ms = self.cold_left(row);
+        }
+        let status = group.status().consensus;
+        news.fresh = status.leaderless.is_some_and(|lasts| lasts < FRESH);
+        let limit = self.settings.announce * MISSED;
+        let roster = self.roster();
+        let grown = now.saturating_duration_since(self.started) > limit;
+        let silent = |row: &&Row| {
+            let heard = roster.heard(&row.target);
+            heard.map_or(grown, |at| now.saturating_duration_since(at) > limit)
+        };
+        news.silent = group.read(|machine| {
+            let ready = machine.targets().filter(|row| row.state() == State::Ready);
+            ready.filter(silent).map(|row| row.target.clone()).collect()
+        });
+        news.known = roster.fingerprint(now);
+        if news.known != ask.known {
+            news.vms = roster
+                .live(now)
+                .map(|(entry, _)| Seen { entry: entry.clone(), age_ms: 0 })
+                .collect();
+        }
+        news
+    }
+
+    /// Milliseconds that are left of a row's cold time.
+    pub(super) fn cold_left(&self, row: &Row) -> u64 {
+        let now = self.clock.now();
+        let mut applied = lock(&self.applied);
+        if applied.len() > 4096 {
+            *applied = HashMap::new();
+        }
+        let at = *applied.entry((row.target.clone(), row.changed)).or_insert(now);
+        let passed = u64::try_from(now.saturating_duration_since(at).as_millis());
+        row.cold_ms.saturating_sub(passed.unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/src/control/shell.rs
@@ -0,0 +1,167 @@
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use slog::Logger;
+use smol::channel::Receiver;
+
+use crate::{
+    clock::Clock,
+    event,
+    link::{self, Hub, Inbound},
+    node::{Error, Settings},
+    registry::{Machine, Roster},
+    replica::Group,
+    route::{Fault, Table},
+    wire::{Hello, Topic},
+};
+
+/// Messages of other VMs that may wait.
+const INBOUND_QUEUE: usize = 1024;
+/// A VM that takes callers asks a replica about once a second, and replicas tell each other once a
+/// second; a VM that missed this many of them is not named to callers any more.
+const VM_SILENCE: Duration = Duration::from_millis(3500);
+
+/// Reads and checks the text of a list of routes.
+pub type ReadRoutes = fn(&[u8]) -> Result<Table, Fault>;
+
+/// A VM with a disk.
+pub struct Control {
+    pub(super) settings: Settings,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) logger: Logger,
+    pub(super) hub: Arc<Hub>,
+    pub(super) group: Mutex<Option<Arc<Group<Machine>>>>,
+    pub(super) roster: Mutex<Roster>,
+    /// When each target's row was applied here, to tell what is left of its cold time.
+    pub(super) applied: Mutex<HashMap<(String, u64), Instant>>,
+    pub(super) read_routes: ReadRoutes,
+    pub(super) started: Instant,
+    pub(super) incarnation: u64,
+    pub(super) tables: Mutex<Option<Arc<Table>>>,
+    /// The VMs that ask this replica for news.
+    pub(super) followers: Mutex<BTreeSet<String>>,
+}
+
+impl std::fmt::Debug for Control {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Control").field("vm", &self.settings.vm()).finish_non_exhaustive()
+    }
+}
+
+impl Control {
+    /// Starts the replica and the links; the callers' and operators' sides are served by whoever
+    /// holds the control.
+    ///
+    /// # Errors
+    ///
+    /// Where the port for links cannot be taken.
+    pub async fn start(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        logger: Logger,
+        read_routes: ReadRoutes,
+    ) -> Result<Arc<Self>, Error> {
+        let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
+        let incarnation = incarnation(&*clock);
+        let hello = Hello {
+            vm: settings.vm().to_string(),
+            region: settings.region.to_string(),
+            incarnation,
+            connection: 0,
+        };
+        let hub = Hub::with_logger(hello, link_settings(), sender, logger.clone());
+        let links = settings.links();
+        let listener = smol::net::TcpListener::bind(links)
+            .await
+            .map_err(|cause| Error::Listen(links, cause))?;
+        let control = Arc::new(Self {
+            started: clock.now(),
+            settings,
+            clock,
+            logger,
+            hub: Arc::clone(&hub),
+            group: Mutex::default(),
+            roster: Mutex::new(Roster::new(VM_SILENCE)),
+            applied: Mutex::default(),
+            read_routes,
+            incarnation,
+            tables: Mutex::default(),
+            followers: Mutex::default(),
+        });
+        smol::spawn(async move {
+            let _ = hub.accept(listener).await;
+        })
+        .detach();
+        smol::spawn(Arc::clone(&control).receive(inbound)).detach();
+        smol::spawn(Arc::clone(&control).keep_replica()).detach();
+        smol::spawn(Arc::clone(&control).tell_others()).detach();
+        event::path::STARTED.emit(&control.logger, &[("links", &links)]);
+        Ok(control)
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The logger.
+    pub fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// The replica; nothing while its folder cannot be used.
+    pub(super) fn group(&self) -> Option<Arc<Group<Machine>>> {
+        lock(&self.group).clone()
+    }
+
+    pub(super) fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    async fn receive(self: Arc<Self>, inbound: Receiver<Inbound>) {
+        while let Ok(message) = inbound.recv().await {
+            match message {
+                Inbound::Notice { from, topic: Topic::Consensus, payload } => {
+                    if let Some(group) = self.group() {
+                        group.receive(&from, payload);
+                    }
+                }
+                Inbound::Notice { topic: Topic::Membership, payload, .. } => self.merge(&payload),
+                Inbound::Call { topic: Topic::Registry, payload, reply, .. } => {
+                    smol::spawn(Arc::clone(&self).follow(payload, reply)).detach();
+                }
+                Inbound::Call { topic: Topic::Proposals, payload, reply, .. } => {
+                    smol::spawn(Arc::clone(&self).forwarded(payload, reply)).detach();
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// The settings of links where any VM may vanish: a VM that does not answer is given up sooner
+/// than callers wait for a connection, one second.
+pub(crate) fn link_settings() -> link::Settings {
+    link::Settings {
+        connect: Duration::from_millis(700),
+        heartbeat: Duration::from_millis(700),
+        silence: Duration::from_secs(2),
+        trial: Duration::from_millis(400),
+        backoff_limit: Duration::from_millis(800),
+        ..link::Settings::default()
+    }
+}
+
+/// Grows from one start of a process to the next as far as the time of day does; only used to tell
+/// lifetimes of one VM apart.
+pub(crate) fn incarnation(clock: &dyn Clock) -> u64 {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -8,6 +8,7 @@
 pub mod path;
 pub mod placement;
 pub mod product;
+pub mod registry;
 
 use std::fmt;
 
@@ -41,8 +42,15 @@
 }
 
 /// Every part's events.
-pub const ALL: [&[Event]; 6] =
-    [agreement::ALL, lists::ALL, placement::ALL, links::ALL, path::ALL, product::ALL];
+pub const ALL: [&[Event]; 7] = [
+    agreement::ALL,
+    lists::ALL,
+    placement::ALL,
+    links::ALL,
+    path::ALL,
+    product::ALL,
+    registry::ALL,
+];
 
 /// A logger that writes to standard error, each line with the name of the VM.
 pub fn logger(vm: &id::Vm, settings: Log) -> Logger {
@@ -58,6 +66,17 @@
     Logger::root(drain, o!("vm" => vm.to_string()))
 }
 
+/// Lines that may wait to be written; more are dropped and counted, so that logging never holds up
+/// a request.
+const MOST_WAITING: usize = 4096;
+
+/// A logger that writes JSON lines to standard output, each with the name of the VM.
+pub fn stdout_logger(vm: &str) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain).chan_size(MOST_WAITING).build().fuse();
+    Logger::root(drain, o!("vm" => vm.to_owned()))
+}
+
 /// One field of an event: its name and its value.
 pub type Field<'a> = (&'static str, &'a dyn fmt::Display);
 
--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -21,5 +21,34 @@
 pub const NOT_SETTLED: Event =
     Event { number: 506, severity: Severity::Warning, text: "outcome of a call not kept" };
 
+/// A request was turned away before a rule was found for it.
+pub const TURNED_AWAY: Event =
+    Event { number: 507, severity: Severity::Info, text: "request turned away" };
+/// A target gave no answer to a request.
+pub const NOT_ANSWERED: Event =
+    Event { number: 508, severity: Severity::Warning, text: "no answer of a target" };
+/// An answer broke off midway.
+pub const BROKEN_OFF: Event =
+    Event { number: 509, severity: Severity::Warning, text: "answer broken off" };
+/// A stream broke off and another target was looked for.
+pub const RESUMED: Event =
+    Event { number: 510, severity: Severity::Warning, text: "stream broke off at its target" };
+/// A request that another VM handed over ended.
+pub const TAKEN_OVER: Event =
+    Event { number: 511, severity: Severity::Info, text: "handed-over request ended" };
+
 /// Every event of this part.
-pub const ALL: &[Event] = &[STARTED, STOPPED, REQUEST, TARGET, STOPPING, FAULTY_LIST, NOT_SETTLED];
+pub const ALL: &[Event] = &[
+    STARTED,
+    STOPPED,
+    REQUEST,
+    TARGET,
+    STOPPING,
+    FAULTY_LIST,
+    NOT_SETTLED,
+    TURNED_AWAY,
+    NOT_ANSWERED,
+    BROKEN_OFF,
+    RESUMED,
+    TAKEN_OVER,
+];
--- /dev/null
+++ b/src/event/registry.rs
@@ -0,0 +1,51 @@
+//! Events 700 to 799: the registry and its replicas.
+
+use super::{Event, Severity};
+
+/// The replica cannot use its folder.
+pub const NO_REPLICA: Event =
+    Event { number: 700, severity: Severity::Error, text: "replica cannot start" };
+/// The replica's role, its leader or the size of the group changed.
+pub const REPLICA: Event =
+    Event { number: 701, severity: Severity::Info, text: "replica changed its part" };
+/// The leader changed the members of the group.
+pub const MEMBERS: Event =
+    Event { number: 702, severity: Severity::Info, text: "members of the group changed" };
+/// An operator's order was decided on.
+pub const ORDER: Event = Event { number: 703, severity: Severity::Info, text: "order decided on" };
+/// A target said something new.
+pub const TARGET: Event =
+    Event { number: 704, severity: Severity::Info, text: "target said something new" };
+/// A message of another VM cannot be read.
+pub const UNREADABLE: Event =
+    Event { number: 705, severity: Severity::Warning, text: "unreadable message dropped" };
+/// Something that does not name a target was announced.
+pub const NO_TARGET: Event =
+    Event { number: 706, severity: Severity::Warning, text: "announcement not understood" };
+
+/// A VM asks another replica, or the one that it asks answers otherwise than before.
+pub const FOLLOWED: Event =
+    Event { number: 707, severity: Severity::Info, text: "replica asked for news" };
+/// A list of routes is in force on this VM.
+pub const IN_FORCE: Event =
+    Event { number: 708, severity: Severity::Info, text: "routes are in force" };
+/// The settings name other seeds.
+pub const SEEDS: Event = Event { number: 709, severity: Severity::Info, text: "seeds changed" };
+/// The settings could not be read again; the former ones hold.
+pub const NOT_RELOADED: Event =
+    Event { number: 710, severity: Severity::Warning, text: "settings not read again" };
+
+/// Every event of this part.
+pub const ALL: &[Event] = &[
+    NO_REPLICA,
+    REPLICA,
+    MEMBERS,
+    ORDER,
+    TARGET,
+    UNREADABLE,
+    NO_TARGET,
+    FOLLOWED,
+    IN_FORCE,
+    SEEDS,
+    NOT_RELOADED,
+];
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,32 @@
+//! A VM that takes callers by routes: finds the rule of a request, sends it to a target of its
+//! region or hands it to a VM of another one, and gives back the target's whole answer or a break
+//! that nobody takes for one.
+//!
+//! The decisions are [`Board`] (which target), [`Allowance`] (may it be sent again), [`Events`]
+//! (what of a stream is whole); the rest carries requests and answers.
+
+mod allowance;
+mod attempt;
+mod board;
+mod call;
+mod dialect;
+mod events;
+mod flow;
+mod follow;
+mod journey;
+mod outcome;
+mod passage;
+mod pool;
+mod prompt;
+mod serve;
+mod shell;
+mod track;
+
+pub use self::{
+    allowance::Allowance,
+    board::{Board, Pick, Query},
+    dialect::Dialect,
+    events::Events,
+    prompt::{Part, Prompt},
+    shell::{Gateway, Running},
+};
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,211 @@
+use std::{sync::Arc, time::Duration};
+
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+
+use super::{
+    call::Call,
+    pool::{Keep, Lease},
+    shell::Gateway,
+    track::Report,
+};
+use crate::{
+    clock::within,
+    http::{self, Failure},
+    registry::Target,
+};
+
+/// What one try at one target came to.
+#[derive(Debug)]
+pub(super) enum Tried {
+    /// The head of an answer came.
+    Head(Box<Opened>),
+    /// The target says that it did not run the request.
+    Rejected(String),
+    /// Nothing was sent.
+    NotSent(String),
+    /// The target may have run it.
+    Unknown(String),
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(super) struct Opened {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) keep: Keep,
+    pub(super) trip: Trip,
+}
+
+/// A request at a target, for as long as it is there.
+pub(super) struct Trip {
+    gateway: Arc<Gateway>,
+    pub(super) target: Target,
+    tokens: Option<f64>,
+}
+
+impl std::fmt::Debug for Trip {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Trip").field("target", &self.target.target).finish_non_exhaustive()
+    }
+}
+
+impl Trip {
+    fn new(gateway: &Arc<Gateway>, target: &Target, call: &Call) -> Self {
+        let now = gateway.clock.now();
+        let tokens = gateway.board().sent(target, &call.prompt, now);
+        Self { gateway: Arc::clone(gateway), target: target.clone(), tokens: Some(tokens) }
+    }
+
+    /// The first event came.
+    pub(super) fn read(&mut self) {
+        if let Some(tokens) = self.tokens.take() {
+            let now = self.gateway.clock.now();
+            self.gateway.board().read(&self.target, tokens, now);
+        }
+    }
+}
+
+impl Drop for Trip {
+    fn drop(&mut self) {
+        self.read();
+        let now = self.gateway.clock.now();
+        self.gateway.board().ended(&self.target, now);
+    }
+}
+
+impl Gateway {
+    /// Sends the request to a target and waits at most `left` for the head of its answer.
+    pub(super) async fn try_target(
+        self: &Arc<Self>,
+        call: &Call,
+        target: &Target,
+        last_event: Option<u64>,
+        left: Duration,
+    ) -> Tried {
+        let trip = Trip::new(self, target, call);
+        let mut fresh = false;
+        loop {
+            let now = self.clock.now();
+            let mut lease = match self.pool.take(target.address, target.born, fresh, now).await {
+                Ok(lease) => lease,
+                Err(cause) => {
+                    self.board().failed(target, self.clock.now());
+                    return Tried::NotSent(cause.to_string());
+                }
+            };
+            let request = match self.message(call, target, last_event, left) {
+                Ok(request) => request,
+                Err(cause) => return Tried::NotSent(cause.to_string()),
+            };
+            let sent = within(left, lease.connection.sender.try_send_request(request)).await;
+            match sent {
+                Some(Ok(response)) => return self.judge(call, response, lease, trip).await,
+                Some(Err(mut failure)) => {
+                    // A request that the connection hands back was not sent.
+                    if failure.take_message().is_some() {
+                        if lease.kept && !fresh {
+                            fresh = true;
+                            continue;
+                        }
+                        self.board().failed(target, self.clock.now());
+                        let cause = "the connection ended before it was used";
+                        return Tried::NotSent(cause.to_owned());
+                    }
+                    // A kept connection that ends tells little of the target.
+                    if !lease.kept {
+                        self.board().failed(target, self.clock.now());
+                    }
+                    let cause = Failure::Unknown(failure.error().to_string());
+                    return Tried::Unknown(cause.to_string());
+                }
+                None => return Tried::Unknown("no answer in time".to_owned()),
+            }
+        }
+    }
+
+    fn message(
+        &self,
+        call: &Call,
+        target: &Target,
+        last_event: Option<u64>,
+        left: Duration,
+    ) -> Result<Request<http::Body>, hyper::http::Error> {
+        let body = if call.body.is_empty() { http::empty() } else { http::full(call.body.clone()) };
+        let mut request =
+            Request::builder().method(call.method.clone()).uri(call.path.as_str()).body(body)?;
+        let dialect = &self.dialect;
+        let headers = request.headers_mut();
+        headers.clone_from(&call.headers);
+        let mut set = |name: &HeaderName, value: String| {
+            if let Ok(value) = HeaderValue::try_from(value) {
+                headers.insert(name.clone(), value);
+            }
+        };
+        set(&dialect.time_left, left.as_millis().to_string());
+        set(&dialect.expect_target, target.target.to_string());
+        if let Some(event) = last_event {
+            set(&dialect.last_event, event.to_string());
+        }
+        Ok(request)
+    }
+
+    /// Whether the answer is one to this request, and says that it ran.
+    async fn judge(
+        &self,
+        call: &Call,
+        response: Response<Incoming>,
+        lease: Lease,
+        trip: Trip,
+    ) -> Tried {
+        let now = self.clock.now();
+        let (head, body) = response.into_parts();
+        let text = |name: &HeaderName| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let target = &trip.target;
+        if text(&self.dialect.request) != Some(call.id.as_str()) {
+            return Tried::Unknown("the target answered another request".to_owned());
+        }
+        if let Some(report) = text(&self.dialect.load).and_then(parse_load) {
+            self.board().reported(target, report, now);
+        }
+        let keep = Keep::of(&head.headers);
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if misdirected || head.headers.contains_key(&self.dialect.not_run) {
+            let detail = format!("it answered {} and did not run the request", head.status);
+            if misdirected {
+                self.board().failed(target, now);
+            }
+            // Read to its end, so that the connection can be used again.
+            if http::collect(body, MOST_REJECTION).await.is_ok() {
+                lease.give_back(&keep, now);
+            }
+            return Tried::Rejected(detail);
+        }
+        if head.status.is_success() && text(&self.dialect.proof).is_none() {
+            return Tried::Unknown("the answer bears no proof of the target".to_owned());
+        }
+        if head.headers.contains_key("content-encoding") {
+            return Tried::Unknown(
+                "the answer's body is encoded, which nobody asked for".to_owned(),
+            );
+        }
+        self.board().answered(target, head.status.is_server_error(), now);
+        let headers = self.dialect.to_caller(head.headers);
+        let opened = Opened { status: head.status, headers, body, lease, keep, trip };
+        Tried::Head(Box::new(opened))
+    }
+}
+
+/// The largest body of a rejection that is read.
+const MOST_REJECTION: usize = 64 * 1024;
+
+fn parse_load(text: &str) -> Option<Report> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let mut next = || numbers.next().flatten();
+    Some(Report { running: next()?, waiting: next()?, slots: next()? })
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,47 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{HeaderMap, Method, body::Bytes};
+
+use super::Prompt;
+use crate::{id, route::Rule};
+
+/// A caller's request that a rule was found for.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    /// Its identifier, as the caller sent it.
+    pub(super) id: String,
+    /// The method.
+    pub(super) method: Method,
+    /// The path with the query.
+    pub(super) path: String,
+    /// The headers that targets get.
+    pub(super) headers: HeaderMap,
+    /// The body.
+    pub(super) body: Bytes,
+    /// The rule.
+    pub(super) rule: Arc<Rule>,
+    /// The version of the routes that hold the rule.
+    pub(super) version: u64,
+    /// The service that the rule's split gave it.
+    pub(super) service: id::Service,
+    /// What it asks a model engine to read and write.
+    pub(super) prompt: Prompt,
+    /// When the caller gives up.
+    pub(super) deadline: Instant,
+    /// When it came.
+    pub(super) came: Instant,
+    /// The number of the last event that the caller has, where it goes on with a stream.
+    pub(super) last_event: Option<u64>,
+    /// Whether another VM handed it over.
+    pub(super) handed_over: bool,
+}
+
+impl Call {
+    /// The time until the caller gives up.
+    pub(super) fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,168 @@
+use std::{sync::Arc, time::Duration};
+
+use prost::{Message, bytes::Bytes};
+use smol::{Timer, future::or};
+
+use super::shell::Gateway;
+use crate::{
+    event, id,
+    registry::{Ask, Entry, Load, News},
+    wire::Topic,
+};
+
+/// How long a replica may wait for something new before it answers.
+const WAIT: Duration = Duration::from_millis(1000);
+/// How long the answer may take beyond that: another region is 55 ms away.
+const BEYOND: Duration = Duration::from_millis(500);
+/// The pause after a replica failed to answer.
+const PAUSE: Duration = Duration::from_millis(100);
+
+impl Gateway {
+    /// Asks replicas for what changed, one after the other, for as long as the VM runs.
+    pub(super) async fn follow(self: Arc<Self>) {
+        let mut turn = 0;
+        let mut former = None;
+        loop {
+            let replicas = self.replicas();
+            let vm = &replicas[turn % replicas.len()];
+            let asked = self.ask(vm).await;
+            let fresh = matches!(asked, Some(true));
+            let state = (vm.clone(), asked);
+            if former.as_ref() != Some(&state) {
+                let word = match asked {
+                    Some(true) => "follows",
+                    Some(false) => "is behind",
+                    None => "does not answer",
+                };
+                event::registry::FOLLOWED
+                    .emit(&self.logger, &[("replica", vm), ("outcome", &word)]);
+                former = Some(state);
+            }
+            if fresh {
+                // Nearer ones are tried again now and then.
+                turn = if turn % replicas.len() == 0 || self.nearest_is_tried() { turn } else { 0 };
+            } else {
+                turn += 1;
+                if turn % replicas.len() == 0 {
+                    self.reload_seeds();
+                }
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+
+    /// Asks one replica; whether it answered, and whether it misses nothing.
+    async fn ask(&self, vm: &id::Vm) -> Option<bool> {
+        let address = self.settings.links_of(vm)?;
+        let (since, known) = {
+            let mirror = self.mirror();
+            (mirror.index(), mirror.known())
+        };
+        let stopping = self.is_stopping();
+        let wait_ms = u64::try_from(WAIT.as_millis()).unwrap_or_default();
+        let ask = Ask { since, entry: self.own_entry(), known, wait_ms };
+        let payload = Bytes::from(ask.encode_to_vec());
+        let call = self.hub.call(address, Topic::Registry, payload, WAIT + BEYOND);
+        // A VM that begins to stop says so at once, not with its next question.
+        let stops = async {
+            if stopping {
+                std::future::pending::<()>().await;
+            }
+            self.stops().await;
+            Err(crate::link::Error::Closed)
+        };
+        let reply = or(call, stops).await;
+        if !stopping && self.is_stopping() {
+            return Some(true);
+        }
+        let news = News::decode(reply.ok()?).ok()?;
+        let fresh = news.fresh;
+        self.take(news);
+        Some(fresh)
+    }
+
+    fn take(&self, news: News) {
+        let now = self.clock.now();
+        let routes = news.routes.clone();
+        let newer = self.mirror().take(news, now);
+        if let Some(routes) = routes.filter(|_| newer) {
+            self.take_routes(routes.version, &routes.text);
+        }
+        let mirror = self.mirror();
+        let vms = mirror.vms().iter().filter(|vm| vm.ready && !vm.callers.is_empty()).count();
+        self.allowance().set_vms(u32::try_from(vms).unwrap_or(u32::MAX));
+        let addresses: Vec<_> = mirror
+            .services()
+            .flat_map(|(_, targets)| targets.iter().map(|target| target.address))
+            .collect();
+        drop(mirror);
+        self.pool.sweep(|address| addresses.contains(address), now);
+    }
+
+    /// The replicas to ask: those of this region first, then others that were learned of, then the
+    /// seeds.
+    fn replicas(&self) -> Vec<id::Vm> {
+        let mirror = self.mirror();
+        let mut known: Vec<&Entry> =
+            mirror.vms().iter().filter(|vm| vm.callers.is_empty()).collect();
+        let here = self.settings.region.as_str();
+        let own = self.settings.vm();
+        known.sort_by_key(|vm| (vm.region != here, mix(own.as_str(), &vm.vm)));
+        let mut replicas: Vec<id::Vm> =
+            known.into_iter().map(|vm| id::Vm::from(vm.vm.as_str())).collect();
+        for seed in self.seeds() {
+            if !replicas.contains(&seed) {
+                replicas.push(seed);
+            }
+        }
+        replicas
+    }
+
+    /// What this VM says of itself.
+    fn own_entry(&self) -> Entry {
+        let settings = &self.settings;
+        let callers = settings.callers.map(|callers| callers.to_string()).unwrap_or_default();
+        Entry {
+            vm: settings.vm().to_string(),
+            region: settings.region.to_string(),
+            zone: settings.zone.to_string(),
+            callers,
+            links: settings.links().to_string(),
+            ready: self.is_ready(),
+            incarnation: self.incarnation,
+            loads: self.loads(),
+        }
+    }
+
+    /// How busy the targets of this region are.
+    fn loads(&self) -> Vec<Load> {
+        let now = self.clock.now();
+        let mirror = self.mirror();
+        let vms = self.near_vms(&mirror);
+        let here = Some(&self.settings.region);
+        let mut loads = Vec::new();
+        for (service, targets) in mirror.services() {
+            let near: Vec<_> = targets
+                .iter()
+                .filter(|target| self.settings.region_of(&target.zone) == here)
+                .collect();
+            if near.is_empty() {
+                continue;
+            }
+            let (slots, running, waiting, delay) = self.board().load(&near, vms, now);
+            loads.push(Load {
+                service: service.to_string(),
+                slots,
+                running,
+                waiting,
+                delay_ms: (delay * 1000.0).min(60_000.0) as u32,
+            });
+        }
+        loads
+    }
+}
+
+/// Spreads VMs over the replicas of their region.
+fn mix(one: &str, other: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(format!("{one} {other}").as_bytes())
+}
--- /dev/null
+++ b/src/gateway/journey.rs
@@ -0,0 +1,333 @@
+use std::{sync::Arc, time::Duration};
+
+use hyper::body::Bytes;
+use rand::RngExt;
+use smol::Timer;
+
+use super::{
+    attempt::{Opened, Tried},
+    board::Query,
+    call::Call,
+    flow::{Flow, FromTarget, Piece, Source},
+    outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
+    shell::Gateway,
+};
+use crate::{
+    clock::within,
+    event, id,
+    registry::{Entry, Target},
+};
+
+/// The bytes of an answer that is no stream which are read before its caller sees any of it, so
+/// that an answer cut short is told from a whole one.
+const MOST_WHOLE: usize = 512 * 1024;
+/// How often a target's word that it did not run a request leads to another target.
+const MOST_REJECTIONS: u32 = 3;
+/// How often a target that could not be reached leads to another one.
+const MOST_UNREACHED: u32 = 6;
+/// The pause before a target is looked for again where all are cold or resting.
+const PAUSE: Duration = Duration::from_millis(50);
+/// The part of the objective for which a request waits for a target to take it.
+const PATIENCE: u32 = 4;
+/// When callers are told to come back: spread out, so that they do not come together.
+const COME_BACK: std::ops::Range<f64> = 0.4..1.2;
+
+/// Where a request goes next.
+enum Place {
+    Target(Target),
+    Vm(Entry),
+    /// There are targets, but none takes it at this moment.
+    Wait,
+    Nowhere,
+}
+
+/// What was learned of one request so far.
+#[derive(Default)]
+pub(super) struct Course {
+    pub(super) tried: Vec<id::Target>,
+    pub(super) vms: Vec<String>,
+    pub(super) runs: u32,
+    pub(super) rejections: u32,
+    pub(super) unreached: u32,
+    pub(super) sent: bool,
+    unknown: Option<String>,
+    pub(super) refused: Option<String>,
+    /// A failure that a target answered with, for want of anything better.
+    failure: Option<Answer>,
+}
+
+impl Gateway {
+    /// Carries a request to a target's answer, or finds out that there is none.
+    pub(super) async fn run(self: &Arc<Self>, call: Arc<Call>) -> Outcome {
+        let mut course = Course::default();
+        let patience = self.clock.now() + call.rule.objective / PATIENCE;
+        while course.may_go_on(&call) && !call.left(self.clock.now()).is_zero() {
+            let place = self.place(&call, &course);
+            let goes = matches!(place, Place::Target(_) | Place::Vm(_));
+            if goes && course.sent && !self.may_repeat(&call) {
+                break;
+            }
+            match place {
+                Place::Target(target) => {
+                    if let Some(outcome) = self.visit(&call, &target, &mut course).await {
+                        return outcome;
+                    }
+                }
+                Place::Vm(vm) => {
+                    if let Some(outcome) = self.pass(&call, &vm, &mut course).await {
+                        return outcome;
+                    }
+                }
+                Place::Wait if self.clock.now() < patience => {
+                    Timer::after(PAUSE).await;
+                }
+                Place::Wait | Place::Nowhere => break,
+            }
+        }
+        self.conclude(&call, course)
+    }
+
+    fn conclude(&self, call: &Call, course: Course) -> Outcome {
+        if let Some(failure) = course.failure {
+            return Outcome::Answered(failure);
+        }
+        if let Some(cause) = course.unknown {
+            return Outcome::Unknown(cause);
+        }
+        let retry_after = Duration::from_secs_f64(self.random().random_range(COME_BACK));
+        let (reason, detail) = match course.refused {
+            Some(detail) => (Reason::Full, detail),
+            None if call.left(self.clock.now()).is_zero() => {
+                (Reason::Late, "its time ran out before it was sent".to_owned())
+            }
+            None => (Reason::NoTarget, format!("no target of `{}` takes it", call.service)),
+        };
+        Outcome::Refused(Refusal::new(reason, detail, retry_after))
+    }
+
+    fn may_repeat(&self, call: &Call) -> bool {
+        // The VM that took the request from its caller decides.
+        let may = !call.handed_over && self.allowance().repeat(&call.service, self.clock.now());
+        if !may && !call.handed_over {
+            let fields: [event::Field<'_>; 2] =
+                [("request", &call.id), ("customer", &call.service)];
+            event::placement::RETRIES_SPENT.emit(&self.logger, &fields);
+        }
+        may
+    }
+
+    /// Chooses a target of this region, or a VM of another one.
+    fn place(&self, call: &Call, course: &Course) -> Place {
+        let now = self.clock.now();
+        let mirror = self.mirror();
+        let region_of = |target: &Target| self.settings.region_of(&target.zone);
+        let targets = mirror.targets(&call.service);
+        let here = &self.settings.region;
+        let mut waits = false;
+        if call.rule.allows(here) {
+            let near: Vec<&Target> =
+                targets.iter().filter(|target| region_of(target) == Some(here)).collect();
+            let service = self.table().and_then(|table| table.service(&call.service).cloned());
+            let query = Query {
+                targets: &near,
+                prompt: &call.prompt,
+                tried: &course.tried,
+                cold_rate: service.map_or(0.0, |service| service.cold_rate),
+                vms: self.near_vms(&mirror),
+            };
+            if let Some(pick) = self.board().choose(query, now) {
+                return Place::Target(pick.target);
+            }
+            waits = !near.is_empty();
+        }
+        if !call.handed_over {
+            let serves = |region: &id::Region| {
+                region != here
+                    && call.rule.allows(region)
+                    && targets.iter().any(|target| region_of(target) == Some(region))
+            };
+            let vms: Vec<&Entry> = mirror
+                .vms()
+                .iter()
+                .filter(|vm| vm.ready && !vm.callers.is_empty() && !course.vms.contains(&vm.vm))
+                .filter(|vm| serves(&id::Region::from(vm.region.as_str())))
+                .collect();
+            if !vms.is_empty() {
+                let place = self.random().random_range(0..vms.len());
+                return Place::Vm(vms[place].clone());
+            }
+        }
+        if waits { Place::Wait } else { Place::Nowhere }
+    }
+
+    /// Tries a target; gives an outcome where the request goes no further.
+    async fn visit(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        target: &Target,
+        course: &mut Course,
+    ) -> Option<Outcome> {
+        course.tried.push(target.target.clone());
+        let left = call.left(self.clock.now());
+        let tried = self.try_target(call, target, call.last_event, left).await;
+        self.log_try(call, &target.target, &tried);
+        match tried {
+            Tried::Head(opened) => {
+                course.sent = true;
+                course.runs += 1;
+                self.settle(call, *opened, course).await
+            }
+            Tried::Rejected(cause) => {
+                course.sent = true;
+                course.rejections += 1;
+                course.refused = Some(format!("target `{}`: {cause}", target.target));
+                None
+            }
+            Tried::NotSent(_) => {
+                course.unreached += 1;
+                None
+            }
+            Tried::Unknown(cause) => {
+                course.sent = true;
+                course.runs += 1;
+                self.doubt(call, format!("target `{}`: {cause}", target.target), course)
+            }
+        }
+    }
+
+    /// Notes that the request may have run; ends it where it must not run again.
+    pub(super) fn doubt(&self, call: &Call, cause: String, course: &mut Course) -> Option<Outcome> {
+        course.unknown = Some(cause.clone());
+        (!call.rule.class.is_repeatable()).then_some(Outcome::Unknown(cause))
+    }
+
+    /// Reads what is needed of an answer before its head goes to the caller.
+    async fn settle(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        opened: Opened,
+        course: &mut Course,
+    ) -> Option<Outcome> {
+        let Opened { status, headers, body, lease, keep, trip } = opened;
+        let target = trip.target.target.to_string();
+        let from = Box::new(FromTarget { body, lease: Some(lease), keep, trip });
+        let answer = Answer { status, headers, body: AnswerBody::Whole(Bytes::new()), target };
+        self.settle_from(call, answer, Source::Target(from), course).await
+    }
+
+    /// The same for an answer from wherever.
+    pub(super) async fn settle_from(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        answer: Answer,
+        mut source: Source,
+        course: &mut Course,
+    ) -> Option<Outcome> {
+        let Answer { status, target, .. } = &answer;
+        let left = call.left(self.clock.now());
+        let stream = call.rule.class.is_stream() && status.is_success();
+        let read = within(left, self.read_start(&mut source, stream)).await;
+        let body = match read {
+            Some(Ok(Start::Whole(bytes))) => AnswerBody::Whole(bytes),
+            Some(Ok(Start::Begins(bytes))) => {
+                let tried = std::mem::take(&mut course.tried);
+                let flow = Flow::new(self, call, source, bytes, tried, course.runs);
+                AnswerBody::Flow(Box::new(flow))
+            }
+            Some(Err(cause)) => {
+                return self.doubt(call, format!("target `{target}`: {cause}"), course);
+            }
+            None => {
+                let cause = format!("target `{target}`: no answer in time");
+                return self.doubt(call, cause, course);
+            }
+        };
+        let failed = status.is_server_error();
+        let answer = Answer { body, ..answer };
+        if failed && call.rule.class.is_repeatable() {
+            course.failure = Some(answer);
+            return None;
+        }
+        Some(Outcome::Answered(answer))
+    }
+
+    /// Reads a small answer whole, and of a large one or a stream the beginning.
+    async fn read_start(&self, source: &mut Source, stream: bool) -> Result<Start, String> {
+        let mut read: Vec<u8> = Vec::new();
+        loop {
+            match source.next(self).await {
+                Piece::Bytes(bytes) if stream && read.is_empty() => {
+                    return Ok(Start::Begins(bytes));
+                }
+                Piece::Bytes(bytes) => read.extend_from_slice(&bytes),
+                Piece::End => return Ok(Start::Whole(Bytes::from(read))),
+                Piece::Broken(cause) => return Err(cause),
+            }
+            if read.len() > MOST_WHOLE {
+                return Ok(Start::Begins(Bytes::from(read)));
+            }
+        }
+    }
+
+    /// Finds a target that goes on with a stream after the event `last`.
+    pub(super) async fn resume(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        last: Option<u64>,
+        tried: &mut Vec<id::Target>,
+        runs: &mut u32,
+    ) -> Option<Source> {
+        let course = Course { tried: tried.clone(), ..Course::default() };
+        let Place::Target(target) = self.place(call, &course) else {
+            *runs = call.rule.attempts;
+            return None;
+        };
+        if !self.may_repeat(call) {
+            *runs = call.rule.attempts;
+            return None;
+        }
+        tried.push(target.target.clone());
+        let left = call.left(self.clock.now());
+        match self.try_target(call, &target, last, left).await {
+            Tried::Head(opened) => {
+                *runs += 1;
+                let Opened { status, body, lease, keep, trip, .. } = *opened;
+                let from = Box::new(FromTarget { body, lease: Some(lease), keep, trip });
+                status.is_success().then_some(Source::Target(from))
+            }
+            Tried::Unknown(_) => {
+                *runs += 1;
+                None
+            }
+            Tried::Rejected(_) | Tried::NotSent(_) => None,
+        }
+    }
+
+    fn log_try(&self, call: &Call, target: &id::Target, tried: &Tried) {
+        let outcome = match tried {
+            Tried::Head(_) => return,
+            Tried::Rejected(cause) => format!("rejected: {cause}"),
+            Tried::NotSent(cause) => format!("not sent: {cause}"),
+            Tried::Unknown(cause) => format!("unknown: {cause}"),
+        };
+        let fields: [event::Field<'_>; 3] =
+            [("request", &call.id), ("target", target), ("outcome", &outcome)];
+        event::path::NOT_ANSWERED.emit(&self.logger, &fields);
+    }
+}
+
+/// What was read of an answer.
+enum Start {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning.
+    Begins(Bytes),
+}
+
+impl Course {
+    fn may_go_on(&self, call: &Call) -> bool {
+        self.runs < call.rule.attempts.max(1)
+            && self.rejections < MOST_REJECTIONS
+            && self.unreached < MOST_UNREACHED
+    }
+}
--- /dev/null
+++ b/src/gateway/passage.rs
@@ -0,0 +1,298 @@
+use std::{pin::pin, sync::Arc, time::Duration};
+
+use futures_util::future::{Either, select};
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    body::Bytes,
+    header::{HeaderName, HeaderValue},
+};
+use smol::Timer;
+
+use super::{
+    call::Call,
+    flow::{Flow, Source},
+    journey::Course,
+    outcome::{Answer, AnswerBody, Outcome, Refusal},
+    shell::Gateway,
+};
+use crate::{
+    clock::within,
+    event, id,
+    link::Exchange,
+    registry::Entry,
+    wire::{Abort, Body, Chunk, End, Handover, Head, Need, Pair},
+};
+
+/// How long a VM that knows older routes than the one that hands over waits for the newer ones.
+const CATCH_UP: Duration = Duration::from_millis(800);
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
+/// How long the other VM may take to read the end of an answer.
+const END: Duration = Duration::from_secs(2);
+/// The time that a hand-over may take up of what its caller allows.
+const WAY: Duration = Duration::from_millis(120);
+
+impl Gateway {
+    /// Hands the request to a VM of another region; gives an outcome where it goes no further.
+    pub(super) async fn pass(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        vm: &Entry,
+        course: &mut Course,
+    ) -> Option<Outcome> {
+        course.vms.push(vm.vm.clone());
+        self.log_passage(call, vm);
+        let left = call.left(self.clock.now());
+        let address = vm.links()?;
+        let mut exchange = match self.hub.hand_over(address, handover(call, left)).await {
+            Ok(exchange) => exchange,
+            Err(_) => {
+                course.unreached += 1;
+                return None;
+            }
+        };
+        let asked = within(left, ask(&mut exchange, &call.body)).await;
+        match asked {
+            Some(Ok(Body::Head(head))) => {
+                course.sent = true;
+                course.runs += 1;
+                let status = u16::try_from(head.status).unwrap_or_default();
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                let body = AnswerBody::Whole(Bytes::new());
+                let headers = decode_headers(head.headers);
+                let answer = Answer { status, headers, body, target: vm.vm.clone() };
+                self.settle_from(call, answer, Source::Link(exchange), course).await
+            }
+            Some(Ok(Body::Abort(abort))) if abort.did_not_run => {
+                course.rejections += 1;
+                course.refused = Some(abort.detail);
+                None
+            }
+            Some(Ok(Body::Abort(abort))) => self.passed_in_doubt(call, abort.detail, course),
+            Some(Ok(_)) => self.passed_in_doubt(call, "no head came".to_owned(), course),
+            Some(Err(cause)) => self.passed_in_doubt(call, cause, course),
+            None => self.passed_in_doubt(call, "no answer in time".to_owned(), course),
+        }
+    }
+
+    fn passed_in_doubt(&self, call: &Call, cause: String, course: &mut Course) -> Option<Outcome> {
+        course.sent = true;
+        course.runs += 1;
+        self.doubt(call, cause, course)
+    }
+
+    /// Serves a request that another VM handed over; the work stops when that VM gives it up.
+    pub(super) async fn take_over(
+        self: Arc<Self>,
+        from: id::Vm,
+        handover: Handover,
+        mut exchange: Exchange,
+    ) {
+        let _busy = self.busy();
+        let time = Duration::from_millis(handover.deadline_ms);
+        let limit = self.table().map_or(0, |table| table.limits.body);
+        let Some(Some(body)) = within(time, read_body(&mut exchange, limit)).await else { return };
+        let request = handover.request.clone();
+        let outcome = {
+            let work = pin!(self.run_for(handover, body));
+            match select(work, pin!(exchange.receive())).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right(_) => return,
+            }
+        };
+        let word = match &outcome {
+            Outcome::Answered(answer) => format!("answered by {}", answer.target),
+            Outcome::Refused(refusal) => format!("refused: {}", refusal.detail),
+            Outcome::Unknown(cause) => format!("unknown: {cause}"),
+        };
+        self.log_taken_over(&request, &from, &word);
+        answer(exchange, outcome).await;
+    }
+
+    fn log_passage(&self, call: &Call, vm: &Entry) {
+        let fields: [event::Field<'_>; 3] =
+            [("request", &call.id), ("vm", &vm.vm), ("region", &vm.region)];
+        event::placement::SPILLED.emit(&self.logger, &fields);
+    }
+
+    fn log_taken_over(&self, request: &str, from: &id::Vm, outcome: &str) {
+        let fields: [event::Field<'_>; 3] =
+            [("request", &request), ("from", from), ("outcome", &outcome)];
+        event::path::TAKEN_OVER.emit(&self.logger, &fields);
+    }
+
+    async fn run_for(self: &Arc<Self>, handover: Handover, body: Bytes) -> Outcome {
+        let deadline = self.clock.now() + Duration::from_millis(handover.deadline_ms);
+        let caught_up = self.clock.now() + CATCH_UP;
+        while self.table().is_none_or(|table| table.version < handover.plans) {
+            if self.clock.now() >= caught_up {
+                return refuse("this VM does not know the newest routes");
+            }
+            Timer::after(CATCH_UP_PAUSE).await;
+        }
+        let Some(table) = self.table() else { return refuse("this VM knows no routes") };
+        let headers = decode_headers(handover.headers);
+        let host = host_of(&headers).unwrap_or_default();
+        let Some(rule) = table.find(&host, &handover.path).cloned() else {
+            return refuse("no route fits any more");
+        };
+        if !rule.allows(&self.settings.region) {
+            return refuse("the route's homes do not hold this region");
+        }
+        let service = handover.need.map(|need| id::Service::from(need.service));
+        let Some(service) = service.filter(|named| rule.split.services().any(|one| one == named))
+        else {
+            return refuse("the route names another service now");
+        };
+        let Ok(method) = Method::try_from(handover.method.as_str()) else {
+            return refuse("the method cannot be read");
+        };
+        let prompt = self.prompt(&headers);
+        let last_event = self.last_event(&headers);
+        let call = Call {
+            id: handover.request,
+            method,
+            path: handover.path,
+            headers,
+            body,
+            rule,
+            version: table.version,
+            service,
+            prompt,
+            deadline,
+            came: self.clock.now(),
+            last_event,
+            handed_over: true,
+        };
+        self.run(Arc::new(call)).await
+    }
+}
+
+fn refuse(detail: &str) -> Outcome {
+    let wait = Duration::from_millis(300);
+    Outcome::Refused(Refusal::new(super::outcome::Reason::NoTarget, detail, wait))
+}
+
+fn handover(call: &Call, left: Duration) -> Handover {
+    let left = left.saturating_sub(WAY);
+    Handover {
+        request: call.id.clone(),
+        method: call.method.to_string(),
+        path: call.path.clone(),
+        headers: encode_headers(&call.headers),
+        between_regions: 1,
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        plans: call.version,
+        need: Some(Need { service: call.service.to_string(), ..Need::default() }),
+        ..Handover::default()
+    }
+}
+
+/// Sends the body and waits for the first frame of the answer.
+async fn ask(exchange: &mut Exchange, body: &Bytes) -> Result<Body, String> {
+    let sent = async {
+        if !body.is_empty() {
+            exchange.send(Body::Chunk(Chunk { bytes: body.clone() })).await?;
+        }
+        exchange.send(Body::End(End {})).await?;
+        exchange.receive().await
+    };
+    sent.await.map_err(|cause| cause.to_string())
+}
+
+async fn read_body(exchange: &mut Exchange, limit: usize) -> Option<Bytes> {
+    let mut body = Vec::new();
+    loop {
+        match exchange.receive().await.ok()? {
+            Body::Chunk(chunk) if body.len() + chunk.bytes.len() <= limit => {
+                body.extend_from_slice(&chunk.bytes);
+            }
+            Body::End(_) => return Some(Bytes::from(body)),
+            _ => return None,
+        }
+    }
+}
+
+/// Sends the outcome back, and stops the work when the other VM gives the request up.
+async fn answer(mut exchange: Exchange, outcome: Outcome) {
+    let answer = match outcome {
+        Outcome::Answered(answer) => answer,
+        Outcome::Refused(refusal) => {
+            let _ = exchange.send(Body::Abort(abort(true, refusal.detail))).await;
+            return;
+        }
+        Outcome::Unknown(cause) => {
+            let _ = exchange.send(Body::Abort(abort(false, cause))).await;
+            return;
+        }
+    };
+    let head = Head {
+        status: u32::from(answer.status.as_u16()),
+        headers: encode_headers(&answer.headers),
+    };
+    if exchange.send(Body::Head(head)).await.is_err() {
+        return;
+    }
+    let last = match answer.body {
+        AnswerBody::Whole(bytes) => {
+            let sent = exchange.send(Body::Chunk(Chunk { bytes })).await;
+            if sent.is_err() {
+                return;
+            }
+            Body::End(End {})
+        }
+        AnswerBody::Flow(flow) => match forward(&mut exchange, *flow).await {
+            Some(last) => last,
+            None => return,
+        },
+    };
+    if exchange.send(last).await.is_ok() {
+        // A VM that stops waits until the other one has read the end.
+        let _ = within(END, exchange.receive()).await;
+        exchange.finish();
+    }
+}
+
+/// Passes pieces on; gives the last frame, or nothing where the other VM gave up.
+async fn forward(exchange: &mut Exchange, mut flow: Flow) -> Option<Body> {
+    loop {
+        let piece = match select(pin!(flow.next()), pin!(exchange.receive())).await {
+            Either::Left((piece, _)) => piece,
+            Either::Right(_) => return None,
+        };
+        match piece {
+            Some(Ok(bytes)) => exchange.send(Body::Chunk(Chunk { bytes })).await.ok()?,
+            Some(Err(broken)) => return Some(Body::Abort(abort(false, broken.to_string()))),
+            None => return Some(Body::End(End {})),
+        }
+    }
+}
+
+fn abort(did_not_run: bool, detail: String) -> Abort {
+    Abort { did_not_run, detail, ..Abort::default() }
+}
+
+fn encode_headers(headers: &HeaderMap) -> Vec<Pair> {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| Pair {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(pair).collect()
+}
+
+fn decode_headers(pairs: Vec<Pair>) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for Pair { name, value } in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// The host that a request names, without a port.
+pub(super) fn host_of(headers: &HeaderMap) -> Option<String> {
+    let host = headers.get("host")?.to_str().ok()?;
+    let name = host.split_once(':').map_or(host, |(name, _)| name);
+    Some(name.to_ascii_lowercase())
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,191 @@
+use std::{sync::Arc, time::Duration};
+
+use hyper::{
+    HeaderMap, Request, Response,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use rand::RngExt;
+
+use super::{
+    Prompt,
+    call::Call,
+    outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
+    passage::host_of,
+    shell::Gateway,
+};
+use crate::{
+    clock::within,
+    event,
+    http::{self, Body, Incomplete},
+};
+
+/// When to come back to a VM that does not know its routes yet.
+const SOON: Duration = Duration::from_millis(400);
+/// How long a request may take where its caller names no time and no route was found.
+const LONGEST: Duration = Duration::from_secs(30);
+
+impl Gateway {
+    /// Serves a caller's request.
+    pub(super) async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let _busy = self.busy();
+        let came = self.clock.now();
+        let id = self.text(request.headers(), &self.dialect.request).unwrap_or_default();
+        let outcome = match self.prepare(id.clone(), request).await {
+            Ok(call) => {
+                let call = Arc::new(call);
+                self.allowance().request(&call.service, came);
+                let outcome = self.run(Arc::clone(&call)).await;
+                self.log_end(&call, &outcome);
+                outcome
+            }
+            Err(refusal) => {
+                let reason = refusal.reason.word();
+                let fields: [event::Field<'_>; 3] =
+                    [("request", &id), ("reason", &reason), ("detail", &refusal.detail)];
+                event::path::TURNED_AWAY.emit(&self.logger, &fields);
+                Outcome::Refused(refusal)
+            }
+        };
+        let mut response = match outcome {
+            Outcome::Answered(answer) => respond(answer),
+            Outcome::Refused(refusal) => self.refuse(&id, &refusal),
+            Outcome::Unknown(cause) => self.unknown(&id, &cause),
+        };
+        if self.is_stopping() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    /// Finds the rule of a request and reads its body.
+    async fn prepare(&self, id: String, request: Request<Incoming>) -> Result<Call, Refusal> {
+        let came = self.clock.now();
+        let table = self
+            .table()
+            .ok_or_else(|| Refusal::new(Reason::NoRoutes, "no routes are known yet", SOON))?;
+        let (head, body) = request.into_parts();
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let host = host_of(&head.headers).unwrap_or_default();
+        let rule = table.find(&host, &path).cloned().ok_or_else(|| {
+            Refusal::new(Reason::NoRoute, format!("no route for {host}{path}"), Duration::ZERO)
+        })?;
+        if id.is_empty() {
+            let detail = format!("the header `{}` is missing", self.dialect.request);
+            return Err(Refusal::new(Reason::NoIdentifier, detail, Duration::ZERO));
+        }
+        let told = self.text(&head.headers, &self.dialect.time_left);
+        let told = told.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
+        let time = rule.longest_wait.min(told.unwrap_or(LONGEST));
+        let body = within(time, http::collect(body, table.limits.body))
+            .await
+            .unwrap_or(Err(Incomplete::Broken))
+            .map_err(|incomplete| match incomplete {
+                Incomplete::TooLarge => {
+                    let limit = table.limits.body;
+                    let detail = format!("the body is larger than {limit} bytes");
+                    Refusal::new(Reason::TooLarge, detail, Duration::ZERO)
+                }
+                Incomplete::Broken => {
+                    Refusal::new(Reason::Incomplete, "the body did not come whole", SOON)
+                }
+            })?;
+        let drawn: u64 = self.random().random();
+        let service = rule.split.pick(drawn).cloned().ok_or_else(|| {
+            Refusal::new(Reason::NoTarget, "the route has no service with a weight", SOON)
+        })?;
+        Ok(Call {
+            id,
+            method: head.method,
+            path,
+            prompt: self.prompt(&head.headers),
+            last_event: self.last_event(&head.headers),
+            headers: self.dialect.to_target(head.headers),
+            body,
+            rule,
+            version: table.version,
+            service,
+            deadline: came + time,
+            came,
+            handed_over: false,
+        })
+    }
+
+    pub(super) fn prompt(&self, headers: &HeaderMap) -> Prompt {
+        let parts = self.text(headers, &self.dialect.parts);
+        let tokens = self.text(headers, &self.dialect.tokens);
+        Prompt::parse(parts.as_deref(), tokens.as_deref())
+    }
+
+    pub(super) fn last_event(&self, headers: &HeaderMap) -> Option<u64> {
+        self.text(headers, &self.dialect.last_event)?.trim().parse().ok()
+    }
+
+    fn text(&self, headers: &HeaderMap, name: &hyper::header::HeaderName) -> Option<String> {
+        Some(headers.get(name)?.to_str().ok()?.to_owned())
+    }
+
+    fn refuse(&self, id: &str, refusal: &Refusal) -> Response<Body> {
+        let word = refusal.reason.word();
+        let mut response = self.problem(id, word, &refusal.detail);
+        *response.status_mut() = refusal.reason.status();
+        if !refusal.retry_after.is_zero() {
+            let seconds = format!("{:.2}", refusal.retry_after.as_secs_f64());
+            if let Ok(value) = HeaderValue::try_from(seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+
+    fn unknown(&self, id: &str, cause: &str) -> Response<Body> {
+        let mut response = self.problem(id, "unknown", cause);
+        *response.status_mut() = hyper::StatusCode::BAD_GATEWAY;
+        response
+    }
+
+    fn problem(&self, id: &str, word: &str, detail: &str) -> Response<Body> {
+        let body = serde_json::json!({ "error": word, "detail": detail });
+        let mut response = Response::new(http::full(body.to_string()));
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(value) = HeaderValue::from_str(id) {
+            headers.insert(self.dialect.request.clone(), value);
+        }
+        response
+    }
+
+    fn log_end(&self, call: &Call, outcome: &Outcome) {
+        let took = self.clock.now().saturating_duration_since(call.came).as_millis();
+        let (word, detail) = match outcome {
+            Outcome::Answered(answer) => (answer.status.as_str().to_owned(), answer.target.clone()),
+            Outcome::Refused(refusal) => {
+                (format!("refused {}", refusal.reason.word()), refusal.detail.clone())
+            }
+            Outcome::Unknown(cause) => ("unknown".to_owned(), cause.clone()),
+        };
+        event::path::REQUEST.emit(
+            &self.logger,
+            &[
+                ("request", &call.id),
+                ("rule", &call.rule.name),
+                ("version", &call.version),
+                ("outcome", &word),
+                ("detail", &detail),
+                ("took_ms", &took),
+            ],
+        );
+    }
+}
+
+/// Turns a target's answer into a response to the caller.
+fn respond(answer: Answer) -> Response<Body> {
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => http::full(bytes),
+        AnswerBody::Flow(flow) => flow.into_body(),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -6,6 +6,7 @@
 mod tap;
 mod timed;
 
+pub(crate) use self::client::dial;
 pub use self::{
     body::{Body, Broken, Incomplete, channel, collect, empty, full},
     client::{Failure, open},
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,12 +1,12 @@
 use std::{convert::Infallible, fmt};
 
 use futures_util::StreamExt;
-use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::BoxBody};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use smol::channel::Receiver;
 
 /// A body that this program sends.
-pub type Body = BoxBody<Bytes, Broken>;
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
 
 /// The sender of a body failed before its end; the connection is cut so that the receiver sees
 /// that the body is not whole.
@@ -42,13 +42,13 @@
 /// assert_eq!(body.to_bytes(), "pong");
 /// ```
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(Broken::from).boxed()
+    Full::new(bytes.into()).map_err(Broken::from).boxed_unsync()
 }
 
 /// A body whose pieces come through a channel; a closed channel ends it.
 pub fn channel(pieces: Receiver<Result<Bytes, Broken>>) -> Body {
     let frames = pieces.map(|piece| piece.map(Frame::data));
-    BodyExt::boxed(StreamBody::new(frames))
+    BodyExt::boxed_unsync(StreamBody::new(frames))
 }
 
 /// Why a body could not be read whole.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -65,7 +65,8 @@
     }
 }
 
-async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream, Failure> {
+/// Opens a connection that the operating system ends when the other side falls silent.
+pub(crate) async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream, Failure> {
     match within(limit, TcpStream::connect(address)).await {
         Some(Ok(stream)) => {
             let _ = watch(&stream);
--- a/src/http/timed.rs
+++ b/src/http/timed.rs
@@ -41,7 +41,7 @@
 /// assert_eq!(smol::block_on(late.collect()).unwrap_err(), http::Broken);
 /// ```
 pub fn timed(bytes: impl Into<Bytes>, clock: Arc<dyn Clock>, until: Instant) -> Body {
-    Timed { bytes: Some(bytes.into()), clock, until }.boxed()
+    Timed { bytes: Some(bytes.into()), clock, until }.boxed_unsync()
 }
 
 impl hyper::body::Body for Timed {
--- /dev/null
+++ b/src/node/error.rs
@@ -0,0 +1,45 @@
+use std::{fmt, io, net::SocketAddr, path::PathBuf};
+
+use crate::replica;
+
+/// Why a VM of a seeded deployment cannot start.
+#[derive(Debug)]
+pub enum Error {
+    /// The settings file cannot be read.
+    Read(PathBuf, io::Error),
+    /// The settings file does not hold what it should.
+    Parse(PathBuf, String),
+    /// The settings contradict themselves.
+    Settings(Vec<String>),
+    /// An address cannot be taken.
+    Listen(SocketAddr, io::Error),
+    /// The replica cannot start.
+    Replica(replica::Error),
+    /// The operating system takes no handlers of signals.
+    Signals(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, cause) => {
+                write!(f, "cannot read {}: {cause}; name an existing file", path.display())
+            }
+            Self::Parse(path, cause) => {
+                write!(f, "{} is not valid: {cause}; correct the file", path.display())
+            }
+            Self::Settings(problems) => {
+                write!(f, "the settings do not fit: {}", problems.join("; "))
+            }
+            Self::Listen(address, cause) => {
+                write!(f, "cannot listen on {address}: {cause}; set a free address of this VM")
+            }
+            Self::Replica(cause) => cause.fmt(f),
+            Self::Signals(cause) => {
+                write!(f, "no handlers of signals: {cause}; check the operating system")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/registry/machine.rs
@@ -0,0 +1,254 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use prost::{Message, bytes::Bytes};
+
+use super::{Command, Drain, Operation, Publish, Reply, Row, State, Withdraw};
+use crate::replica::{self, changed::Changed};
+
+/// Targets that are gone and still told from late announcements; the longest gone are forgotten
+/// first. Well above the targets of one large deployment that may go within seconds.
+const MOST_GONE: usize = 4096;
+
+/// The replicated registry.
+#[derive(Debug, Default)]
+pub struct Machine {
+    image: Image,
+    targets: BTreeMap<String, Row>,
+    zones: BTreeMap<String, Zone>,
+    /// The index below which rows of targets may have been forgotten.
+    floor: u64,
+    index: u64,
+    changed: Arc<Changed>,
+}
+
+/// The registry as a snapshot holds it.
+#[derive(Clone, PartialEq, Message)]
+struct Image {
+    #[prost(uint32, tag = "1")]
+    established: u32,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    routes: Bytes,
+    #[prost(uint64, tag = "4")]
+    routes_changed: u64,
+    #[prost(message, repeated, tag = "5")]
+    targets: Vec<Row>,
+    #[prost(message, repeated, tag = "6")]
+    zones: Vec<Zone>,
+    #[prost(uint64, tag = "7")]
+    floor: u64,
+    #[prost(uint64, tag = "8")]
+    index: u64,
+}
+
+/// Whether a zone gets work, and since which index of the log.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct Zone {
+    #[prost(string, tag = "1")]
+    pub(super) zone: String,
+    #[prost(bool, tag = "2")]
+    pub(super) drained: bool,
+    #[prost(uint64, tag = "3")]
+    pub(super) changed: u64,
+}
+
+impl Machine {
+    /// How many replicas the group began with; zero before it is complete.
+    pub fn established(&self) -> u32 {
+        self.image.established
+    }
+
+    /// The index of the last change.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// The version of the routes in force; zero where there are none.
+    pub fn version(&self) -> u64 {
+        self.image.version
+    }
+
+    /// The routes in force as the operator sent them.
+    pub fn routes(&self) -> &Bytes {
+        &self.image.routes
+    }
+
+    /// The index at which the routes last changed.
+    pub(super) fn routes_changed(&self) -> u64 {
+        self.image.routes_changed
+    }
+
+    /// The index below which rows may have been forgotten, so that only the whole tells them.
+    pub(super) fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Every target that is not forgotten.
+    pub fn targets(&self) -> impl Iterator<Item = &Row> {
+        self.targets.values()
+    }
+
+    /// One target.
+    pub fn target(&self, target: &str) -> Option<&Row> {
+        self.targets.get(target)
+    }
+
+    /// The zones that get no work.
+    pub fn drained(&self) -> impl Iterator<Item = &str> {
+        self.zones.values().filter(|zone| zone.drained).map(|zone| zone.zone.as_str())
+    }
+
+    /// Whether `zone` gets no work, and the index at which that last changed.
+    pub fn drain(&self, zone: &str) -> Drain {
+        let known = self.zones.get(zone);
+        Drain {
+            zone: zone.to_owned(),
+            on: known.is_some_and(|zone| zone.drained),
+            seen: known.map_or(0, |zone| zone.changed),
+        }
+    }
+
+    /// Ends at the next change after this call.
+    pub fn listen(&self) -> impl Future<Output = ()> + use<> {
+        self.changed.listen()
+    }
+
+    fn carry_out(&mut self, index: u64, operation: Operation) -> Reply {
+        match operation {
+            Operation::Establish(establish) => {
+                if self.image.established > 0 {
+                    return Reply::Stands;
+                }
+                self.image.established = establish.voters;
+                Reply::Changed
+            }
+            Operation::Publish(publish) => self.publish(index, publish),
+            Operation::Drain(drain) => self.set_drain(index, drain),
+            Operation::Announce(row) => self.announce(index, row),
+            Operation::Withdraw(withdraw) => self.withdraw(index, &withdraw),
+        }
+    }
+
+    fn publish(&mut self, index: u64, publish: Publish) -> Reply {
+        if publish.version <= self.image.version && !self.image.routes.is_empty() {
+            return Reply::Stands;
+        }
+        self.image.version = publish.version;
+        self.image.routes = publish.text;
+        self.image.routes_changed = index;
+        Reply::Changed
+    }
+
+    fn set_drain(&mut self, index: u64, drain: Drain) -> Reply {
+        let known = self.drain(&drain.zone);
+        if known.on == drain.on {
+            return Reply::Stands;
+        }
+        if known.seen != drain.seen {
+            return Reply::Overtaken;
+        }
+        let zone = Zone { zone: drain.zone.clone(), drained: drain.on, changed: index };
+        self.zones.insert(drain.zone, zone);
+        Reply::Changed
+    }
+
+    fn announce(&mut self, index: u64, row: Row) -> Reply {
+        if self.is_outdated(&row) {
+            return Reply::Stands;
+        }
+        let leaving = self
+            .targets
+            .get(&row.target)
+            .is_some_and(|known| known.born == row.born && known.state() == State::Leaving);
+        // Whoever held the address before is gone: two processes cannot listen on it.
+        let former: Vec<String> = self
+            .targets
+            .values()
+            .filter(|known| known.address == row.address && known.target != row.target)
+            .filter(|known| known.state() != State::Gone)
+            .map(|known| known.target.clone())
+            .collect();
+        for target in former {
+            self.end(index, &target);
+        }
+        let state = if leaving { State::Leaving } else { row.state() };
+        let row = Row { state: state.into(), changed: index, ..row };
+        self.targets.insert(row.target.clone(), row);
+        Reply::Changed
+    }
+
+    /// Whether something newer is known of the target, or of the address that it names.
+    fn is_outdated(&self, row: &Row) -> bool {
+        if let Some(known) = self.targets.get(&row.target) {
+            let late = known.born == row.born
+                && (known.state() == State::Gone || row.sequence <= known.sequence);
+            if known.born > row.born || late {
+                return true;
+            }
+        }
+        let mut others = self.targets.values().filter(|known| known.target != row.target);
+        others.any(|known| known.address == row.address && known.born > row.born)
+    }
+
+    fn withdraw(&mut self, index: u64, withdraw: &Withdraw) -> Reply {
+        match self.targets.get(&withdraw.target) {
+            Some(known) if known.born == withdraw.born && known.state() != State::Gone => {
+                self.end(index, &withdraw.target);
+                Reply::Changed
+            }
+            _ => Reply::Stands,
+        }
+    }
+
+    fn end(&mut self, index: u64, target: &str) {
+        if let Some(row) = self.targets.get_mut(target) {
+            row.state = State::Gone.into();
+            row.changed = index;
+        }
+        let gone = || self.targets.values().filter(|row| row.state() == State::Gone);
+        if gone().count() > MOST_GONE {
+            let oldest = gone().min_by_key(|row| row.changed).map(|row| row.target.clone());
+            if let Some(row) = oldest.and_then(|target| self.targets.remove(&target)) {
+                self.floor = self.floor.max(row.changed);
+            }
+        }
+    }
+}
+
+impl replica::Machine for Machine {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Bytes {
+        let operation = Command::decode(command).ok().and_then(|command| command.operation);
+        let reply =
+            operation.map_or(Reply::Unreadable, |operation| self.carry_out(index, operation));
+        if reply == Reply::Changed {
+            self.index = index;
+            self.changed.notify();
+        }
+        reply.encode()
+    }
+
+    fn snapshot(&self) -> Bytes {
+        let image = Image {
+            targets: self.targets.values().cloned().collect(),
+            zones: self.zones.values().cloned().collect(),
+            floor: self.floor,
+            index: self.index,
+            ..self.image.clone()
+        };
+        Bytes::from(image.encode_to_vec())
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), String> {
+        let mut image = Image::decode(snapshot)
+            .map_err(|cause| format!("{cause}; run the version that wrote it"))?;
+        let targets = std::mem::take(&mut image.targets).into_iter();
+        self.targets = targets.map(|row| (row.target.clone(), row)).collect();
+        let zones = std::mem::take(&mut image.zones).into_iter();
+        self.zones = zones.map(|zone| (zone.zone.clone(), zone)).collect();
+        (self.floor, self.index) = (image.floor, image.index);
+        self.image = image;
+        self.changed.notify();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/registry/roster.rs
@@ -0,0 +1,205 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id;
+
+/// What a VM says of itself to a replica.
+#[derive(Clone, PartialEq, Message)]
+pub struct Entry {
+    /// The VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Its region.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// Its availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Where it takes callers; empty for a replica.
+    #[prost(string, tag = "4")]
+    pub callers: String,
+    /// Where it takes links.
+    #[prost(string, tag = "5")]
+    pub links: String,
+    /// Whether it takes new work.
+    #[prost(bool, tag = "6")]
+    pub ready: bool,
+    /// The incarnation of its process, so that what a former one said is told apart.
+    #[prost(uint64, tag = "7")]
+    pub incarnation: u64,
+    /// How busy the targets of its region are, as it sees them.
+    #[prost(message, repeated, tag = "8")]
+    pub loads: Vec<Load>,
+}
+
+/// How busy the targets of one service in one region are, as one VM sees them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Load {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Places at its targets.
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+    /// Places that are taken.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait at targets.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Milliseconds until the first event that the best target is expected to need.
+    #[prost(uint32, tag = "5")]
+    pub delay_ms: u32,
+}
+
+/// A VM and when it was last heard.
+#[derive(Clone, PartialEq, Message)]
+pub struct Seen {
+    /// What it said.
+    #[prost(message, required, tag = "1")]
+    pub entry: Entry,
+    /// Milliseconds since then.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
+/// A target and when it last announced itself.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heard {
+    /// The target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Milliseconds since then.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
+/// What a replica heard itself since it last told the others.
+#[derive(Clone, PartialEq, Message)]
+pub struct Digest {
+    /// The VMs.
+    #[prost(message, repeated, tag = "1")]
+    pub vms: Vec<Seen>,
+    /// The targets.
+    #[prost(message, repeated, tag = "2")]
+    pub targets: Vec<Heard>,
+}
+
+/// Which VMs and targets were heard when, by any replica.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use pomelogate::registry::{Entry, Roster};
+///
+/// let mut roster = Roster::new(Duration::from_secs(3));
+/// let now = Instant::now();
+/// roster.hear(Entry { vm: "one".to_owned(), ..Entry::default() }, now);
+/// assert_eq!(roster.live(now).count(), 1);
+/// assert_eq!(roster.live(now + Duration::from_secs(4)).count(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Roster {
+    limit: Duration,
+    vms: BTreeMap<String, (Entry, Instant)>,
+    targets: BTreeMap<String, Instant>,
+    unsent: BTreeMap<String, Instant>,
+}
+
+impl Roster {
+    /// An empty roster, where a VM that was not heard for `limit` counts as down.
+    pub fn new(limit: Duration) -> Self {
+        Self { limit, vms: BTreeMap::new(), targets: BTreeMap::new(), unsent: BTreeMap::new() }
+    }
+
+    /// Takes what a VM says of itself at `at`; what is older than known is passed over.
+    pub fn hear(&mut self, entry: Entry, at: Instant) {
+        let known = self.vms.get(&entry.vm);
+        let older = known
+            .is_some_and(|(known, heard)| (known.incarnation, *heard) > (entry.incarnation, at));
+        if !older {
+            self.vms.insert(entry.vm.clone(), (entry, at));
+        }
+    }
+
+    /// Notes that a target announced itself at `at`.
+    pub fn announced(&mut self, target: &id::Target, at: Instant) {
+        self.targets.insert(target.to_string(), at);
+        self.unsent.insert(target.to_string(), at);
+    }
+
+    /// What this replica heard itself, for the others. `own` tells the VMs that ask this replica.
+    pub fn digest(&mut self, own: impl Fn(&Entry) -> bool, now: Instant) -> Digest {
+        let vms = self.live(now).filter(|(entry, _)| own(entry));
+        let vms =
+            vms.map(|(entry, at)| Seen { entry: entry.clone(), age_ms: age(at, now) }).collect();
+        let targets = std::mem::take(&mut self.unsent).into_iter();
+        let targets = targets.map(|(target, at)| Heard { target, age_ms: age(at, now) }).collect();
+        Digest { vms, targets }
+    }
+
+    /// Takes what another replica heard.
+    pub fn merge(&mut self, digest: Digest, now: Instant) {
+        for seen in digest.vms {
+            if let Some(at) = now.checked_sub(Duration::from_millis(seen.age_ms)) {
+                self.hear(seen.entry, at);
+            }
+        }
+        for heard in digest.targets {
+            let at = now.checked_sub(Duration::from_millis(heard.age_ms)).unwrap_or(now);
+            let known = self.targets.entry(heard.target).or_insert(at);
+            *known = at.max(*known);
+        }
+    }
+
+    /// The VMs that were heard lately, each with the time.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Entry, Instant)> {
+        let limit = self.limit;
+        let live = move |at: Instant| now.saturating_duration_since(at) < limit;
+        self.vms.values().filter(move |(_, at)| live(*at)).map(|(entry, at)| (entry, *at))
+    }
+
+    /// When a target last announced itself, as far as this replica was told.
+    pub fn heard(&self, target: &str) -> Option<Instant> {
+        self.targets.get(target).copied()
+    }
+
+    /// Forgets VMs and targets that were not heard for long.
+    pub fn sweep(&mut self, now: Instant) {
+        let limit = self.limit * 10;
+        self.vms.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
+        self.targets.retain(|_, at| now.saturating_duration_since(*at) < limit);
+    }
+
+    /// A digest of the live VMs without what changes all the time.
+    pub fn fingerprint(&self, now: Instant) -> u64 {
+        let mut text = String::new();
+        for (entry, _) in self.live(now) {
+            text.push_str(&entry.vm);
+            text.push(if entry.ready { '+' } else { '-' });
+            text.push_str(&entry.callers);
+        }
+        xxh3_64(text.as_bytes()).max(1)
+    }
+}
+
+impl Entry {
+    /// Where the VM takes callers.
+    pub fn callers(&self) -> Option<SocketAddr> {
+        self.callers.parse().ok()
+    }
+
+    /// Where the VM takes links.
+    pub fn links(&self) -> Option<SocketAddr> {
+        self.links.parse().ok()
+    }
+}
+
+fn age(at: Instant, now: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -1,6 +1,6 @@
 //! Replicated groups: the shell that carries [`crate::consensus`] over links and disk.
 
-mod changed;
+pub(crate) mod changed;
 mod envelope;
 mod error;
 mod forward;
--- a/src/replica/changed.rs
+++ b/src/replica/changed.rs
@@ -4,7 +4,7 @@
 
 /// Wakes whoever listens; each listener hears the next change once.
 #[derive(Debug, Default)]
-pub(super) struct Changed {
+pub(crate) struct Changed {
     listeners: Mutex<Vec<channel::Sender<()>>>,
 }
 
--- a/src/vm/observe.rs
+++ b/src/vm/observe.rs
@@ -83,7 +83,7 @@
         let left =
             if headless { Some(0) } else { body.size_hint().exact().or(length(&head.headers)) };
         let noted = Noted { body, note: Some(note), left };
-        Response::from_parts(head, noted.boxed())
+        Response::from_parts(head, noted.boxed_unsync())
     }
 
     fn customer(&self, headers: &HeaderMap) -> Option<id::Customer> {
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -17,11 +17,13 @@
     Crashes,
     /// The right to give orders to targets: [`crate::order`].
     Orders,
+    /// What changed of the registry: [`crate::registry`].
+    Registry,
 }
 
 impl Topic {
     /// All topics, by their numbers.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
@@ -30,6 +32,7 @@
         Self::Claims,
         Self::Crashes,
         Self::Orders,
+        Self::Registry,
     ];
 
     /// The number that stands for the topic in a frame.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -5,13 +5,14 @@
 use pomelogate::event::{self, Event, Severity};
 
 /// The events of each part, with its heading in the catalogue and its first number.
-const PARTS: [(&str, u16, &[Event]); 6] = [
+const PARTS: [(&str, u16, &[Event]); 7] = [
     ("Agreement", 100, event::agreement::ALL),
     ("Lists", 200, event::lists::ALL),
     ("Placement", 300, event::placement::ALL),
     ("Links", 400, event::links::ALL),
     ("Path", 500, event::path::ALL),
     ("Product", 600, event::product::ALL),
+    ("Registry", 700, event::registry::ALL),
 ];
 
 /// The rows under each heading, without what they mean.
