--- a/src/control/follow.rs
+++ b/src/control/follow.rs
@@ -69,6 +69,7 @@
             let ready = machine.targets().filter(|row| row.state() == State::Ready);
             ready.filter(silent).map(|row| row.target.clone()).collect()
         });
+        news.loads = roster.loads(now);
         news.known = roster.fingerprint(now);
         if news.known != ask.known {
             news.vms = roster
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 //! The decisions are [`Board`] (which target), [`Allowance`] (may it be sent again), [`Events`]
 //! (what of a stream is whole); the rest carries requests and answers.
 
+mod admission;
 mod allowance;
 mod attempt;
 mod board;
@@ -19,14 +20,17 @@
 mod pool;
 mod prompt;
 mod serve;
+mod share;
 mod shell;
 mod track;
 
 pub use self::{
+    admission::{Admission, Applicant, Decision, Late, There},
     allowance::Allowance,
-    board::{Board, Pick, Query},
+    board::{Board, Busy, Pick, Query},
     dialect::Dialect,
     events::Events,
     prompt::{Part, Prompt},
     shell::{Gateway, Running},
+    track::{Report, Work},
 };
--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,171 @@
+use std::{
+    collections::VecDeque,
+    fmt,
+    time::{Duration, Instant},
+};
+
+use super::track::PREFILL;
+use crate::{id, route::Rule};
+
+/// The part of the objective within which the first event must be expected, for the most urgent
+/// rank. Work that is taken beyond it would be late, and make what comes after it late too.
+const ON_TIME: f64 = 0.85;
+/// The part less for each rank that is less urgent.
+const LESS_URGENT: f64 = 0.15;
+/// No rank is left with less than this part.
+const LEAST_PART: f64 = 0.4;
+/// Seconds by which another region must be better: what its VMs told is up to two seconds old.
+const MARGIN: f64 = 0.05;
+/// Seconds that a request and the first event of its answer take to another region and back.
+const WAY: f64 = 0.115;
+/// What a region told of itself is not taken for longer.
+const OLDEST: Duration = Duration::from_secs(4);
+/// Hand-overs that are remembered, to be counted on top of what a region told before them.
+const MOST_PASSED: usize = 1024;
+/// The wait of a refused caller beyond what the targets need, so that callers come back spread out.
+const SPREAD: std::ops::Range<f64> = 0.2..0.8;
+/// The longest wait that callers are told.
+const LONGEST: f64 = 3.0;
+
+/// How busy another region is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct There {
+    /// The region.
+    pub region: id::Region,
+    /// Seconds until its least busy target has read what was sent to it.
+    pub delay: f64,
+    /// Its targets of the service.
+    pub targets: u32,
+    /// When that was learned.
+    pub at: Instant,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// To the target that was chosen in this region.
+    Here,
+    /// To another region.
+    There(id::Region),
+    /// Nowhere: it would be late.
+    Refuse(Late),
+    /// Nowhere, as no target takes it now.
+    Nowhere,
+}
+
+/// Why a request would be late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Late {
+    /// Seconds after which its caller may come back.
+    pub after: f64,
+    /// Seconds until the first event at a target of this region, if one takes it.
+    pub here: Option<f64>,
+    /// Seconds until the first event in the best other region, if there is one.
+    pub there: Option<f64>,
+    /// Seconds within which it must be expected.
+    pub limit: f64,
+}
+
+impl fmt::Display for Late {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds =
+            |time: Option<f64>| time.map_or("none".to_owned(), |time| format!("{time:.2} s"));
+        let (here, there) = (seconds(self.here), seconds(self.there));
+        write!(f, "expected here {here}, elsewhere {there}, at most {:.2} s", self.limit)
+    }
+}
+
+/// A request as its admission sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Applicant<'a> {
+    /// Its rule.
+    pub rule: &'a Rule,
+    /// How long it has waited.
+    pub waited: Duration,
+    /// The tokens that another region would have to read for it.
+    pub tokens: u32,
+    /// A number from 0 to 1 that spreads callers who come back.
+    pub draw: f64,
+}
+
+/// Decides whether a request is worth taking, here or in another region.
+///
+/// A request is taken where its first event is expected within the objective; what cannot be had
+/// in time anywhere is refused at once, so that queues stay short enough for those that are taken.
+#[derive(Debug, Default)]
+pub struct Admission {
+    passed: VecDeque<Passed>,
+}
+
+#[derive(Debug)]
+struct Passed {
+    region: id::Region,
+    at: Instant,
+    tokens: u32,
+}
+
+impl Admission {
+    /// Decides, given the seconds until the first event `here`, if a target takes it here, and how
+    /// busy the other regions are that may get it. `vms` send as this one does.
+    pub fn decide(
+        &self,
+        applicant: Applicant<'_>,
+        here: Option<f64>,
+        there: &[There],
+        vms: u32,
+        now: Instant,
+    ) -> Decision {
+        let delay = |there: &There| self.delay(there, applicant.tokens, vms, now);
+        let best = there
+            .iter()
+            .map(|there| (delay(there), there))
+            .min_by(|one, other| one.0.total_cmp(&other.0));
+        let limit = limit(applicant.rule) - applicant.waited.as_secs_f64();
+        let (decision, delay) = match (here, best) {
+            (Some(here), Some((delay, there))) if delay + MARGIN < here => {
+                (Decision::There(there.region.clone()), delay)
+            }
+            (Some(here), _) => (Decision::Here, here),
+            (None, Some((delay, there))) => (Decision::There(there.region.clone()), delay),
+            (None, None) => return Decision::Nowhere,
+        };
+        if delay <= limit {
+            return decision;
+        }
+        let spread = SPREAD.start + applicant.draw * (SPREAD.end - SPREAD.start);
+        let after = (delay - limit + spread).min(LONGEST);
+        Decision::Refuse(Late { after, here, there: best.map(|(delay, _)| delay), limit })
+    }
+
+    /// Counts a request that is handed to a region.
+    pub fn passed(&mut self, region: &id::Region, tokens: u32, now: Instant) {
+        self.passed.push_back(Passed { region: region.clone(), at: now, tokens });
+        while self.passed.len() > MOST_PASSED
+            || self.passed.front().is_some_and(|first| now - first.at > OLDEST)
+        {
+            self.passed.pop_front();
+        }
+    }
+
+    fn delay(&self, there: &There, tokens: u32, vms: u32, now: Instant) -> f64 {
+        if now.saturating_duration_since(there.at) > OLDEST {
+            return WAY + MARGIN;
+        }
+        // What was told was written up to a second before it was learned.
+        let since = there.at.checked_sub(Duration::from_secs(1)).unwrap_or(there.at);
+        let passed =
+            self.passed.iter().filter(|passed| passed.region == there.region && passed.at > since);
+        let sent: f64 = passed.map(|passed| f64::from(passed.tokens)).sum();
+        // Targets go on reading meanwhile.
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        let targets = f64::from(there.targets.max(1));
+        let added = (sent * f64::from(vms.max(1)) / PREFILL / targets - elapsed).max(0.0);
+        WAY + there.delay + added + f64::from(tokens) / PREFILL
+    }
+}
+
+/// Seconds within which the first event must be expected.
+fn limit(rule: &Rule) -> f64 {
+    let part = ON_TIME - LESS_URGENT * f64::from(rule.rank);
+    rule.objective.as_secs_f64() * part.max(LEAST_PART)
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,10 +7,11 @@
 };
 
 use super::{
+    board::Pick,
     call::Call,
     pool::{Keep, Lease},
     shell::Gateway,
-    track::Report,
+    track::{Report, Sent},
 };
 use crate::{
     clock::within,
@@ -46,7 +47,8 @@
 pub(super) struct Trip {
     gateway: Arc<Gateway>,
     pub(super) target: Target,
-    tokens: Option<f64>,
+    sent: Sent,
+    unread: bool,
 }
 
 impl std::fmt::Debug for Trip {
@@ -56,17 +58,25 @@
 }
 
 impl Trip {
-    fn new(gateway: &Arc<Gateway>, target: &Target, call: &Call) -> Self {
+    fn new(gateway: &Arc<Gateway>, pick: &Pick, call: &Call) -> Self {
         let now = gateway.clock.now();
-        let tokens = gateway.board().sent(target, &call.prompt, now);
-        Self { gateway: Arc::clone(gateway), target: target.clone(), tokens: Some(tokens) }
+        let target = pick.target.clone();
+        let sent = gateway.board().sent(pick, &call.prompt, now);
+        Self { gateway: Arc::clone(gateway), target, sent, unread: true }
     }
 
     /// The first event came.
-    pub(super) fn read(&mut self) {
-        if let Some(tokens) = self.tokens.take() {
+    pub(super) fn began(&mut self) {
+        if self.unread {
             let now = self.gateway.clock.now();
-            self.gateway.board().read(&self.target, tokens, now);
+            self.gateway.board().began(&self.target, self.sent, now);
+            self.read();
+        }
+    }
+
+    fn read(&mut self) {
+        if std::mem::take(&mut self.unread) {
+            self.gateway.board().read(&self.target, self.sent);
         }
     }
 }
@@ -74,8 +84,7 @@
 impl Drop for Trip {
     fn drop(&mut self) {
         self.read();
-        let now = self.gateway.clock.now();
-        self.gateway.board().ended(&self.target, now);
+        self.gateway.board().ended(&self.target);
     }
 }
 
@@ -84,11 +93,12 @@
     pub(super) async fn try_target(
         self: &Arc<Self>,
         call: &Call,
-        target: &Target,
+        pick: &Pick,
         last_event: Option<u64>,
         left: Duration,
     ) -> Tried {
-        let trip = Trip::new(self, target, call);
+        let target = &pick.target;
+        let trip = Trip::new(self, pick, call);
         let mut fresh = false;
         loop {
             let now = self.clock.now();
@@ -99,7 +109,7 @@
                     return Tried::NotSent(cause.to_string());
                 }
             };
-            let request = match self.message(call, target, last_event, left) {
+            let request = match self.message(call, pick, last_event, left) {
                 Ok(request) => request,
                 Err(cause) => return Tried::NotSent(cause.to_string()),
             };
@@ -132,7 +142,7 @@
     fn message(
         &self,
         call: &Call,
-        target: &Target,
+        pick: &Pick,
         last_event: Option<u64>,
         left: Duration,
     ) -> Result<Request<http::Body>, hyper::http::Error> {
@@ -148,7 +158,10 @@
             }
         };
         set(&dialect.time_left, left.as_millis().to_string());
-        set(&dialect.expect_target, target.target.to_string());
+        set(&dialect.expect_target, pick.target.target.to_string());
+        if let Some(keeper) = &pick.keeper {
+            set(&dialect.fetch, keeper.address.to_string());
+        }
         if let Some(event) = last_event {
             set(&dialect.last_event, event.to_string());
         }
@@ -194,7 +207,7 @@
                 "the answer's body is encoded, which nobody asked for".to_owned(),
             );
         }
-        self.board().answered(target, head.status.is_server_error(), now);
+        self.board().answered(target, head.status.is_server_error());
         let headers = self.dialect.to_caller(head.headers);
         let opened = Opened { status: head.status, headers, body, lease, keep, trip };
         Tried::Head(Box::new(opened))
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -5,14 +5,14 @@
 
 use super::{
     Prompt,
-    track::{Report, Track},
+    track::{Report, Sent, Track, Work},
 };
 use crate::{id, registry::Target};
 
 /// Targets that are remembered beyond those of the registry.
 const MOST_TRACKS: usize = 4096;
 /// Seconds that a full batch adds to the time until the first event.
-const CROWD: f64 = 0.25;
+const CROWD: f64 = 0.1;
 /// Seconds charged for each request that waits beyond the places of a target.
 const QUEUED: f64 = 0.02;
 /// Seconds charged for a target that fails all requests, in proportion.
@@ -21,8 +21,12 @@
 const SILENT: f64 = 0.5;
 /// Seconds drawn at random, so that VMs that know the same do not all choose the same target.
 const JITTER: f64 = 0.002;
+/// Seconds charged for having the shared parts of a prompt copied from another target.
+const FETCH: f64 = 0.01;
 /// The places of a target that does not tell.
 const SLOTS_UNTOLD: f64 = 8.0;
+/// The weight of one first event in the pace that is taken for targets without any.
+const PACE_GAIN: f64 = 0.02;
 
 /// A request that looks for a target.
 #[derive(Clone, Copy, Debug)]
@@ -39,108 +43,157 @@
     pub vms: u32,
 }
 
-/// The target chosen, and why.
+/// The target chosen, and what is expected of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pick {
     /// The target.
     pub target: Target,
-    /// Seconds until its first event, as expected.
+    /// The target that is believed to keep the shared parts of the prompt, where the chosen one is
+    /// not: it can get them from there.
+    pub keeper: Option<Target>,
+    /// Whether the chosen one is where the shared parts are read first.
+    pub is_keeper: bool,
+    /// Seconds until the first event.
     pub delay: f64,
     /// How many requests it is believed to hold.
-    pub load: f64,
+    pub load: u32,
 }
 
-/// What one VM knows of targets by the requests that it sent there, and its choice among them.
+/// How busy the targets of a service in a region are.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Busy {
+    /// Places at targets.
+    pub slots: u32,
+    /// Requests there.
+    pub requests: u32,
+    /// Seconds until what was sent has been read, at the least busy target.
+    pub delay: f64,
+}
+
+/// What one VM knows of targets by the requests that it and the VMs near by sent there, and its
+/// choice among them.
 #[derive(Debug)]
 pub struct Board {
     tracks: HashMap<id::Target, Track>,
     random: StdRng,
+    pace: f64,
 }
 
 impl Board {
     /// A board that knows nothing yet.
     pub fn new(seed: u64) -> Self {
-        Self { tracks: HashMap::new(), random: StdRng::seed_from_u64(seed) }
+        Self { tracks: HashMap::new(), random: StdRng::seed_from_u64(seed), pace: 1.0 }
     }
 
     /// Chooses a target; nothing where none may get the request now.
     pub fn choose(&mut self, query: Query<'_>, now: Instant) -> Option<Pick> {
-        let open: Vec<&Target> = query
-            .targets
-            .iter()
-            .copied()
-            .filter(|target| !query.tried.contains(&target.target))
-            .collect();
-        let home = query.prompt.subject().and_then(|subject| home_of(subject, &open));
-        let resting = open.iter().all(|target| self.track(target, now).rests(now));
+        let tried = |target: &Target| query.tried.contains(&target.target);
+        let open: Vec<&Target> =
+            query.targets.iter().copied().filter(|target| !tried(target)).collect();
+        let keeper = self.keeper(query, now);
+        let kept = keeper.is_some_and(|keeper| self.track(keeper).keeps(query.prompt));
+        let resting = open.iter().all(|target| self.track(target).rests(now));
         let mut best: Option<(f64, Pick)> = None;
         for target in open {
-            let keeps = home == Some(&target.target);
-            let cold = self.is_cold(target, now);
-            if cold && !self.may_warm(target, query, now) {
+            if self.is_cold(target, now) && !self.may_warm(target, query, now) {
                 continue;
             }
-            if !resting && self.track(target, now).rests(now) {
+            if !resting && self.track(target).rests(now) {
                 continue;
             }
-            let (delay, load) = self.delay(target, query, keeps, now);
-            let cost = delay + self.random.random_range(0.0..JITTER);
+            // The keeper is taken to have the shared parts, as every VM sends them there first;
+            // others get them from there once this VM knows that it has them.
+            let is_keeper = keeper.is_some_and(|keeper| keeper.target == target.target);
+            let fetches = !is_keeper && kept && !self.track(target).keeps(query.prompt);
+            let (delay, load) = self.delay(target, query.prompt, is_keeper || fetches, now);
+            let mut cost = delay + self.random.random_range(0.0..JITTER);
+            cost += FAILING * self.track(target).failing();
+            if target.silent {
+                cost += SILENT;
+            }
+            if fetches {
+                cost += FETCH;
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Pick { target: target.clone(), delay, load }));
+                let keeper = keeper.filter(|_| fetches).cloned();
+                let pick = Pick { target: target.clone(), keeper, is_keeper, delay, load };
+                best = Some((cost, pick));
             }
         }
         best.map(|(_, pick)| pick)
     }
 
-    /// Counts a request that is sent; gives the tokens that the target has to read.
-    pub fn sent(&mut self, target: &Target, prompt: &Prompt, now: Instant) -> f64 {
-        self.track(target, now).sent(prompt, now)
+    /// Counts a request that is sent as chosen.
+    pub(super) fn sent(&mut self, pick: &Pick, prompt: &Prompt, now: Instant) -> Sent {
+        let kept = pick.is_keeper || pick.keeper.is_some();
+        self.track(&pick.target).sent(prompt, kept, now)
+    }
+
+    /// Counts a request that is sent as chosen and never heard of again.
+    pub fn note_sent(&mut self, pick: &Pick, prompt: &Prompt, now: Instant) {
+        self.sent(pick, prompt, now);
+    }
+
+    /// A request's prompt has been read, or never will be.
+    pub(super) fn read(&mut self, target: &Target, sent: Sent) {
+        self.track(target).read(sent);
     }
 
     /// The first event of a request came.
-    pub fn read(&mut self, target: &Target, tokens: f64, now: Instant) {
-        self.track(target, now).read(tokens);
+    pub(super) fn began(&mut self, target: &Target, sent: Sent, now: Instant) {
+        let sample = self.track(target).began(sent, now);
+        self.pace += PACE_GAIN * (sample - self.pace);
     }
 
     /// A request ended, however.
-    pub fn ended(&mut self, target: &Target, now: Instant) {
-        self.track(target, now).ended();
+    pub fn ended(&mut self, target: &Target) {
+        self.track(target).ended();
     }
 
     /// A target told its load.
     pub fn reported(&mut self, target: &Target, report: Report, now: Instant) {
-        self.track(target, now).reported(report, now);
+        self.track(target).reported(report, now);
     }
 
     /// A target answered, with a failure or not.
-    pub fn answered(&mut self, target: &Target, failed: bool, now: Instant) {
-        self.track(target, now).answered(failed);
+    pub fn answered(&mut self, target: &Target, failed: bool) {
+        self.track(target).answered(failed);
     }
 
     /// A target was out of reach or broke off.
     pub fn failed(&mut self, target: &Target, now: Instant) {
-        self.track(target, now).failed(now);
+        self.track(target).failed(now);
+    }
+
+    /// A VM near by told the work that it has at a target.
+    pub fn shared(&mut self, vm: &str, target: &Target, work: Work, now: Instant) {
+        self.track(target).shared(vm, work, now);
+    }
+
+    /// The work that this VM has at targets.
+    pub fn work(&self) -> impl Iterator<Item = (&id::Target, Work)> {
+        let busy = |work: &Work| work.requests > 0;
+        let work = self.tracks.iter().map(|(target, track)| (target, track.own()));
+        work.filter(move |(_, work)| busy(work))
     }
 
-    /// How busy targets are: places, places taken, waiting requests, and the least delay.
-    pub fn load(&mut self, targets: &[&Target], vms: u32, now: Instant) -> (u32, u32, u32, f64) {
-        let mut sum = (0, 0, 0, f64::MAX);
+    /// How busy targets are.
+    pub fn busy(&mut self, targets: &[&Target], now: Instant) -> Busy {
+        let mut busy = Busy { delay: f64::MAX, ..Busy::default() };
         for target in targets {
-            let track = self.track(target, now);
+            let track = self.track(target);
             if track.rests(now) {
                 continue;
             }
-            let load = track.load(f64::from(vms), now);
-            sum.0 += target.slots;
-            sum.1 += load as u32;
-            sum.2 += track.waiting(now);
-            sum.3 = sum.3.min(track.backlog(f64::from(vms), now));
+            busy.slots += target.slots;
+            busy.requests += track.work(now).requests;
+            busy.delay = busy.delay.min(track.backlog(now));
         }
-        sum
+        busy
     }
 
     fn is_cold(&mut self, target: &Target, now: Instant) -> bool {
-        target.cold_until > now || self.track(target, now).is_suspect(now)
+        target.cold_until > now || self.track(target).is_suspect(now)
     }
 
     /// Whether this VM's share of what a cold target bears allows one more request.
@@ -149,52 +202,51 @@
             return true;
         }
         let share = (query.cold_rate / f64::from(query.vms.max(1))).floor().max(1.0);
-        (self.track(target, now).sent_lately(now) as f64) < share
+        (self.track(target).sent_lately(now) as f64) < share
+    }
+
+    /// The target where requests with the same shared parts are read first, the same on every VM;
+    /// nothing where there is nothing to share, or where it is out of reach.
+    fn keeper<'a>(&mut self, query: Query<'a>, now: Instant) -> Option<&'a Target> {
+        let subject = query.prompt.subject()?;
+        let sound = |board: &mut Self, target: &Target| {
+            !board.track(target).rests(now) && !board.is_cold(target, now) && !target.silent
+        };
+        let mut targets = query.targets.to_vec();
+        targets.sort_by_key(|target| std::cmp::Reverse(rank(subject, target)));
+        targets.into_iter().find(|target| sound(self, target))
     }
 
     /// Seconds until the first event, and the requests that the target is believed to hold.
-    fn delay(
-        &mut self,
-        target: &Target,
-        query: Query<'_>,
-        keeps_shared: bool,
-        now: Instant,
-    ) -> (f64, f64) {
-        let alike = f64::from(query.vms.max(1));
-        let track = self.track(target, now);
-        let load = track.load(alike, now);
+    fn delay(&mut self, target: &Target, prompt: &Prompt, kept: bool, now: Instant) -> (f64, u32) {
+        let track = self.track(target);
+        let work = track.work(now);
+        let load = f64::from(work.requests);
         let slots = if target.slots == 0 { SLOTS_UNTOLD } else { f64::from(target.slots) };
-        let mut delay = track.backlog(alike, now) + track.reading(query.prompt, keeps_shared);
+        let (mut delay, _) = track.expected(prompt, kept, now);
         delay += CROWD * (load / slots).min(1.0);
         delay += QUEUED * (load + 1.0 - slots).max(0.0);
-        delay += FAILING * track.failing();
-        if target.silent {
-            delay += SILENT;
-        }
-        (delay, load)
+        (delay, work.requests)
     }
 
-    fn track(&mut self, target: &Target, now: Instant) -> &mut Track {
+    fn track(&mut self, target: &Target) -> &mut Track {
         if self.tracks.len() > MOST_TRACKS {
-            self.tracks.retain(|_, track| track.outstanding() > 0);
+            self.tracks.retain(|_, track| track.own().requests > 0);
         }
+        let pace = self.pace;
         let track = self
             .tracks
             .entry(target.target.clone())
-            .or_insert_with(|| Track::new(target.born, now));
+            .or_insert_with(|| Track::new(target.born, pace));
         if track.born < target.born {
-            *track = Track::new(target.born, now);
+            *track = Track::new(target.born, pace);
         }
         track
     }
 }
 
-/// The target that requests with these shared parts go to first, the same on every VM.
-fn home_of<'a>(subject: u64, targets: &[&'a Target]) -> Option<&'a id::Target> {
-    let rank = |target: &&&Target| {
-        let mut bytes = subject.to_le_bytes().to_vec();
-        bytes.extend_from_slice(target.target.as_str().as_bytes());
-        xxh3_64(&bytes)
-    };
-    targets.iter().max_by_key(rank).map(|target| &target.target)
+fn rank(subject: u64, target: &Target) -> u64 {
+    let mut bytes = subject.to_le_bytes().to_vec();
+    bytes.extend_from_slice(target.target.as_str().as_bytes());
+    xxh3_64(&bytes)
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -24,6 +24,8 @@
     pub last_event: HeaderName,
     /// The urgency of a request at a target, from 0, the most urgent.
     pub urgency: HeaderName,
+    /// Names the target from which another one is to copy the parts of a prompt that it keeps.
+    pub fetch: HeaderName,
     /// Headers that only VMs may set; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
 }
@@ -50,6 +52,7 @@
         }
         headers.remove(&self.expect_target);
         headers.remove(&self.urgency);
+        headers.remove(&self.fetch);
         headers
     }
 
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -92,7 +92,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    self.trip.read();
+                    self.trip.began();
                     return Piece::Bytes(bytes);
                 }
                 Some(Err(cause)) => {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -138,7 +138,6 @@
     fn loads(&self) -> Vec<Load> {
         let now = self.clock.now();
         let mirror = self.mirror();
-        let vms = self.near_vms(&mirror);
         let here = Some(&self.settings.region);
         let mut loads = Vec::new();
         for (service, targets) in mirror.services() {
@@ -149,13 +148,12 @@
             if near.is_empty() {
                 continue;
             }
-            let (slots, running, waiting, delay) = self.board().load(&near, vms, now);
+            let busy = self.board().busy(&near, now);
             loads.push(Load {
                 service: service.to_string(),
-                slots,
-                running,
-                waiting,
-                delay_ms: (delay * 1000.0).min(60_000.0) as u32,
+                slots: busy.slots,
+                requests: busy.requests,
+                delay_ms: (busy.delay * 1000.0).min(60_000.0) as u32,
             });
         }
         loads
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -1,12 +1,13 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hyper::body::Bytes;
 use rand::RngExt;
 use smol::Timer;
 
 use super::{
+    admission::{Applicant, Decision, Late, There},
     attempt::{Opened, Tried},
-    board::Query,
+    board::{Pick, Query},
     call::Call,
     flow::{Flow, FromTarget, Piece, Source},
     outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
@@ -15,7 +16,7 @@
 use crate::{
     clock::within,
     event, id,
-    registry::{Entry, Target},
+    registry::{Entry, Mirror, Target},
 };
 
 /// The bytes of an answer that is no stream which are read before its caller sees any of it, so
@@ -34,10 +35,12 @@
 
 /// Where a request goes next.
 enum Place {
-    Target(Target),
+    Target(Box<Pick>),
     Vm(Entry),
     /// There are targets, but none takes it at this moment.
     Wait,
+    /// Its answer would be late.
+    Late(Late),
     Nowhere,
 }
 
@@ -52,6 +55,7 @@
     pub(super) sent: bool,
     unknown: Option<String>,
     pub(super) refused: Option<String>,
+    late: Option<Late>,
     /// A failure that a target answered with, for want of anything better.
     failure: Option<Answer>,
 }
@@ -68,8 +72,8 @@
                 break;
             }
             match place {
-                Place::Target(target) => {
-                    if let Some(outcome) = self.visit(&call, &target, &mut course).await {
+                Place::Target(pick) => {
+                    if let Some(outcome) = self.visit(&call, &pick, &mut course).await {
                         return outcome;
                     }
                 }
@@ -81,6 +85,10 @@
                 Place::Wait if self.clock.now() < patience => {
                     Timer::after(PAUSE).await;
                 }
+                Place::Late(late) => {
+                    course.late = Some(late);
+                    break;
+                }
                 Place::Wait | Place::Nowhere => break,
             }
         }
@@ -94,8 +102,14 @@
         if let Some(cause) = course.unknown {
             return Outcome::Unknown(cause);
         }
-        let retry_after = Duration::from_secs_f64(self.random().random_range(COME_BACK));
+        let draw = Duration::from_secs_f64(self.random().random_range(COME_BACK));
+        let told = course.late.map(|late| Duration::from_secs_f64(late.after));
+        let retry_after = told.unwrap_or(draw);
         let (reason, detail) = match course.refused {
+            _ if course.late.is_some() => {
+                let late = course.late.map(|late| late.to_string()).unwrap_or_default();
+                (Reason::Busy, format!("`{}` would be late: {late}", call.service))
+            }
             Some(detail) => (Reason::Full, detail),
             None if call.left(self.clock.now()).is_zero() => {
                 (Reason::Late, "its time ran out before it was sent".to_owned())
@@ -120,56 +134,92 @@
     fn place(&self, call: &Call, course: &Course) -> Place {
         let now = self.clock.now();
         let mirror = self.mirror();
+        let here = &self.settings.region;
         let region_of = |target: &Target| self.settings.region_of(&target.zone);
         let targets = mirror.targets(&call.service);
-        let here = &self.settings.region;
-        let mut waits = false;
-        if call.rule.allows(here) {
-            let near: Vec<&Target> =
-                targets.iter().filter(|target| region_of(target) == Some(here)).collect();
-            let service = self.table().and_then(|table| table.service(&call.service).cloned());
-            let query = Query {
-                targets: &near,
-                prompt: &call.prompt,
-                tried: &course.tried,
-                cold_rate: service.map_or(0.0, |service| service.cold_rate),
-                vms: self.near_vms(&mirror),
-            };
-            if let Some(pick) = self.board().choose(query, now) {
-                return Place::Target(pick.target);
+        let near: Vec<&Target> = targets
+            .iter()
+            .filter(|target| call.rule.allows(here) && region_of(target) == Some(here))
+            .collect();
+        let service = self.table().and_then(|table| table.service(&call.service).cloned());
+        let vms = self.near_vms(&mirror);
+        let query = Query {
+            targets: &near,
+            prompt: &call.prompt,
+            tried: &course.tried,
+            cold_rate: service.map_or(0.0, |service| service.cold_rate),
+            vms,
+        };
+        let pick = self.board().choose(query, now);
+        let there = if call.handed_over { Vec::new() } else { self.there(call, course, &mirror) };
+        let draw = self.random().random();
+        let applicant = Applicant {
+            rule: &call.rule,
+            waited: now.saturating_duration_since(call.came),
+            tokens: call.prompt.tokens - call.prompt.shared().min(call.prompt.tokens),
+            draw,
+        };
+        let delay = pick.as_ref().map(|pick| pick.delay);
+        match (self.admission().decide(applicant, delay, &there, vms, now), pick) {
+            (Decision::Here, Some(pick)) => Place::Target(Box::new(pick)),
+            (Decision::There(region), _) => {
+                let vms = self.vms_of(&region, course, &mirror);
+                match vms.get(self.random().random_range(0..vms.len().max(1))) {
+                    Some(vm) => Place::Vm((*vm).clone()),
+                    None => Place::Nowhere,
+                }
             }
-            waits = !near.is_empty();
+            (Decision::Refuse(late), _) => Place::Late(late),
+            _ if near.is_empty() => Place::Nowhere,
+            _ => Place::Wait,
         }
-        if !call.handed_over {
-            let serves = |region: &id::Region| {
-                region != here
-                    && call.rule.allows(region)
-                    && targets.iter().any(|target| region_of(target) == Some(region))
-            };
-            let vms: Vec<&Entry> = mirror
-                .vms()
-                .iter()
-                .filter(|vm| vm.ready && !vm.callers.is_empty() && !course.vms.contains(&vm.vm))
-                .filter(|vm| serves(&id::Region::from(vm.region.as_str())))
-                .collect();
-            if !vms.is_empty() {
-                let place = self.random().random_range(0..vms.len());
-                return Place::Vm(vms[place].clone());
+    }
+
+    /// The other regions that may get the request and have targets for it and VMs in reach.
+    fn there(&self, call: &Call, course: &Course, mirror: &Mirror) -> Vec<There> {
+        let mut counts: BTreeMap<&id::Region, u32> = BTreeMap::new();
+        for target in mirror.targets(&call.service) {
+            if let Some(region) = self.settings.region_of(&target.zone) {
+                *counts.entry(region).or_default() += 1;
             }
         }
-        if waits { Place::Wait } else { Place::Nowhere }
+        counts.remove(&self.settings.region);
+        let fits = |region: &id::Region| {
+            call.rule.allows(region) && !self.vms_of(region, course, mirror).is_empty()
+        };
+        let there = |(region, targets): (&id::Region, u32)| {
+            let load = mirror.load(&call.service, region.as_str());
+            let (delay, at) = load.map_or((0.0, self.clock.now()), |(load, at)| {
+                (f64::from(load.delay_ms) / 1000.0, at)
+            });
+            There { region: region.clone(), delay, targets, at }
+        };
+        counts.into_iter().filter(|(region, _)| fits(region)).map(there).collect()
+    }
+
+    fn vms_of<'a>(
+        &self,
+        region: &id::Region,
+        course: &Course,
+        mirror: &'a Mirror,
+    ) -> Vec<&'a Entry> {
+        let vms = mirror.vms().iter();
+        vms.filter(|vm| vm.ready && !vm.callers.is_empty() && vm.region == region.as_str())
+            .filter(|vm| !course.vms.contains(&vm.vm))
+            .collect()
     }
 
     /// Tries a target; gives an outcome where the request goes no further.
     async fn visit(
         self: &Arc<Self>,
         call: &Arc<Call>,
-        target: &Target,
+        pick: &Pick,
         course: &mut Course,
     ) -> Option<Outcome> {
-        course.tried.push(target.target.clone());
+        let target = &pick.target;
+        course.tried.push(pick.target.target.clone());
         let left = call.left(self.clock.now());
-        let tried = self.try_target(call, target, call.last_event, left).await;
+        let tried = self.try_target(call, pick, call.last_event, left).await;
         self.log_try(call, &target.target, &tried);
         match tried {
             Tried::Head(opened) => {
@@ -278,7 +328,7 @@
         runs: &mut u32,
     ) -> Option<Source> {
         let course = Course { tried: tried.clone(), ..Course::default() };
-        let Place::Target(target) = self.place(call, &course) else {
+        let Place::Target(pick) = self.place(call, &course) else {
             *runs = call.rule.attempts;
             return None;
         };
@@ -286,9 +336,9 @@
             *runs = call.rule.attempts;
             return None;
         }
-        tried.push(target.target.clone());
+        tried.push(pick.target.target.clone());
         let left = call.left(self.clock.now());
-        match self.try_target(call, &target, last, left).await {
+        match self.try_target(call, &pick, last, left).await {
             Tried::Head(opened) => {
                 *runs += 1;
                 let Opened { status, body, lease, keep, trip, .. } = *opened;
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -65,6 +65,8 @@
     NoTarget,
     /// Every target that may get it is full.
     Full,
+    /// Its answer would be late.
+    Busy,
     /// Its time ran out before it was sent.
     Late,
 }
@@ -80,6 +82,7 @@
             Self::Incomplete => "incomplete",
             Self::NoTarget => "no_target",
             Self::Full => "full",
+            Self::Busy => "busy",
             Self::Late => "late",
         }
     }
@@ -91,7 +94,7 @@
             Self::NoIdentifier => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoRoutes | Self::NoTarget | Self::Full | Self::Late => {
+            Self::NoRoutes | Self::NoTarget | Self::Full | Self::Busy | Self::Late => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -12,7 +12,7 @@
     call::Call,
     flow::{Flow, Source},
     journey::Course,
-    outcome::{Answer, AnswerBody, Outcome, Refusal},
+    outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
     shell::Gateway,
 };
 use crate::{
@@ -41,6 +41,8 @@
     ) -> Option<Outcome> {
         course.vms.push(vm.vm.clone());
         self.log_passage(call, vm);
+        let region = id::Region::from(vm.region.as_str());
+        self.admission().passed(&region, call.prompt.tokens, self.clock.now());
         let left = call.left(self.clock.now());
         let address = vm.links()?;
         let mut exchange = match self.hub.hand_over(address, handover(call, left)).await {
@@ -63,6 +65,8 @@
                 self.settle_from(call, answer, Source::Link(exchange), course).await
             }
             Some(Ok(Body::Abort(abort))) if abort.did_not_run => {
+                // A target that rejected it there counts it as an arrival.
+                course.sent |= abort.reason == Reason::Full.word();
                 course.rejections += 1;
                 course.refused = Some(abort.detail);
                 None
@@ -169,7 +173,7 @@
 
 fn refuse(detail: &str) -> Outcome {
     let wait = Duration::from_millis(300);
-    Outcome::Refused(Refusal::new(super::outcome::Reason::NoTarget, detail, wait))
+    Outcome::Refused(Refusal::new(Reason::NoTarget, detail, wait))
 }
 
 fn handover(call: &Call, left: Duration) -> Handover {
@@ -217,7 +221,9 @@
     let answer = match outcome {
         Outcome::Answered(answer) => answer,
         Outcome::Refused(refusal) => {
-            let _ = exchange.send(Body::Abort(abort(true, refusal.detail))).await;
+            let reason = refusal.reason.word().to_owned();
+            let abort = Abort { reason, ..abort(true, refusal.detail) };
+            let _ = exchange.send(Body::Abort(abort)).await;
             return;
         }
         Outcome::Unknown(cause) => {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -18,7 +18,7 @@
     net::TcpListener,
 };
 
-use super::{Allowance, Board, Dialect, pool::Pool};
+use super::{Admission, Allowance, Board, Dialect, pool::Pool};
 use crate::{
     clock::{Clock, within},
     control::{ReadRoutes, incarnation, link_settings, lock},
@@ -29,7 +29,7 @@
     node::{Error, Settings},
     registry::Mirror,
     route::Table,
-    wire::Hello,
+    wire::{Hello, Topic},
 };
 
 const INBOUND_QUEUE: usize = 1024;
@@ -54,6 +54,7 @@
     table: Mutex<Option<Arc<Table>>>,
     mirror: Mutex<Mirror>,
     board: Mutex<Board>,
+    admission: Mutex<Admission>,
     allowance: Mutex<Allowance>,
     random: Mutex<StdRng>,
     seeds: Mutex<Vec<id::Vm>>,
@@ -128,6 +129,7 @@
             table: Mutex::default(),
             mirror: Mutex::default(),
             board: Mutex::new(Board::new(seed)),
+            admission: Mutex::default(),
             allowance: Mutex::new(Allowance::new(
                 bounds.retry_ratio,
                 bounds.retry_slack,
@@ -146,6 +148,7 @@
         .detach();
         smol::spawn(Arc::clone(&gateway).receive(inbound)).detach();
         smol::spawn(Arc::clone(&gateway).follow()).detach();
+        smol::spawn(Arc::clone(&gateway).share_work()).detach();
         if let Some(listener) = health {
             smol::spawn(Arc::clone(&gateway).answer_health(listener)).detach();
         }
@@ -168,8 +171,14 @@
 
     async fn receive(self: Arc<Self>, inbound: Receiver<Inbound>) {
         while let Ok(message) = inbound.recv().await {
-            if let Inbound::Handover { from, handover, exchange, .. } = message {
-                smol::spawn(Arc::clone(&self).take_over(from, *handover, exchange)).detach();
+            match message {
+                Inbound::Handover { from, handover, exchange, .. } => {
+                    smol::spawn(Arc::clone(&self).take_over(from, *handover, exchange)).detach();
+                }
+                Inbound::Notice { from, topic: Topic::Work, payload } => {
+                    self.take_work(&from, &payload);
+                }
+                _ => {}
             }
         }
     }
@@ -220,6 +229,10 @@
         lock(&self.board)
     }
 
+    pub(super) fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
     pub(super) fn allowance(&self) -> MutexGuard<'_, Allowance> {
         lock(&self.allowance)
     }
--- a/src/gateway/track.rs
+++ b/src/gateway/track.rs
@@ -1,22 +1,36 @@
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use super::Prompt;
 use crate::place::Cache;
 
-/// A report of load older than this tells nothing any more.
-const REPORT_AGE: Duration = Duration::from_secs(3);
+/// A target's word on its load is taken for this long.
+const REPORT_AGE: Duration = Duration::from_millis(400);
+/// What a VM near by said of the work that it has at a target is taken for this long: five of its
+/// messages.
+const SIBLING_AGE: Duration = Duration::from_millis(600);
 /// The first time that a target which failed is left alone; doubled with each failure in a row.
 const FIRST_REST: Duration = Duration::from_millis(300);
 const LONGEST_REST: Duration = Duration::from_secs(5);
-/// A target that was just out of reach may have started anew, cold, before it says so.
+/// A target that was out of reach may have started anew, cold, before it says so.
 const AFTER_FAILURE: Duration = Duration::from_millis(1500);
 /// The weight of one answer in the part of answers that are failures.
 const FAILURE_GAIN: f64 = 0.15;
+/// The weight of one first event in the pace that is learned of a target.
+const PACE_GAIN: f64 = 0.12;
+/// The bounds of that pace: nothing is half as slow as a usual engine or ten times as slow.
+const PACES: std::ops::RangeInclusive<f64> = 0.5..=10.0;
 /// Part keys remembered for each target: a few for each of the sessions that its memory holds.
 const MOST_PARTS: usize = 2048;
-/// Without reports of the target, its prompts are taken to be read at this pace, in tokens a
-/// second: half of what a current engine reads, as others send too.
-const PREFILL: f64 = 40_000.0;
+/// The time in which requests count against what a cold target bears, with room for their way.
+const SECOND: Duration = Duration::from_millis(1100);
+/// Prompt tokens that a usual engine reads in a second; what an engine really does is learned as
+/// its pace.
+pub(super) const PREFILL: f64 = 40_000.0;
+/// Seconds from sending a request to its first event where nothing is to be read.
+const LEAST: f64 = 0.012;
 
 /// What one target reported of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,15 +43,32 @@
     pub slots: u32,
 }
 
+/// The work that a VM has at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Requests that have not ended.
+    pub requests: u32,
+    /// Prompt tokens that are not known to have been read.
+    pub unread: f64,
+}
+
+/// A request that was sent, and what was expected of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    at: Instant,
+    /// Prompt tokens that the target has to read for it.
+    tokens: f64,
+    /// Seconds until its first event, at the pace of a usual engine.
+    expected: f64,
+}
+
 /// What a VM remembers of one lifetime of a target.
 #[derive(Debug)]
 pub(super) struct Track {
     pub(super) born: u64,
-    outstanding: u32,
-    report: Option<(Report, u32, Instant)>,
-    /// Tokens sent to be read and not known to have been read.
-    unread: f64,
-    drained_at: Instant,
+    own: Work,
+    siblings: HashMap<String, (Work, Instant)>,
+    report: Option<(Report, Instant)>,
     cache: Cache,
     failures: u32,
     rests_until: Option<Instant>,
@@ -45,56 +76,68 @@
     suspect_until: Option<Instant>,
     /// The part of its latest answers that were failures.
     failing: f64,
-    cold: Cold,
-}
-
-/// This VM's share of what a cold target bears.
-#[derive(Debug)]
-struct Cold {
+    /// How many times slower than a usual engine it is until the first event.
+    pace: f64,
+    /// When the latest requests were sent.
     sent: Vec<Instant>,
 }
 
 impl Track {
-    pub(super) fn new(born: u64, now: Instant) -> Self {
+    pub(super) fn new(born: u64, pace: f64) -> Self {
         Self {
             born,
-            outstanding: 0,
+            own: Work::default(),
+            siblings: HashMap::new(),
             report: None,
-            unread: 0.0,
-            drained_at: now,
             cache: Cache::default(),
             failures: 0,
             rests_until: None,
             suspect_until: None,
             failing: 0.0,
-            cold: Cold { sent: Vec::new() },
+            pace,
+            sent: Vec::new(),
         }
     }
 
-    pub(super) fn sent(&mut self, prompt: &Prompt, now: Instant) -> f64 {
-        self.drain(now);
-        let keys = prompt.keys();
-        let tokens = f64::from(prompt.unread(self.cache.matched(&keys)));
-        self.outstanding += 1;
-        self.unread += tokens;
-        self.cache.store(&keys, MOST_PARTS);
-        self.cold.sent.push(now);
-        let second = Duration::from_millis(1100);
-        self.cold.sent.retain(|at| now.saturating_duration_since(*at) < second);
-        tokens
+    pub(super) fn sent(&mut self, prompt: &Prompt, kept: bool, now: Instant) -> Sent {
+        let (_, expected) = self.expected(prompt, kept, now);
+        let tokens = self.unread(prompt, kept);
+        self.own.requests += 1;
+        self.own.unread += tokens;
+        self.cache.store(&prompt.keys(), MOST_PARTS);
+        self.sent.push(now);
+        self.sent.retain(|at| now.saturating_duration_since(*at) < SECOND);
+        Sent { at: now, tokens, expected }
     }
 
-    /// The request's prompt has been read.
-    pub(super) fn read(&mut self, tokens: f64) {
-        self.unread = (self.unread - tokens).max(0.0);
+    /// The request's prompt has been read, or never will be.
+    pub(super) fn read(&mut self, sent: Sent) {
+        self.own.unread = (self.own.unread - sent.tokens).max(0.0);
+    }
+
+    /// The request's first event came: the pace is learned from the time that it took.
+    pub(super) fn began(&mut self, sent: Sent, now: Instant) -> f64 {
+        let took = now.saturating_duration_since(sent.at).as_secs_f64();
+        let sample = (took / sent.expected).clamp(*PACES.start(), *PACES.end());
+        self.pace += PACE_GAIN * (sample - self.pace);
+        sample
     }
 
     pub(super) fn ended(&mut self) {
-        self.outstanding = self.outstanding.saturating_sub(1);
+        self.own.requests = self.own.requests.saturating_sub(1);
     }
 
     pub(super) fn reported(&mut self, report: Report, now: Instant) {
-        self.report = Some((report, self.outstanding, now));
+        self.report = Some((report, now));
+    }
+
+    /// A VM near by told the work that it has here.
+    pub(super) fn shared(&mut self, vm: &str, work: Work, now: Instant) {
+        self.siblings.insert(vm.to_owned(), (work, now));
+    }
+
+    pub(super) fn own(&self) -> Work {
+        self.own
     }
 
     pub(super) fn answered(&mut self, failed: bool) {
@@ -128,52 +171,51 @@
         self.failing
     }
 
-    pub(super) fn outstanding(&self) -> u32 {
-        self.outstanding
-    }
-
     /// Requests sent within the last second.
     pub(super) fn sent_lately(&self, now: Instant) -> usize {
-        let second = Duration::from_millis(1100);
-        self.cold.sent.iter().filter(|at| now.saturating_duration_since(**at) < second).count()
-    }
-
-    /// How many requests it is expected to hold, when `alike` VMs send as this one does.
-    pub(super) fn load(&self, alike: f64, now: Instant) -> f64 {
-        let own = f64::from(self.outstanding);
-        match self.report {
-            Some((report, outstanding, at)) if now.saturating_duration_since(at) < REPORT_AGE => {
-                let since = own - f64::from(outstanding);
-                (f64::from(report.running + report.waiting) + alike * since).max(own)
-            }
-            _ => own * alike,
+        self.sent.iter().filter(|at| now.saturating_duration_since(**at) < SECOND).count()
+    }
+
+    /// The work of all VMs of the region there.
+    pub(super) fn work(&self, now: Instant) -> Work {
+        let young = |at: &Instant| now.saturating_duration_since(*at) < SIBLING_AGE;
+        let others = self.siblings.values().filter(|(_, at)| young(at)).map(|(work, _)| work);
+        let mut sum = others.fold(self.own, |sum, work| Work {
+            requests: sum.requests + work.requests,
+            unread: sum.unread + work.unread,
+        });
+        if let Some((report, at)) = self.report
+            && now.saturating_duration_since(at) < REPORT_AGE
+        {
+            sum.requests = sum.requests.max(report.running + report.waiting);
         }
+        sum
     }
 
-    /// Requests that wait there, as it said last.
-    pub(super) fn waiting(&self, now: Instant) -> u32 {
-        let young = |at: Instant| now.saturating_duration_since(at) < REPORT_AGE;
-        self.report.filter(|(_, _, at)| young(*at)).map_or(0, |(report, ..)| report.waiting)
+    /// Prompt tokens that it has to read for `prompt`, where `kept` says that it gets the shared
+    /// parts from wherever they are kept.
+    fn unread(&self, prompt: &Prompt, kept: bool) -> f64 {
+        let keys = prompt.keys();
+        let shared = if kept { keys.len().saturating_sub(1) } else { 0 };
+        f64::from(prompt.unread(self.cache.matched(&keys).max(shared)))
     }
 
-    /// Seconds until what was sent there has been read.
-    pub(super) fn backlog(&mut self, alike: f64, now: Instant) -> f64 {
-        self.drain(now);
-        self.unread * alike / PREFILL
+    /// Whether it is believed to keep all shared parts of `prompt`.
+    pub(super) fn keeps(&self, prompt: &Prompt) -> bool {
+        let keys = prompt.keys();
+        self.cache.matched(&keys) + 1 >= keys.len()
     }
 
-    /// Seconds to read what it is not believed to keep of `prompt`, and whether it is believed to
-    /// keep the shared parts.
-    pub(super) fn reading(&self, prompt: &Prompt, keeps_shared: bool) -> f64 {
-        let keys = prompt.keys();
-        let known = self.cache.matched(&keys);
-        let shared = if keeps_shared { keys.len().saturating_sub(1) } else { 0 };
-        f64::from(prompt.unread(known.max(shared))) / PREFILL
+    /// Seconds until the first event of `prompt`: as it is believed to be, and at the pace of a
+    /// usual engine.
+    pub(super) fn expected(&self, prompt: &Prompt, kept: bool, now: Instant) -> (f64, f64) {
+        let tokens = self.work(now).unread + self.unread(prompt, kept);
+        let usual = LEAST + tokens / PREFILL;
+        (usual * self.pace, usual)
     }
 
-    fn drain(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.drained_at).as_secs_f64();
-        self.drained_at = now;
-        self.unread = (self.unread - passed * PREFILL * 0.25).max(0.0);
+    /// Seconds until what was sent there has been read.
+    pub(super) fn backlog(&self, now: Instant) -> f64 {
+        self.work(now).unread / PREFILL * self.pace
     }
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -20,7 +20,7 @@
     command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
     machine::Machine,
     mirror::{Mirror, Target},
-    news::{Ask, News, RoutesText},
+    news::{Ask, News, RegionLoad, RoutesText},
     roster::{Digest, Entry, Heard, Load, Roster, Seen},
     steward::{Action, Steward},
     target::{Row, State},
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Entry, News, Row, State};
+use super::{Entry, News, RegionLoad, Row, State};
 use crate::id;
 
 /// After a zone gets work again its targets may have become cold, which they say only with their
@@ -41,6 +41,8 @@
     services: BTreeMap<id::Service, Vec<Target>>,
     vms: Vec<Entry>,
     known: u64,
+    loads: Vec<RegionLoad>,
+    loads_at: Option<Instant>,
 }
 
 impl Mirror {
@@ -56,10 +58,16 @@
 
     /// Takes news that came at `now`; false where they are older than what is known.
     pub fn take(&mut self, news: News, now: Instant) -> bool {
-        if news.known != 0 && news.known != self.known {
+        // A replica that is cut off does not hear of the VMs beyond the cut either.
+        let tells = news.fresh || self.vms.is_empty();
+        if tells && news.known != 0 && news.known != self.known {
             self.vms = news.vms.into_iter().map(|seen| seen.entry).collect();
             self.known = news.known;
         }
+        if tells {
+            self.loads = news.loads;
+            self.loads_at = Some(now);
+        }
         if news.index < self.index {
             return false;
         }
@@ -92,6 +100,13 @@
         self.services.iter().map(|(service, targets)| (service, targets.as_slice()))
     }
 
+    /// How busy the targets of `service` in another region were lately, and when that was learned.
+    pub fn load(&self, service: &id::Service, region: &str) -> Option<(&RegionLoad, Instant)> {
+        let mut loads = self.loads.iter();
+        let load = loads.find(|load| load.region == region && load.service == service.as_str())?;
+        Some((load, self.loads_at?))
+    }
+
     /// The other VMs and the replicas.
     pub fn vms(&self) -> &[Entry] {
         &self.vms
--- a/src/registry/news.rs
+++ b/src/registry/news.rs
@@ -49,6 +49,29 @@
     /// Targets that were not heard for longer than they should.
     #[prost(string, repeated, tag = "9")]
     pub silent: Vec<String>,
+    /// How busy the targets of each region are.
+    #[prost(message, repeated, tag = "10")]
+    pub loads: Vec<RegionLoad>,
+}
+
+/// How busy the targets of one service in one region are, as the VMs there see them.
+#[derive(Clone, PartialEq, Message)]
+pub struct RegionLoad {
+    /// The region.
+    #[prost(string, tag = "1")]
+    pub region: String,
+    /// The service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Places at its targets.
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
+    /// Requests there.
+    #[prost(uint32, tag = "4")]
+    pub requests: u32,
+    /// Milliseconds until what was sent has been read, at the least busy target.
+    #[prost(uint32, tag = "5")]
+    pub delay_ms: u32,
 }
 
 /// A list of routes as the operator sent it.
--- a/src/registry/roster.rs
+++ b/src/registry/roster.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::RegionLoad;
 use crate::id;
 
 /// What a VM says of itself to a replica.
@@ -47,14 +48,11 @@
     /// Places at its targets.
     #[prost(uint32, tag = "2")]
     pub slots: u32,
-    /// Places that are taken.
+    /// Requests there.
     #[prost(uint32, tag = "3")]
-    pub running: u32,
-    /// Requests that wait at targets.
+    pub requests: u32,
+    /// Milliseconds until what was sent has been read, at the least busy target.
     #[prost(uint32, tag = "4")]
-    pub waiting: u32,
-    /// Milliseconds until the first event that the best target is expected to need.
-    #[prost(uint32, tag = "5")]
     pub delay_ms: u32,
 }
 
@@ -169,6 +167,27 @@
         self.targets.get(target).copied()
     }
 
+    /// How busy each region is: what the VM there said that was heard last.
+    pub fn loads(&self, now: Instant) -> Vec<RegionLoad> {
+        let mut newest: BTreeMap<(&str, &str), (Instant, &Load)> = BTreeMap::new();
+        for (entry, at) in self.live(now) {
+            for load in &entry.loads {
+                let known = newest.entry((&entry.region, &load.service)).or_insert((at, load));
+                if known.0 < at {
+                    *known = (at, load);
+                }
+            }
+        }
+        let load = |((region, service), (_, load)): ((&str, &str), (Instant, &Load))| RegionLoad {
+            region: region.to_owned(),
+            service: service.to_owned(),
+            slots: load.slots,
+            requests: load.requests,
+            delay_ms: load.delay_ms,
+        };
+        newest.into_iter().map(load).collect()
+    }
+
     /// Forgets VMs and targets that were not heard for long.
     pub fn sweep(&mut self, now: Instant) {
         let limit = self.limit * 10;
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -19,11 +19,13 @@
     Orders,
     /// What changed of the registry: [`crate::registry`].
     Registry,
+    /// The work that a VM has at targets of its region: [`crate::gateway`].
+    Work,
 }
 
 impl Topic {
     /// All topics, by their numbers.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
@@ -33,6 +35,7 @@
         Self::Crashes,
         Self::Orders,
         Self::Registry,
+        Self::Work,
     ];
 
     /// The number that stands for the topic in a frame.
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,242 @@
+//! The gateway's decisions: which target, whether at all, and how often again.
+
+use std::time::{Duration, Instant};
+
+use pomelogate::{
+    gateway::{
+        Admission, Allowance, Applicant, Board, Decision, Events, Pick, Prompt, Query, There, Work,
+    },
+    id,
+    registry::Target,
+    route::{Class, Rule, Split},
+};
+
+fn target(name: &str, now: Instant) -> Target {
+    Target {
+        target: id::Target::from(name),
+        born: 1,
+        address: ([10, 0, 0, 9], 8080).into(),
+        zone: id::Zone::from("jakarta-a"),
+        slots: 64,
+        cold_until: now,
+        silent: false,
+    }
+}
+
+fn query<'a>(targets: &'a [&'a Target], prompt: &'a Prompt) -> Query<'a> {
+    Query { targets, prompt, tried: &[], cold_rate: 3.0, vms: 1 }
+}
+
+fn prompt(subject: u32) -> Prompt {
+    let parts = format!("aa:2500,{subject:x}:3800,{:x}:2900", subject + 1000);
+    Prompt::parse(Some(&parts), Some("9200,50"))
+}
+
+fn rule(rank: u32) -> Rule {
+    Rule {
+        name: "plan".to_owned(),
+        host: "example.org".to_owned(),
+        prefix: "/plan/".to_owned(),
+        class: Class::Stream,
+        longest_wait: Duration::from_secs(4),
+        objective: Duration::from_millis(800),
+        pause: Duration::from_millis(600),
+        rank,
+        attempts: 1,
+        keeps_parts: true,
+        split: Split::whole("engines".into()),
+        homes: Vec::new(),
+    }
+}
+
+/// Requests that share parts of their prompts, from many VMs, to few engines.
+#[test]
+fn requests_with_the_same_shared_parts_go_to_one_target_from_every_vm() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..6).map(|n| target(&format!("engine-{n}"), now)).collect();
+    let targets: Vec<&Target> = targets.iter().collect();
+    for subject in 0..40 {
+        let chosen = |seed| {
+            let mut board = Board::new(seed);
+            board.choose(query(&targets, &prompt(subject)), now).expect("a target").target.target
+        };
+        assert_eq!(chosen(1), chosen(2), "subject {subject}");
+    }
+}
+
+/// One hot subject: its keeper is busy, and the others copy its parts instead of reading them.
+#[test]
+fn a_busy_keeper_is_relieved_by_targets_that_copy_its_parts() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..4).map(|n| target(&format!("engine-{n}"), now)).collect();
+    let targets: Vec<&Target> = targets.iter().collect();
+    let mut board = Board::new(1);
+    let prompt = prompt(7);
+    let first = board.choose(query(&targets, &prompt), now).expect("a target");
+    assert!(first.is_keeper && first.keeper.is_none());
+    // Whoever sent the parts to the keeper knows that it has them.
+    board.note_sent(&first, &prompt, now);
+    board.shared("other", &first.target, Work { requests: 5, unread: 40_000.0 }, now);
+    let second = board.choose(query(&targets, &prompt), now).expect("a target");
+    assert_ne!(second.target.target, first.target.target);
+    assert_eq!(second.keeper.map(|keeper| keeper.target), Some(first.target.target));
+    assert!(second.delay < 0.2, "only the own part is read: {}", second.delay);
+}
+
+/// Several VMs before the same engines, none of which sees the others' requests.
+#[test]
+fn work_of_the_other_vms_of_the_region_counts() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..2).map(|n| target(&format!("engine-{n}"), now)).collect();
+    let targets: Vec<&Target> = targets.iter().collect();
+    let mut board = Board::new(1);
+    let plain = Prompt::default();
+    for (loaded, free) in [(0, 1), (1, 0)] {
+        let at = now + Duration::from_secs(loaded as u64);
+        let work = Work { requests: 9, unread: 30_000.0 };
+        board.shared("other", targets[loaded], work, at);
+        let pick = board.choose(query(&targets, &plain), at).expect("a target");
+        assert_eq!(pick.target.target, targets[free].target);
+    }
+}
+
+/// Engines that start cold bear a few requests a second over all VMs.
+#[test]
+fn a_cold_target_gets_this_vms_share_of_what_it_bears_and_no_more() {
+    let now = Instant::now();
+    let cold = Target { cold_until: now + Duration::from_secs(3), ..target("cold", now) };
+    let targets = [&cold];
+    let plain = Prompt::default();
+    let mut board = Board::new(1);
+    let mut sent = 0;
+    for step in 0..40 {
+        let at = now + Duration::from_millis(25 * step);
+        let query = Query { vms: 3, ..query(&targets, &plain) };
+        if let Some(pick) = board.choose(query, at) {
+            board.note_sent(&pick, &plain, at);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 1, "a third of three a second");
+}
+
+/// Some engines answer with failures though they say that they are sound.
+#[test]
+fn a_target_that_fails_many_requests_is_chosen_last_but_not_shut_out() {
+    let now = Instant::now();
+    let targets = [target("sound", now), target("grey", now)];
+    let both: Vec<&Target> = targets.iter().collect();
+    let plain = Prompt::default();
+    let mut board = Board::new(1);
+    for _ in 0..20 {
+        board.answered(&targets[1], true);
+    }
+    let pick = |board: &mut Board, targets: &[&Target]| -> Pick {
+        board.choose(query(targets, &plain), now).expect("a target")
+    };
+    assert_eq!(pick(&mut board, &both).target.target.as_str(), "sound");
+    let alone = pick(&mut board, &both[1..]);
+    assert!(alone.delay < 0.1, "failures are no delay, so admission does not refuse for them");
+}
+
+fn applicant(rule: &Rule) -> Applicant<'_> {
+    Applicant { rule, waited: Duration::ZERO, tokens: 2900, draw: 0.5 }
+}
+
+fn there(delay: f64, now: Instant) -> There {
+    There { region: "surabaya".into(), delay, targets: 6, at: now }
+}
+
+/// A region at its peak beside one at its trough.
+#[test]
+fn a_request_goes_to_another_region_only_where_that_pays_for_the_way() {
+    let now = Instant::now();
+    let admission = Admission::default();
+    let rule = rule(1);
+    let decide = |here, there: &[There]| admission.decide(applicant(&rule), here, there, 1, now);
+    assert_eq!(decide(Some(0.15), &[there(0.0, now)]), Decision::Here);
+    assert_eq!(decide(Some(0.5), &[there(0.0, now)]), Decision::There("surabaya".into()));
+    assert_eq!(decide(Some(0.3), &[there(0.2, now)]), Decision::Here);
+    assert_eq!(decide(None, &[there(0.0, now)]), Decision::There("surabaya".into()));
+    assert_eq!(decide(None, &[]), Decision::Nowhere);
+}
+
+/// More callers than the engines of all regions can serve in time.
+#[test]
+fn what_would_be_late_everywhere_is_refused_at_once_with_the_time_to_come_back() {
+    let now = Instant::now();
+    let admission = Admission::default();
+    let rule = rule(1);
+    let decision = admission.decide(applicant(&rule), Some(1.5), &[there(1.6, now)], 1, now);
+    let Decision::Refuse(late) = decision else { panic!("{decision:?}") };
+    assert!(late.after > 1.5 - late.limit && late.after <= 3.0, "{late}");
+}
+
+/// Under pressure the less urgent rank gives way first.
+#[test]
+fn the_more_urgent_rank_is_taken_at_delays_at_which_the_other_is_refused() {
+    let now = Instant::now();
+    let admission = Admission::default();
+    let decide = |rule: &Rule| admission.decide(applicant(rule), Some(0.6), &[], 1, now);
+    assert_eq!(decide(&rule(0)), Decision::Here);
+    assert!(matches!(decide(&rule(1)), Decision::Refuse(_)));
+}
+
+/// A region's word is up to two seconds old, and all VMs hand over on it.
+#[test]
+fn hand_overs_count_on_top_of_what_a_region_last_told() {
+    let now = Instant::now();
+    let mut admission = Admission::default();
+    let rule = rule(1);
+    let region = id::Region::from("surabaya");
+    for _ in 0..200 {
+        admission.passed(&region, 9200, now);
+    }
+    let decision = admission.decide(applicant(&rule), Some(0.45), &[there(0.0, now)], 3, now);
+    assert_eq!(decision, Decision::Here);
+}
+
+#[test]
+fn repeats_over_all_vms_stay_within_the_budget_in_every_window() {
+    let (vms, ratio, slack) = (8, 0.2, 56.0);
+    let window = Duration::from_secs(10);
+    let service = id::Service::from("engines");
+    let start = Instant::now();
+    let mut allowances: Vec<Allowance> =
+        (0..vms).map(|_| Allowance::new(ratio, slack, window)).collect();
+    allowances.iter_mut().for_each(|allowance| allowance.set_vms(vms));
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for step in 0..30_000u64 {
+        let now = start + Duration::from_millis(step);
+        let allowance = &mut allowances[(step % u64::from(vms)) as usize];
+        if step % 7 == 0 {
+            allowance.request(&service, now);
+            requests.push(step);
+        }
+        if allowance.repeat(&service, now) {
+            repeats.push(step);
+        }
+    }
+    let within = |times: &[u64], from: u64| {
+        times.iter().filter(|time| (from..from + 10_000).contains(*time)).count() as f64
+    };
+    for from in (0..20_000).step_by(50) {
+        let allowed = ratio * within(&requests, from) + slack;
+        assert!(within(&repeats, from) <= allowed, "from {from} ms");
+    }
+    assert!(repeats.len() > 100, "the budget is used");
+}
+
+#[test]
+fn a_stream_is_cut_at_whole_events_wherever_its_bytes_are_split() {
+    let whole: String = (1..20).map(|n| format!("id: {n}\ndata: {}\n\n", "x".repeat(n))).collect();
+    for size in 1..60 {
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        for chunk in whole.as_bytes().chunks(size) {
+            passed.extend_from_slice(&events.push(chunk));
+            assert!(passed.is_empty() || passed.ends_with(b"\n\n"), "chunks of {size}");
+        }
+        assert_eq!((passed.as_slice(), events.last()), (whole.as_bytes(), Some(19)));
+    }
+}
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,191 @@
+//! The registry: what is agreed on, what a VM makes of it, and who may be a replica.
+
+use std::time::{Duration, Instant};
+
+use pomelogate::{
+    id,
+    registry::{
+        Announcement, Command, Drain, Entry, Machine, Mirror, News, Operation, Publish, Reply, Row,
+        State, Withdraw,
+    },
+    replica::Machine as _,
+};
+use prost::{Message, bytes::Bytes};
+
+struct Registry {
+    machine: Machine,
+    index: u64,
+}
+
+impl Registry {
+    fn new() -> Self {
+        Self { machine: Machine::default(), index: 0 }
+    }
+
+    fn apply(&mut self, operation: Operation) -> Reply {
+        self.index += 1;
+        let command = Command::from(operation).encode_to_vec();
+        Reply::decode(&self.machine.apply(self.index, &command)).expect("a reply")
+    }
+
+    fn announce(&mut self, row: Row) -> Reply {
+        self.apply(Operation::Announce(row))
+    }
+
+    fn state(&self, target: &str) -> State {
+        self.machine.target(target).expect("the target").state()
+    }
+}
+
+fn row(target: &str, born: u64, sequence: u64, port: u16, leaving: bool) -> Row {
+    let announcement = Announcement {
+        target: id::Target::from(target),
+        born,
+        sequence,
+        service: id::Service::from("engines"),
+        address: ([10, 0, 0, 9], port).into(),
+        zone: id::Zone::from("jakarta-a"),
+        slots: 64,
+        leaving,
+        cold: Duration::ZERO,
+    };
+    announcement.row()
+}
+
+fn publish(version: u64, text: &'static str) -> Operation {
+    Operation::Publish(Publish { version, text: Bytes::from_static(text.as_bytes()) })
+}
+
+#[test]
+fn the_highest_version_of_the_routes_stands_whatever_comes_after() {
+    let mut registry = Registry::new();
+    assert_eq!(registry.apply(publish(7, "seven")), Reply::Changed);
+    assert_eq!(registry.apply(publish(7, "another seven")), Reply::Stands);
+    assert_eq!(registry.apply(publish(3, "three")), Reply::Stands);
+    assert_eq!(registry.machine.routes(), "seven");
+    assert_eq!(registry.apply(publish(12, "twelve")), Reply::Changed);
+    assert_eq!(
+        (registry.machine.version(), registry.machine.routes().as_ref()),
+        (12, &b"twelve"[..])
+    );
+}
+
+#[test]
+fn a_late_announcement_of_a_former_lifetime_changes_nothing() {
+    let mut registry = Registry::new();
+    registry.announce(row("one", 100, 4, 8080, false));
+    registry.announce(row("one", 200, 1, 8080, false));
+    assert_eq!(registry.announce(row("one", 100, 9, 8080, true)), Reply::Stands);
+    assert_eq!(registry.state("one"), State::Ready);
+}
+
+#[test]
+fn a_target_that_leaves_or_is_gone_stays_so_for_its_lifetime() {
+    let mut registry = Registry::new();
+    registry.announce(row("one", 100, 1, 8080, false));
+    registry.announce(row("one", 100, 2, 8080, true));
+    registry.announce(row("one", 100, 3, 8080, false));
+    assert_eq!(registry.state("one"), State::Leaving);
+    let withdraw = |born| Operation::Withdraw(Withdraw { target: "one".to_owned(), born });
+    assert_eq!(registry.apply(withdraw(99)), Reply::Stands);
+    assert_eq!(registry.apply(withdraw(100)), Reply::Changed);
+    assert_eq!(registry.announce(row("one", 100, 9, 8080, false)), Reply::Stands);
+    assert_eq!(registry.state("one"), State::Gone);
+    assert_eq!(registry.announce(row("one", 300, 1, 8080, false)), Reply::Changed);
+    assert_eq!(registry.state("one"), State::Ready);
+}
+
+#[test]
+fn an_address_belongs_to_the_target_that_was_born_last() {
+    let mut registry = Registry::new();
+    registry.announce(row("old", 100, 5, 8080, false));
+    registry.announce(row("new", 200, 1, 8080, false));
+    assert_eq!(registry.state("old"), State::Gone);
+    assert_eq!(registry.announce(row("older", 50, 9, 8080, false)), Reply::Stands);
+    assert_eq!(registry.state("new"), State::Ready);
+}
+
+#[test]
+fn an_order_for_a_zone_that_was_overtaken_does_not_undo_the_later_one() {
+    let mut registry = Registry::new();
+    let first = registry.machine.drain("jakarta-a");
+    let order = |known: &Drain, on| Operation::Drain(Drain { on, ..known.clone() });
+    assert_eq!(registry.apply(order(&first, true)), Reply::Changed);
+    let second = registry.machine.drain("jakarta-a");
+    assert_eq!(registry.apply(order(&second, false)), Reply::Changed);
+    // The first order again, delayed on its way to the leader.
+    assert_eq!(registry.apply(order(&first, true)), Reply::Overtaken);
+    assert_eq!(registry.machine.drained().count(), 0);
+}
+
+#[test]
+fn a_snapshot_holds_everything() {
+    let mut registry = Registry::new();
+    registry.apply(publish(7, "seven"));
+    registry.announce(row("one", 100, 1, 8080, false));
+    registry.apply(Operation::Drain(Drain { on: true, ..registry.machine.drain("jakarta-a") }));
+    let mut restored = Machine::default();
+    restored.restore(&registry.machine.snapshot()).expect("restored");
+    assert_eq!(News::since(&restored, 0), News::since(&registry.machine, 0));
+    assert_eq!(restored.snapshot(), registry.machine.snapshot());
+}
+
+fn news(machine: &Machine, since: u64) -> News {
+    News { fresh: true, known: 1, ..News::since(machine, since) }
+}
+
+#[test]
+fn a_mirror_follows_by_differences_and_never_goes_back() {
+    let now = Instant::now();
+    let mut registry = Registry::new();
+    registry.announce(row("one", 100, 1, 8080, false));
+    let old = news(&registry.machine, 0);
+    let mut mirror = Mirror::default();
+    assert!(mirror.take(old.clone(), now));
+    let engines = id::Service::from("engines");
+    assert_eq!(mirror.targets(&engines).len(), 1);
+    registry.announce(row("two", 150, 1, 8081, false));
+    registry.announce(row("one", 100, 2, 8080, true));
+    let delta = news(&registry.machine, mirror.index());
+    assert_eq!(delta.targets.len(), 2);
+    assert!(mirror.take(delta, now));
+    let names = |mirror: &Mirror| -> Vec<String> {
+        mirror.targets(&engines).iter().map(|target| target.target.to_string()).collect()
+    };
+    assert_eq!(names(&mirror), ["two"]);
+    assert!(!mirror.take(old, now), "an older replica's word is not taken");
+    assert_eq!(names(&mirror), ["two"]);
+}
+
+#[test]
+fn targets_of_a_drained_zone_get_nothing_and_count_as_cold_when_it_is_taken_back() {
+    let now = Instant::now();
+    let engines = id::Service::from("engines");
+    let mut registry = Registry::new();
+    let mut mirror = Mirror::default();
+    registry.announce(row("one", 100, 1, 8080, false));
+    registry.apply(Operation::Drain(Drain { on: true, ..registry.machine.drain("jakarta-a") }));
+    mirror.take(news(&registry.machine, 0), now);
+    assert!(mirror.targets(&engines).is_empty());
+    registry.apply(Operation::Drain(Drain { on: false, ..registry.machine.drain("jakarta-a") }));
+    mirror.take(news(&registry.machine, mirror.index()), now);
+    assert!(mirror.targets(&engines)[0].cold_until > now);
+}
+
+/// In a core that is cut in two, the half without a leader hears of no VM beyond the cut, and VMs
+/// that asked it found nobody to hand a request to.
+#[test]
+fn a_replica_that_is_cut_off_does_not_make_a_vm_forget_the_others() {
+    let now = Instant::now();
+    let entry = |vm: &str| pomelogate::registry::Seen {
+        entry: Entry { vm: vm.to_owned(), ..Entry::default() },
+        age_ms: 0,
+    };
+    let mut mirror = Mirror::default();
+    let whole =
+        News { fresh: true, known: 5, vms: vec![entry("near"), entry("far")], ..News::default() };
+    mirror.take(whole, now);
+    let cut_off = News { fresh: false, known: 6, vms: vec![entry("near")], ..News::default() };
+    mirror.take(cut_off, now);
+    assert_eq!(mirror.vms().len(), 2);
+}
