Count hand-overs per service, keep long prompts from streams, tell other VMs sooner

After a restart of all VMs replicas told each other of VMs once a second only, and requests found no VM to be handed to. Change: hand-overs count for their service, by the tokens that no other request has; VMs that come, go or change are told within 80 ms; a long prompt is charged for the streams that it holds up, a stream for the pauses at its target; a streamed answer is logged at its end, with its pieces.

--- a/src/control/follow.rs
+++ b/src/control/follow.rs
@@ -6,7 +6,7 @@
 use super::{Control, shell::lock};
 use crate::{
     event,
-    registry::{Ask, Machine, News, Row, Seen, State},
+    registry::{Ask, Entry, Machine, News, Row, Seen, State},
     replica::Group,
 };
 
@@ -28,7 +28,7 @@
             }
         };
         lock(&self.followers).insert(ask.entry.vm.clone());
-        self.roster().hear(ask.entry.clone(), self.clock.now());
+        self.hear_entry(&ask.entry);
         let wait = Duration::from_millis(ask.wait_ms).min(MOST_WAIT);
         let news = match self.group() {
             Some(group) => {
@@ -44,12 +44,26 @@
         let known = |this: &Self| this.roster().fingerprint(this.clock.now()) == ask.known;
         let change = group.read(|machine| (machine.index() <= ask.since).then(|| machine.listen()));
         let Some(change) = change.filter(|_| known(self)) else { return };
-        or(change, async {
+        let other = self.vms_changed.listen();
+        or(or(change, other), async {
             Timer::after(wait).await;
         })
         .await;
     }
 
+    /// Takes what a VM says of itself; others are told at once where it is new or changed.
+    fn hear_entry(&self, entry: &Entry) {
+        let now = self.clock.now();
+        let mut roster = self.roster();
+        let known = roster.fingerprint(now);
+        roster.hear(entry.clone(), now);
+        let changed = roster.fingerprint(now) != known;
+        drop(roster);
+        if changed {
+            self.vms_changed.notify();
+        }
+    }
+
     fn news(&self, group: &Group<Machine>, ask: &Ask) -> News {
         let now = self.clock.now();
         let mut news = group.read(|machine| News::since(machine, ask.since));
--- a/src/control/replicas.rs
+++ b/src/control/replicas.rs
@@ -4,6 +4,7 @@
 use smol::{
     Timer,
     channel::{Receiver, Sender},
+    future::or,
 };
 
 use super::{Control, shell::lock};
@@ -23,8 +24,10 @@
 const REOPEN: Duration = Duration::from_secs(1);
 /// How long one step on the membership may take.
 const STEP: Duration = Duration::from_secs(2);
-/// How often replicas tell each other what they heard.
-const TELL: Duration = Duration::from_secs(1);
+/// How often replicas tell each other what they heard, unless a VM comes, goes or changes.
+const TELL: Duration = Duration::from_millis(900);
+/// What comes within this time is told together.
+const TOGETHER: Duration = Duration::from_millis(80);
 const QUEUE: usize = 1024;
 const PEER_QUEUE: usize = 256;
 
@@ -150,7 +153,12 @@
         let (sender, receiver) = smol::channel::bounded::<Outgoing>(QUEUE);
         smol::spawn(Arc::clone(&self).carry(Topic::Membership, receiver)).detach();
         loop {
-            Timer::after(TELL).await;
+            let timer = async {
+                Timer::after(TELL).await;
+            };
+            or(timer, self.vms_changed.listen()).await;
+            // Several VMs often come or go together.
+            Timer::after(TOGETHER).await;
             let Some(group) = self.group() else { continue };
             let now = self.clock.now();
             let followers = lock(&self.followers).clone();
@@ -185,7 +193,17 @@
     /// Takes what another replica heard.
     pub(super) fn merge(&self, payload: &Bytes) {
         match Digest::decode(payload.clone()) {
-            Ok(digest) => self.roster().merge(digest, self.clock.now()),
+            Ok(digest) => {
+                let now = self.clock.now();
+                let mut roster = self.roster();
+                let known = roster.fingerprint(now);
+                roster.merge(digest, now);
+                let changed = roster.fingerprint(now) != known;
+                drop(roster);
+                if changed {
+                    self.vms_changed.notify();
+                }
+            }
             Err(cause) => {
                 event::registry::UNREADABLE.emit(&self.logger, &[("cause", &cause)]);
             }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -13,7 +13,7 @@
     link::{self, Hub, Inbound},
     node::{Error, Settings},
     registry::{Machine, Roster},
-    replica::Group,
+    replica::{Group, changed::Changed},
     route::{Fault, Table},
     wire::{Hello, Topic},
 };
@@ -41,6 +41,8 @@
     pub(super) started: Instant,
     pub(super) incarnation: u64,
     pub(super) tables: Mutex<Option<Arc<Table>>>,
+    /// Wakes whoever waits for another VM to come, go or change.
+    pub(super) vms_changed: Changed,
     /// The VMs that ask this replica for news.
     pub(super) followers: Mutex<BTreeSet<String>>,
 }
@@ -90,6 +92,7 @@
             incarnation,
             tables: Mutex::default(),
             followers: Mutex::default(),
+            vms_changed: Changed::default(),
         });
         smol::spawn(async move {
             let _ = hub.accept(listener).await;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -80,6 +80,8 @@
 pub struct Applicant<'a> {
     /// Its rule.
     pub rule: &'a Rule,
+    /// Its service.
+    pub service: &'a id::Service,
     /// How long it has waited.
     pub waited: Duration,
     /// The tokens that another region would have to read for it.
@@ -100,6 +102,7 @@
 #[derive(Debug)]
 struct Passed {
     region: id::Region,
+    service: id::Service,
     at: Instant,
     tokens: u32,
 }
@@ -115,7 +118,7 @@
         vms: u32,
         now: Instant,
     ) -> Decision {
-        let delay = |there: &There| self.delay(there, applicant.tokens, vms, now);
+        let delay = |there: &There| self.delay(there, applicant, vms, now);
         let best = there
             .iter()
             .map(|there| (delay(there), there))
@@ -138,8 +141,15 @@
     }
 
     /// Counts a request that is handed to a region.
-    pub fn passed(&mut self, region: &id::Region, tokens: u32, now: Instant) {
-        self.passed.push_back(Passed { region: region.clone(), at: now, tokens });
+    pub fn passed(
+        &mut self,
+        region: &id::Region,
+        service: &id::Service,
+        tokens: u32,
+        now: Instant,
+    ) {
+        let (region, service) = (region.clone(), service.clone());
+        self.passed.push_back(Passed { region, service, at: now, tokens });
         while self.passed.len() > MOST_PASSED
             || self.passed.front().is_some_and(|first| now - first.at > OLDEST)
         {
@@ -147,20 +157,23 @@
         }
     }
 
-    fn delay(&self, there: &There, tokens: u32, vms: u32, now: Instant) -> f64 {
+    fn delay(&self, there: &There, applicant: Applicant<'_>, vms: u32, now: Instant) -> f64 {
         if now.saturating_duration_since(there.at) > OLDEST {
             return WAY + MARGIN;
         }
         // What was told was written up to a second before it was learned.
         let since = there.at.checked_sub(Duration::from_secs(1)).unwrap_or(there.at);
-        let passed =
-            self.passed.iter().filter(|passed| passed.region == there.region && passed.at > since);
+        let passed = self.passed.iter().filter(|passed| {
+            passed.region == there.region
+                && passed.service == *applicant.service
+                && passed.at > since
+        });
         let sent: f64 = passed.map(|passed| f64::from(passed.tokens)).sum();
         // Targets go on reading meanwhile.
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         let targets = f64::from(there.targets.max(1));
         let added = (sent * f64::from(vms.max(1)) / PREFILL / targets - elapsed).max(0.0);
-        WAY + there.delay + added + f64::from(tokens) / PREFILL
+        WAY + there.delay + added + f64::from(applicant.tokens) / PREFILL
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -49,6 +52,8 @@
     pub(super) target: Target,
     sent: Sent,
     unread: bool,
+    /// When the last piece of a stream came.
+    last: Option<Instant>,
 }
 
 impl std::fmt::Debug for Trip {
@@ -62,13 +67,17 @@
         let now = gateway.clock.now();
         let target = pick.target.clone();
         let sent = gateway.board().sent(pick, &call.prompt, now);
-        Self { gateway: Arc::clone(gateway), target, sent, unread: true }
+        Self { gateway: Arc::clone(gateway), target, sent, unread: true, last: None }
     }
 
-    /// The first event came.
-    pub(super) fn began(&mut self) {
+    /// A piece of the answer came.
+    pub(super) fn piece(&mut self) {
+        let now = self.gateway.clock.now();
+        if let Some(last) = self.last.replace(now) {
+            let pause = now.saturating_duration_since(last).as_secs_f64();
+            self.gateway.board().paused(&self.target, pause, now);
+        }
         if self.unread {
-            let now = self.gateway.clock.now();
             self.gateway.board().began(&self.target, self.sent, now);
             self.read();
         }
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Prompt,
-    track::{Report, Sent, Track, Work},
+    track::{PREFILL, Report, Sent, Track, Work},
 };
 use crate::{id, registry::Target};
 
@@ -21,6 +21,13 @@
 const SILENT: f64 = 0.5;
 /// Seconds drawn at random, so that VMs that know the same do not all choose the same target.
 const JITTER: f64 = 0.002;
+/// Seconds charged for each second by which a stream at the target is delayed: it has several times
+/// as much to spare.
+const SLOWS_OTHERS: f64 = 0.04;
+/// Seconds charged for each second that the request's own stream is expected to take.
+const SLOWED: f64 = 0.05;
+/// Tokens in a piece of a stream.
+const PIECE: f64 = 8.0;
 /// Seconds charged for having the shared parts of a prompt copied from another target.
 const FETCH: f64 = 0.01;
 /// The places of a target that does not tell.
@@ -111,6 +118,7 @@
             if target.silent {
                 cost += SILENT;
             }
+            cost += self.interference(target, query.prompt, is_keeper || fetches, now);
             if fetches {
                 cost += FETCH;
             }
@@ -145,6 +153,11 @@
         self.pace += PACE_GAIN * (sample - self.pace);
     }
 
+    /// A stream paused for so many seconds between two of its pieces.
+    pub fn paused(&mut self, target: &Target, pause: f64, now: Instant) {
+        self.track(target).paused(pause, now);
+    }
+
     /// A request ended, however.
     pub fn ended(&mut self, target: &Target) {
         self.track(target).ended();
@@ -171,9 +184,9 @@
     }
 
     /// The work that this VM has at targets.
-    pub fn work(&self) -> impl Iterator<Item = (&id::Target, Work)> {
+    pub fn work(&self, now: Instant) -> impl Iterator<Item = (&id::Target, Work)> {
         let busy = |work: &Work| work.requests > 0;
-        let work = self.tracks.iter().map(|(target, track)| (target, track.own()));
+        let work = self.tracks.iter().map(move |(target, track)| (target, track.own(now)));
         work.filter(move |(_, work)| busy(work))
     }
 
@@ -217,6 +230,17 @@
         targets.into_iter().find(|target| sound(self, target))
     }
 
+    /// Seconds charged for what the request and the streams at the target do to each other: while
+    /// a prompt is read, streams get a token for each part of it only.
+    fn interference(&mut self, target: &Target, prompt: &Prompt, kept: bool, now: Instant) -> f64 {
+        let track = self.track(target);
+        let work = track.work(now);
+        let reading = track.unread(prompt, kept) / PREFILL;
+        let slowed = f64::from(work.requests) * reading * SLOWS_OTHERS;
+        let slow = f64::from(prompt.output) / PIECE * work.pause * SLOWED;
+        slowed + slow
+    }
+
     /// Seconds until the first event, and the requests that the target is believed to hold.
     fn delay(&mut self, target: &Target, prompt: &Prompt, kept: bool, now: Instant) -> (f64, u32) {
         let track = self.track(target);
@@ -231,7 +255,7 @@
 
     fn track(&mut self, target: &Target) -> &mut Track {
         if self.tracks.len() > MOST_TRACKS {
-            self.tracks.retain(|_, track| track.own().requests > 0);
+            self.tracks.retain(|_, track| track.is_busy());
         }
         let pace = self.pace;
         let track = self
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -62,6 +62,51 @@
     runs: u32,
     end: Instant,
     ended: bool,
+    /// Where it came from, with the time until its head, for the log.
+    told: Told,
+    pieces: u32,
+    broken: Option<String>,
+}
+
+/// What the log says of an answer whose body comes in pieces, when it ends.
+#[derive(Clone, Debug)]
+pub(super) struct Told {
+    /// The target, or the VM that it was handed to.
+    pub(super) from: String,
+    /// The status.
+    pub(super) status: u16,
+    /// When the head came.
+    pub(super) began: Instant,
+}
+
+impl Drop for Flow {
+    fn drop(&mut self) {
+        if self.call.handed_over {
+            return;
+        }
+        let now = self.gateway.clock.now();
+        let word = match (&self.broken, self.ended) {
+            (Some(cause), _) => format!("broken off: {cause}"),
+            (None, true) => self.told.status.to_string(),
+            (None, false) => "caller left".to_owned(),
+        };
+        let first = self.told.began.saturating_duration_since(self.call.came).as_millis();
+        let took = now.saturating_duration_since(self.call.came).as_millis();
+        event::path::REQUEST.emit(
+            &self.gateway.logger,
+            &[
+                ("request", &self.call.id),
+                ("rule", &self.call.rule.name),
+                ("version", &self.call.version),
+                ("outcome", &word),
+                ("from", &self.told.from),
+                ("first_ms", &first),
+                ("pieces", &self.pieces),
+                ("runs", &self.runs),
+                ("took_ms", &took),
+            ],
+        );
+    }
 }
 
 impl std::fmt::Debug for Flow {
@@ -92,7 +137,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    self.trip.began();
+                    self.trip.piece();
                     return Piece::Bytes(bytes);
                 }
                 Some(Err(cause)) => {
@@ -119,6 +164,7 @@
         first: Bytes,
         tried: Vec<id::Target>,
         runs: u32,
+        told: Told,
     ) -> Self {
         let mut events = (call.rule.class == crate::route::Class::Resumable).then(Events::default);
         let first = match &mut events {
@@ -135,11 +181,20 @@
             runs,
             end: call.deadline,
             ended: false,
+            told,
+            pieces: 0,
+            broken: None,
         }
     }
 
     /// Waits for the next piece; nothing after the end of a whole body.
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        let next = self.next_piece().await;
+        self.pieces += u32::from(matches!(next, Some(Ok(_))));
+        next
+    }
+
+    async fn next_piece(&mut self) -> Option<Result<Bytes, Broken>> {
         if let Some(first) = self.first.take() {
             return Some(Ok(first));
         }
@@ -178,6 +233,7 @@
     fn broken(&mut self, cause: &str) -> Option<Result<Bytes, Broken>> {
         self.ended = true;
         self.source = None;
+        self.broken = Some(cause.to_owned());
         let fields: [event::Field<'_>; 2] = [("request", &self.call.id), ("cause", &cause)];
         event::path::BROKEN_OFF.emit(&self.gateway.logger, &fields);
         Some(Err(Broken))
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -9,7 +9,7 @@
     attempt::{Opened, Tried},
     board::{Pick, Query},
     call::Call,
-    flow::{Flow, FromTarget, Piece, Source},
+    flow::{Flow, FromTarget, Piece, Source, Told},
     outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
     shell::Gateway,
 };
@@ -155,8 +155,9 @@
         let draw = self.random().random();
         let applicant = Applicant {
             rule: &call.rule,
+            service: &call.service,
             waited: now.saturating_duration_since(call.came),
-            tokens: call.prompt.tokens - call.prompt.shared().min(call.prompt.tokens),
+            tokens: call.prompt.own(),
             draw,
         };
         let delay = pick.as_ref().map(|pick| pick.delay);
@@ -281,7 +282,9 @@
             Some(Ok(Start::Whole(bytes))) => AnswerBody::Whole(bytes),
             Some(Ok(Start::Begins(bytes))) => {
                 let tried = std::mem::take(&mut course.tried);
-                let flow = Flow::new(self, call, source, bytes, tried, course.runs);
+                let began = self.clock.now();
+                let told = Told { from: target.clone(), status: status.as_u16(), began };
+                let flow = Flow::new(self, call, source, bytes, tried, course.runs, told);
                 AnswerBody::Flow(Box::new(flow))
             }
             Some(Err(cause)) => {
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -42,7 +42,8 @@
         course.vms.push(vm.vm.clone());
         self.log_passage(call, vm);
         let region = id::Region::from(vm.region.as_str());
-        self.admission().passed(&region, call.prompt.tokens, self.clock.now());
+        let (tokens, now) = (call.prompt.own(), self.clock.now());
+        self.admission().passed(&region, &call.service, tokens, now);
         let left = call.left(self.clock.now());
         let address = vm.links()?;
         let mut exchange = match self.hub.hand_over(address, handover(call, left)).await {
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -50,6 +50,11 @@
         parts.iter().map(|part| part.tokens).sum()
     }
 
+    /// The tokens of the parts that no other request has.
+    pub fn own(&self) -> u32 {
+        self.tokens.saturating_sub(self.shared())
+    }
+
     /// The tokens that remain to be read where the first `cached` parts are kept.
     pub fn unread(&self, cached: usize) -> u32 {
         let kept: u32 = self.parts.iter().take(cached).map(|part| part.tokens).sum();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -155,7 +155,12 @@
         response
     }
 
+    /// Logs what became of a request; an answer that comes in pieces is logged at its end.
     fn log_end(&self, call: &Call, outcome: &Outcome) {
+        let pieces = matches!(outcome, Outcome::Answered(Answer { body: AnswerBody::Flow(_), .. }));
+        if pieces {
+            return;
+        }
         let took = self.clock.now().saturating_duration_since(call.came).as_millis();
         let (word, detail) = match outcome {
             Outcome::Answered(answer) => (answer.status.as_str().to_owned(), answer.target.clone()),
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -28,6 +28,8 @@
     requests: u32,
     #[prost(uint32, tag = "3")]
     unread: u32,
+    #[prost(uint32, tag = "4")]
+    pause_ms: u32,
 }
 
 impl Gateway {
@@ -57,10 +59,11 @@
 
     fn shared(&self) -> Shared {
         let board = self.board();
-        let work = board.work().map(|(target, work)| Work {
+        let work = board.work(self.clock.now()).map(|(target, work)| Work {
             target: target.to_string(),
             requests: work.requests,
             unread: work.unread as u32,
+            pause_ms: (work.pause * 1000.0) as u32,
         });
         Shared { work: work.collect() }
     }
@@ -88,7 +91,11 @@
             |target: &&Target| self.settings.region_of(&target.zone) == Some(&self.settings.region);
         for target in mirror.services().flat_map(|(_, targets)| targets).filter(near) {
             let told = work.get(target.target.as_str()).map_or(track::Work::default(), |work| {
-                track::Work { requests: work.requests, unread: f64::from(work.unread) }
+                track::Work {
+                    requests: work.requests,
+                    unread: f64::from(work.unread),
+                    pause: f64::from(work.pause_ms) / 1000.0,
+                }
             });
             board.shared(from.as_str(), target, told, now);
         }
--- a/src/gateway/track.rs
+++ b/src/gateway/track.rs
@@ -29,6 +29,10 @@
 /// Prompt tokens that a usual engine reads in a second; what an engine really does is learned as
 /// its pace.
 pub(super) const PREFILL: f64 = 40_000.0;
+/// The weight of one pause in those that are remembered.
+const PAUSE_GAIN: f64 = 0.1;
+/// Pauses are told of as long as the last one is not older.
+const PAUSE_AGE: Duration = Duration::from_millis(1500);
 /// Seconds from sending a request to its first event where nothing is to be read.
 const LEAST: f64 = 0.012;
 
@@ -50,6 +54,8 @@
     pub requests: u32,
     /// Prompt tokens that are not known to have been read.
     pub unread: f64,
+    /// Seconds between two pieces of the streams that it writes, lately.
+    pub pause: f64,
 }
 
 /// A request that was sent, and what was expected of it.
@@ -80,6 +86,7 @@
     pace: f64,
     /// When the latest requests were sent.
     sent: Vec<Instant>,
+    paused: Option<Instant>,
 }
 
 impl Track {
@@ -96,6 +103,7 @@
             failing: 0.0,
             pace,
             sent: Vec::new(),
+            paused: None,
         }
     }
 
@@ -123,6 +131,10 @@
         sample
     }
 
+    pub(super) fn is_busy(&self) -> bool {
+        self.own.requests > 0
+    }
+
     pub(super) fn ended(&mut self) {
         self.own.requests = self.own.requests.saturating_sub(1);
     }
@@ -136,8 +148,20 @@
         self.siblings.insert(vm.to_owned(), (work, now));
     }
 
-    pub(super) fn own(&self) -> Work {
-        self.own
+    /// A stream paused for so many seconds between two of its pieces.
+    pub(super) fn paused(&mut self, pause: f64, now: Instant) {
+        let former = if self.recently_paused(now) { self.own.pause } else { pause };
+        self.own.pause = former + PAUSE_GAIN * (pause - former);
+        self.paused = Some(now);
+    }
+
+    fn recently_paused(&self, now: Instant) -> bool {
+        self.paused.is_some_and(|at| now.saturating_duration_since(at) < PAUSE_AGE)
+    }
+
+    pub(super) fn own(&self, now: Instant) -> Work {
+        let pause = if self.recently_paused(now) { self.own.pause } else { 0.0 };
+        Work { pause, ..self.own }
     }
 
     pub(super) fn answered(&mut self, failed: bool) {
@@ -180,9 +204,10 @@
     pub(super) fn work(&self, now: Instant) -> Work {
         let young = |at: &Instant| now.saturating_duration_since(*at) < SIBLING_AGE;
         let others = self.siblings.values().filter(|(_, at)| young(at)).map(|(work, _)| work);
-        let mut sum = others.fold(self.own, |sum, work| Work {
+        let mut sum = others.fold(self.own(now), |sum, work| Work {
             requests: sum.requests + work.requests,
             unread: sum.unread + work.unread,
+            pause: sum.pause.max(work.pause),
         });
         if let Some((report, at)) = self.report
             && now.saturating_duration_since(at) < REPORT_AGE
@@ -194,7 +219,7 @@
 
     /// Prompt tokens that it has to read for `prompt`, where `kept` says that it gets the shared
     /// parts from wherever they are kept.
-    fn unread(&self, prompt: &Prompt, kept: bool) -> f64 {
+    pub(super) fn unread(&self, prompt: &Prompt, kept: bool) -> f64 {
         let keys = prompt.keys();
         let shared = if kept { keys.len().saturating_sub(1) } else { 0 };
         f64::from(prompt.unread(self.cache.matched(&keys).max(shared)))
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -76,7 +76,7 @@
     assert!(first.is_keeper && first.keeper.is_none());
     // Whoever sent the parts to the keeper knows that it has them.
     board.note_sent(&first, &prompt, now);
-    board.shared("other", &first.target, Work { requests: 5, unread: 40_000.0 }, now);
+    board.shared("other", &first.target, Work { requests: 5, unread: 40_000.0, pause: 0.0 }, now);
     let second = board.choose(query(&targets, &prompt), now).expect("a target");
     assert_ne!(second.target.target, first.target.target);
     assert_eq!(second.keeper.map(|keeper| keeper.target), Some(first.target.target));
@@ -93,7 +93,7 @@
     let plain = Prompt::default();
     for (loaded, free) in [(0, 1), (1, 0)] {
         let at = now + Duration::from_secs(loaded as u64);
-        let work = Work { requests: 9, unread: 30_000.0 };
+        let work = Work { requests: 9, unread: 30_000.0, pause: 0.0 };
         board.shared("other", targets[loaded], work, at);
         let pick = board.choose(query(&targets, &plain), at).expect("a target");
         assert_eq!(pick.target.target, targets[free].target);
@@ -140,7 +140,8 @@
 }
 
 fn applicant(rule: &Rule) -> Applicant<'_> {
-    Applicant { rule, waited: Duration::ZERO, tokens: 2900, draw: 0.5 }
+    let service = rule.split.services().next().expect("a service");
+    Applicant { rule, service, waited: Duration::ZERO, tokens: 2900, draw: 0.5 }
 }
 
 fn there(delay: f64, now: Instant) -> There {
@@ -189,11 +190,16 @@
     let mut admission = Admission::default();
     let rule = rule(1);
     let region = id::Region::from("surabaya");
+    let decide = |admission: &Admission, rule: &Rule| {
+        admission.decide(applicant(rule), Some(0.45), &[there(0.0, now)], 3, now)
+    };
     for _ in 0..200 {
-        admission.passed(&region, 9200, now);
+        admission.passed(&region, &"engines".into(), 9200, now);
     }
-    let decision = admission.decide(applicant(&rule), Some(0.45), &[there(0.0, now)], 3, now);
-    assert_eq!(decision, Decision::Here);
+    assert_eq!(decide(&admission, &rule), Decision::Here);
+    // Those of one service say nothing of the targets of another.
+    let jobs = Rule { split: Split::whole("jobs".into()), ..rule };
+    assert_eq!(decide(&admission, &jobs), Decision::There(region));
 }
 
 #[test]
@@ -240,3 +246,21 @@
         assert_eq!((passed.as_slice(), events.last()), (whole.as_bytes(), Some(19)));
     }
 }
+
+/// Long prompts beside many streams: each read prompt delays every stream of its engine.
+#[test]
+fn a_long_prompt_goes_where_few_streams_are_and_a_stream_where_pauses_are_short() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..2).map(|n| target(&format!("engine-{n}"), now)).collect();
+    let targets: Vec<&Target> = targets.iter().collect();
+    let mut board = Board::new(1);
+    board.shared("other", targets[0], Work { requests: 40, unread: 0.0, pause: 0.02 }, now);
+    board.shared("other", targets[1], Work { requests: 4, unread: 0.0, pause: 0.3 }, now);
+    let long = Prompt::parse(Some("aa:9000"), Some("9000,50"));
+    let chat = Prompt::parse(Some("bb:800"), Some("800,300"));
+    let pick = |board: &mut Board, prompt: &Prompt| {
+        board.choose(query(&targets, prompt), now).expect("a target").target.target
+    };
+    assert_eq!(pick(&mut board, &long), targets[1].target);
+    assert_eq!(pick(&mut board, &chat), targets[0].target);
+}
