Go on with broken streams however late and elsewhere, leave dark targets, know VMs and leaders sooner

Cause: 'stream broke off at its target ... resumed false' for every resumable stream that broke later than its objective: the admission refused the continuation as late, and another region was not looked at. Change: what has begun is not refused as late and may go on in another region; a target without any sign of life for its work gets none and is left by what may be repeated; a failure may be asked again at its target once; VMs that a replica behind names are added; seeds are asked in another order by each VM; heartbeats of 200 ms and elections of 0.9 s.

--- a/src/control/replicas.rs
+++ b/src/control/replicas.rs
@@ -61,9 +61,9 @@
     ) -> Result<Arc<Group<Machine>>, replica::Error> {
         let settings = &self.settings;
         let consensus = consensus::Settings {
-            // Regions are 55 ms apart; an election still ends well within two seconds.
-            heartbeat: Duration::from_millis(250),
-            election: Duration::from_millis(1200),
+            // Regions are 55 ms apart, and a lost packet is sent again after 200 to 400 ms.
+            heartbeat: Duration::from_millis(200),
+            election: Duration::from_millis(900),
             bootstrap: settings.first_start && first,
             ..consensus::Settings::default()
         };
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -86,6 +86,9 @@
     pub waited: Duration,
     /// The tokens that another region would have to read for it.
     pub tokens: u32,
+    /// Whether it has run in part or in vain: what was spent on it is lost unless it is gone on
+    /// with, however late.
+    pub begun: bool,
     /// A number from 0 to 1 that spreads callers who come back.
     pub draw: f64,
 }
@@ -132,7 +135,7 @@
             (None, Some((delay, there))) => (Decision::There(there.region.clone()), delay),
             (None, None) => return Decision::Nowhere,
         };
-        if delay <= limit {
+        if delay <= limit || applicant.begun {
             return decision;
         }
         let spread = SPREAD.start + applicant.draw * (SPREAD.end - SPREAD.start);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -73,6 +73,7 @@
     /// A piece of the answer came.
     pub(super) fn piece(&mut self) {
         let now = self.gateway.clock.now();
+        self.gateway.board().heard(&self.target, now);
         if let Some(last) = self.last.replace(now) {
             let pause = now.saturating_duration_since(last).as_secs_f64();
             self.gateway.board().paused(&self.target, pause, now);
@@ -85,7 +86,8 @@
 
     fn read(&mut self) {
         if std::mem::take(&mut self.unread) {
-            self.gateway.board().read(&self.target, self.sent);
+            let now = self.gateway.clock.now();
+            self.gateway.board().read(&self.target, self.sent, now);
         }
     }
 }
@@ -93,7 +95,8 @@
 impl Drop for Trip {
     fn drop(&mut self) {
         self.read();
-        self.gateway.board().ended(&self.target);
+        let now = self.gateway.clock.now();
+        self.gateway.board().ended(&self.target, now);
     }
 }
 
@@ -216,7 +219,8 @@
                 "the answer's body is encoded, which nobody asked for".to_owned(),
             );
         }
-        self.board().answered(target, head.status.is_server_error());
+        self.board().answered(target, head.status.is_server_error(), now);
+        self.board().heard(target, now);
         let headers = self.dialect.to_caller(head.headers);
         let opened = Opened { status: head.status, headers, body, lease, keep, trip };
         Tried::Head(Box::new(opened))
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -98,23 +98,23 @@
         let open: Vec<&Target> =
             query.targets.iter().copied().filter(|target| !tried(target)).collect();
         let keeper = self.keeper(query, now);
-        let kept = keeper.is_some_and(|keeper| self.track(keeper).keeps(query.prompt));
-        let resting = open.iter().all(|target| self.track(target).rests(now));
+        let kept = keeper.is_some_and(|keeper| self.track(keeper, now).keeps(query.prompt));
+        let resting = open.iter().all(|target| self.is_out(target, now));
         let mut best: Option<(f64, Pick)> = None;
         for target in open {
             if self.is_cold(target, now) && !self.may_warm(target, query, now) {
                 continue;
             }
-            if !resting && self.track(target).rests(now) {
+            if !resting && self.is_out(target, now) {
                 continue;
             }
             // The keeper is taken to have the shared parts, as every VM sends them there first;
             // others get them from there once this VM knows that it has them.
             let is_keeper = keeper.is_some_and(|keeper| keeper.target == target.target);
-            let fetches = !is_keeper && kept && !self.track(target).keeps(query.prompt);
+            let fetches = !is_keeper && kept && !self.track(target, now).keeps(query.prompt);
             let (delay, load) = self.delay(target, query.prompt, is_keeper || fetches, now);
             let mut cost = delay + self.random.random_range(0.0..JITTER);
-            cost += FAILING * self.track(target).failing();
+            cost += FAILING * self.track(target, now).failing();
             if target.silent {
                 cost += SILENT;
             }
@@ -134,7 +134,7 @@
     /// Counts a request that is sent as chosen.
     pub(super) fn sent(&mut self, pick: &Pick, prompt: &Prompt, now: Instant) -> Sent {
         let kept = pick.is_keeper || pick.keeper.is_some();
-        self.track(&pick.target).sent(prompt, kept, now)
+        self.track(&pick.target, now).sent(prompt, kept, now)
     }
 
     /// Counts a request that is sent as chosen and never heard of again.
@@ -143,44 +143,49 @@
     }
 
     /// A request's prompt has been read, or never will be.
-    pub(super) fn read(&mut self, target: &Target, sent: Sent) {
-        self.track(target).read(sent);
+    pub(super) fn read(&mut self, target: &Target, sent: Sent, now: Instant) {
+        self.track(target, now).read(sent);
     }
 
     /// The first event of a request came.
     pub(super) fn began(&mut self, target: &Target, sent: Sent, now: Instant) {
-        let sample = self.track(target).began(sent, now);
+        let sample = self.track(target, now).began(sent, now);
         self.pace += PACE_GAIN * (sample - self.pace);
     }
 
+    /// Bytes of an answer came from a target.
+    pub fn heard(&mut self, target: &Target, now: Instant) {
+        self.track(target, now).heard(now);
+    }
+
     /// A stream paused for so many seconds between two of its pieces.
     pub fn paused(&mut self, target: &Target, pause: f64, now: Instant) {
-        self.track(target).paused(pause, now);
+        self.track(target, now).paused(pause, now);
     }
 
     /// A request ended, however.
-    pub fn ended(&mut self, target: &Target) {
-        self.track(target).ended();
+    pub fn ended(&mut self, target: &Target, now: Instant) {
+        self.track(target, now).ended();
     }
 
     /// A target told its load.
     pub fn reported(&mut self, target: &Target, report: Report, now: Instant) {
-        self.track(target).reported(report, now);
+        self.track(target, now).reported(report, now);
     }
 
     /// A target answered, with a failure or not.
-    pub fn answered(&mut self, target: &Target, failed: bool) {
-        self.track(target).answered(failed);
+    pub fn answered(&mut self, target: &Target, failed: bool, now: Instant) {
+        self.track(target, now).answered(failed);
     }
 
     /// A target was out of reach or broke off.
     pub fn failed(&mut self, target: &Target, now: Instant) {
-        self.track(target).failed(now);
+        self.track(target, now).failed(now);
     }
 
     /// A VM near by told the work that it has at a target.
     pub fn shared(&mut self, vm: &str, target: &Target, work: Work, now: Instant) {
-        self.track(target).shared(vm, work, now);
+        self.track(target, now).shared(vm, work, now);
     }
 
     /// The work that this VM has at targets.
@@ -194,10 +199,10 @@
     pub fn busy(&mut self, targets: &[&Target], now: Instant) -> Busy {
         let mut busy = Busy { delay: f64::MAX, ..Busy::default() };
         for target in targets {
-            let track = self.track(target);
-            if track.rests(now) {
+            if self.is_out(target, now) {
                 continue;
             }
+            let track = self.track(target, now);
             busy.slots += target.slots;
             busy.requests += track.work(now).requests;
             busy.delay = busy.delay.min(track.backlog(now));
@@ -205,8 +210,19 @@
         busy
     }
 
+    /// Whether a target with work of this VM has been silent for longer than that explains.
+    pub fn is_dark(&mut self, target: &Target, now: Instant) -> bool {
+        self.track(target, now).is_dark(now)
+    }
+
+    /// Whether the target failed a moment ago or gives no sign of life.
+    fn is_out(&mut self, target: &Target, now: Instant) -> bool {
+        let track = self.track(target, now);
+        track.rests(now) || track.is_dark(now)
+    }
+
     fn is_cold(&mut self, target: &Target, now: Instant) -> bool {
-        target.cold_until > now || self.track(target).is_suspect(now)
+        target.cold_until > now || self.track(target, now).is_suspect(now)
     }
 
     /// Whether this VM's share of what a cold target bears allows one more request.
@@ -215,7 +231,7 @@
             return true;
         }
         let share = (query.cold_rate / f64::from(query.vms.max(1))).floor().max(1.0);
-        (self.track(target).sent_lately(now) as f64) < share
+        (self.track(target, now).sent_lately(now) as f64) < share
     }
 
     /// The target where requests with the same shared parts are read first, the same on every VM;
@@ -223,7 +239,7 @@
     fn keeper<'a>(&mut self, query: Query<'a>, now: Instant) -> Option<&'a Target> {
         let subject = query.prompt.subject()?;
         let sound = |board: &mut Self, target: &Target| {
-            !board.track(target).rests(now) && !board.is_cold(target, now) && !target.silent
+            !board.is_out(target, now) && !board.is_cold(target, now) && !target.silent
         };
         let mut targets = query.targets.to_vec();
         targets.sort_by_key(|target| std::cmp::Reverse(rank(subject, target)));
@@ -233,7 +249,7 @@
     /// Seconds charged for what the request and the streams at the target do to each other: while
     /// a prompt is read, streams get a token for each part of it only.
     fn interference(&mut self, target: &Target, prompt: &Prompt, kept: bool, now: Instant) -> f64 {
-        let track = self.track(target);
+        let track = self.track(target, now);
         let work = track.work(now);
         let reading = track.unread(prompt, kept) / PREFILL;
         let slowed = f64::from(work.requests) * reading * SLOWS_OTHERS;
@@ -243,7 +259,7 @@
 
     /// Seconds until the first event, and the requests that the target is believed to hold.
     fn delay(&mut self, target: &Target, prompt: &Prompt, kept: bool, now: Instant) -> (f64, u32) {
-        let track = self.track(target);
+        let track = self.track(target, now);
         let work = track.work(now);
         let load = f64::from(work.requests);
         let slots = if target.slots == 0 { SLOTS_UNTOLD } else { f64::from(target.slots) };
@@ -253,7 +269,7 @@
         (delay, work.requests)
     }
 
-    fn track(&mut self, target: &Target) -> &mut Track {
+    fn track(&mut self, target: &Target, now: Instant) -> &mut Track {
         if self.tracks.len() > MOST_TRACKS {
             self.tracks.retain(|_, track| track.is_busy());
         }
@@ -261,9 +277,9 @@
         let track = self
             .tracks
             .entry(target.target.clone())
-            .or_insert_with(|| Track::new(target.born, pace));
+            .or_insert_with(|| Track::new(target.born, pace, now));
         if track.born < target.born {
-            *track = Track::new(target.born, pace);
+            *track = Track::new(target.born, pace, now);
         }
         track
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -110,7 +110,9 @@
         known.sort_by_key(|vm| (vm.region != here, mix(own.as_str(), &vm.vm)));
         let mut replicas: Vec<id::Vm> =
             known.into_iter().map(|vm| id::Vm::from(vm.vm.as_str())).collect();
-        for seed in self.seeds() {
+        let mut seeds = self.seeds();
+        seeds.sort_by_key(|seed| mix(own.as_str(), seed.as_str()));
+        for seed in seeds {
             if !replicas.contains(&seed) {
                 replicas.push(seed);
             }
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -2,7 +2,7 @@
 
 use hyper::body::Bytes;
 use rand::RngExt;
-use smol::Timer;
+use smol::{Timer, future::or};
 
 use super::{
     admission::{Applicant, Decision, Late, There},
@@ -11,6 +11,7 @@
     call::Call,
     flow::{Flow, FromTarget, Piece, Source, Told},
     outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
+    passage::Passed,
     shell::Gateway,
 };
 use crate::{
@@ -28,6 +29,8 @@
 const MOST_UNREACHED: u32 = 6;
 /// The pause before a target is looked for again where all are cold or resting.
 const PAUSE: Duration = Duration::from_millis(50);
+/// How often it is looked whether a target still gives signs of life.
+const DARK_PACE: Duration = Duration::from_millis(300);
 /// The part of the objective for which a request waits for a target to take it.
 const PATIENCE: u32 = 4;
 /// When callers are told to come back: spread out, so that they do not come together.
@@ -53,6 +56,8 @@
     pub(super) rejections: u32,
     pub(super) unreached: u32,
     pub(super) sent: bool,
+    /// The target that failed once and may be asked again.
+    second_chance: Option<id::Target>,
     unknown: Option<String>,
     pub(super) refused: Option<String>,
     late: Option<Late>,
@@ -157,6 +162,7 @@
             rule: &call.rule,
             service: &call.service,
             waited: now.saturating_duration_since(call.came),
+            begun: course.runs > 0 || call.last_event.is_some(),
             tokens: call.prompt.own(),
             draw,
         };
@@ -220,7 +226,12 @@
         let target = &pick.target;
         course.tried.push(pick.target.target.clone());
         let left = call.left(self.clock.now());
-        let tried = self.try_target(call, pick, call.last_event, left).await;
+        let trying = self.try_target(call, pick, call.last_event, left);
+        let tried = if self.may_leave(call, course) {
+            or(trying, self.goes_dark(target)).await
+        } else {
+            trying.await
+        };
         self.log_try(call, &target.target, &tried);
         match tried {
             Tried::Head(opened) => {
@@ -246,6 +257,21 @@
         }
     }
 
+    /// Whether a request may be taken from a target that gives no answer, and sent to another one.
+    fn may_leave(&self, call: &Call, course: &Course) -> bool {
+        call.rule.class.is_repeatable() && !call.handed_over && course.runs + 1 < call.rule.attempts
+    }
+
+    /// Ends when the target gives no sign of life for the work that it has.
+    async fn goes_dark(&self, target: &Target) -> Tried {
+        loop {
+            Timer::after(DARK_PACE).await;
+            if self.board().is_dark(target, self.clock.now()) {
+                return Tried::Unknown("it gives no sign of life".to_owned());
+            }
+        }
+    }
+
     /// Notes that the request may have run; ends it where it must not run again.
     pub(super) fn doubt(&self, call: &Call, cause: String, course: &mut Course) -> Option<Outcome> {
         course.unknown = Some(cause.clone());
@@ -298,6 +324,7 @@
         let failed = status.is_server_error();
         let answer = Answer { body, ..answer };
         if failed && call.rule.class.is_repeatable() {
+            course.failed_once(&answer.target);
             course.failure = Some(answer);
             return None;
         }
@@ -322,7 +349,7 @@
         }
     }
 
-    /// Finds a target that goes on with a stream after the event `last`.
+    /// Finds a target that goes on with a stream after the event `last`, here or elsewhere.
     pub(super) async fn resume(
         self: &Arc<Self>,
         call: &Arc<Call>,
@@ -330,29 +357,41 @@
         tried: &mut Vec<id::Target>,
         runs: &mut u32,
     ) -> Option<Source> {
-        let course = Course { tried: tried.clone(), ..Course::default() };
-        let Place::Target(pick) = self.place(call, &course) else {
-            *runs = call.rule.attempts;
-            return None;
-        };
-        if !self.may_repeat(call) {
+        let course = Course { tried: tried.clone(), runs: *runs, ..Course::default() };
+        let place = self.place(call, &course);
+        let goes = matches!(place, Place::Target(_) | Place::Vm(_));
+        if !goes || !self.may_repeat(call) {
             *runs = call.rule.attempts;
             return None;
         }
-        tried.push(pick.target.target.clone());
         let left = call.left(self.clock.now());
-        match self.try_target(call, &pick, last, left).await {
-            Tried::Head(opened) => {
-                *runs += 1;
-                let Opened { status, body, lease, keep, trip, .. } = *opened;
-                let from = Box::new(FromTarget { body, lease: Some(lease), keep, trip });
-                status.is_success().then_some(Source::Target(from))
+        match place {
+            Place::Target(pick) => {
+                tried.push(pick.target.target.clone());
+                match self.try_target(call, &pick, last, left).await {
+                    Tried::Head(opened) => {
+                        *runs += 1;
+                        let Opened { status, body, lease, keep, trip, .. } = *opened;
+                        let from = FromTarget { body, lease: Some(lease), keep, trip };
+                        status.is_success().then(|| Source::Target(Box::new(from)))
+                    }
+                    Tried::Unknown(_) => {
+                        *runs += 1;
+                        None
+                    }
+                    Tried::Rejected(_) | Tried::NotSent(_) => None,
+                }
             }
-            Tried::Unknown(_) => {
+            Place::Vm(vm) => {
                 *runs += 1;
-                None
+                match self.ask_vm(call, &vm, last, left).await {
+                    Passed::Head(head, exchange) if (200..300).contains(&head.status) => {
+                        Some(Source::Link(exchange))
+                    }
+                    _ => None,
+                }
             }
-            Tried::Rejected(_) | Tried::NotSent(_) => None,
+            Place::Wait | Place::Late(_) | Place::Nowhere => None,
         }
     }
 
@@ -378,6 +417,17 @@
 }
 
 impl Course {
+    /// A target answered with a failure: once, it may be asked again, as a failure tells more of
+    /// the request's luck than of the target, and it counts as one target however often it runs.
+    fn failed_once(&mut self, target: &str) {
+        if self.second_chance.is_none()
+            && self.tried.last().is_some_and(|last| last.as_str() == target)
+        {
+            self.second_chance = self.tried.pop();
+            self.runs = self.runs.saturating_sub(1);
+        }
+    }
+
     fn may_go_on(&self, call: &Call) -> bool {
         self.runs < call.rule.attempts.max(1)
             && self.rejections < MOST_REJECTIONS
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -31,6 +31,19 @@
 /// The time that a hand-over may take up of what its caller allows.
 const WAY: Duration = Duration::from_millis(120);
 
+/// What a VM made of a request that was handed to it.
+#[derive(Debug)]
+pub(super) enum Passed {
+    /// The head of an answer came.
+    Head(Head, Exchange),
+    /// The VM could not be reached.
+    NotSent,
+    /// It did not run there.
+    Refused(Abort),
+    /// It may have run there.
+    Unknown(String),
+}
+
 impl Gateway {
     /// Hands the request to a VM of another region; gives an outcome where it goes no further.
     pub(super) async fn pass(
@@ -40,22 +53,9 @@
         course: &mut Course,
     ) -> Option<Outcome> {
         course.vms.push(vm.vm.clone());
-        self.log_passage(call, vm);
-        let region = id::Region::from(vm.region.as_str());
-        let (tokens, now) = (call.prompt.own(), self.clock.now());
-        self.admission().passed(&region, &call.service, tokens, now);
         let left = call.left(self.clock.now());
-        let address = vm.links()?;
-        let mut exchange = match self.hub.hand_over(address, handover(call, left)).await {
-            Ok(exchange) => exchange,
-            Err(_) => {
-                course.unreached += 1;
-                return None;
-            }
-        };
-        let asked = within(left, ask(&mut exchange, &call.body)).await;
-        match asked {
-            Some(Ok(Body::Head(head))) => {
+        match self.ask_vm(call, vm, call.last_event, left).await {
+            Passed::Head(head, exchange) => {
                 course.sent = true;
                 course.runs += 1;
                 let status = u16::try_from(head.status).unwrap_or_default();
@@ -65,24 +65,69 @@
                 let answer = Answer { status, headers, body, target: vm.vm.clone() };
                 self.settle_from(call, answer, Source::Link(exchange), course).await
             }
-            Some(Ok(Body::Abort(abort))) if abort.did_not_run => {
+            Passed::NotSent => {
+                course.unreached += 1;
+                None
+            }
+            Passed::Refused(abort) => {
                 // A target that rejected it there counts it as an arrival.
                 course.sent |= abort.reason == Reason::Full.word();
                 course.rejections += 1;
                 course.refused = Some(abort.detail);
                 None
             }
-            Some(Ok(Body::Abort(abort))) => self.passed_in_doubt(call, abort.detail, course),
-            Some(Ok(_)) => self.passed_in_doubt(call, "no head came".to_owned(), course),
-            Some(Err(cause)) => self.passed_in_doubt(call, cause, course),
-            None => self.passed_in_doubt(call, "no answer in time".to_owned(), course),
+            Passed::Unknown(cause) => {
+                course.sent = true;
+                course.runs += 1;
+                self.doubt(call, cause, course)
+            }
         }
     }
 
-    fn passed_in_doubt(&self, call: &Call, cause: String, course: &mut Course) -> Option<Outcome> {
-        course.sent = true;
-        course.runs += 1;
-        self.doubt(call, cause, course)
+    /// Hands the request to a VM, to be run after the event `last`, and waits for the head.
+    pub(super) async fn ask_vm(
+        &self,
+        call: &Call,
+        vm: &Entry,
+        last: Option<u64>,
+        left: Duration,
+    ) -> Passed {
+        self.log_passage(call, vm);
+        let region = id::Region::from(vm.region.as_str());
+        let (tokens, now) = (call.prompt.own(), self.clock.now());
+        self.admission().passed(&region, &call.service, tokens, now);
+        let Some(address) = vm.links() else { return Passed::NotSent };
+        let handover = self.handover(call, last, left);
+        let Ok(mut exchange) = self.hub.hand_over(address, handover).await else {
+            return Passed::NotSent;
+        };
+        match within(left, ask(&mut exchange, &call.body)).await {
+            Some(Ok(Body::Head(head))) => Passed::Head(head, exchange),
+            Some(Ok(Body::Abort(abort))) if abort.did_not_run => Passed::Refused(abort),
+            Some(Ok(Body::Abort(abort))) => Passed::Unknown(abort.detail),
+            Some(Ok(_)) => Passed::Unknown("no head came".to_owned()),
+            Some(Err(cause)) => Passed::Unknown(cause),
+            None => Passed::Unknown("no answer in time".to_owned()),
+        }
+    }
+
+    fn handover(&self, call: &Call, last: Option<u64>, left: Duration) -> Handover {
+        let left = left.saturating_sub(WAY);
+        let mut headers = call.headers.clone();
+        if let Some(last) = last {
+            headers.insert(self.dialect.last_event.clone(), HeaderValue::from(last));
+        }
+        Handover {
+            request: call.id.clone(),
+            method: call.method.to_string(),
+            path: call.path.clone(),
+            headers: encode_headers(&headers),
+            between_regions: 1,
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            plans: call.version,
+            need: Some(Need { service: call.service.to_string(), ..Need::default() }),
+            ..Handover::default()
+        }
     }
 
     /// Serves a request that another VM handed over; the work stops when that VM gives it up.
@@ -177,21 +222,6 @@
     Outcome::Refused(Refusal::new(Reason::NoTarget, detail, wait))
 }
 
-fn handover(call: &Call, left: Duration) -> Handover {
-    let left = left.saturating_sub(WAY);
-    Handover {
-        request: call.id.clone(),
-        method: call.method.to_string(),
-        path: call.path.clone(),
-        headers: encode_headers(&call.headers),
-        between_regions: 1,
-        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-        plans: call.version,
-        need: Some(Need { service: call.service.to_string(), ..Need::default() }),
-        ..Handover::default()
-    }
-}
-
 /// Sends the body and waits for the first frame of the answer.
 async fn ask(exchange: &mut Exchange, body: &Bytes) -> Result<Body, String> {
     let sent = async {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -35,7 +35,9 @@
             Ok(call) => {
                 let call = Arc::new(call);
                 self.allowance().request(&call.service, came);
+                let departure = Departure { gateway: &self, call: &call, waits: true };
                 let outcome = self.run(Arc::clone(&call)).await;
+                departure.passes();
                 self.log_end(&call, &outcome);
                 outcome
             }
@@ -183,6 +185,29 @@
     }
 }
 
+/// Logs that a caller left before the head of its answer.
+struct Departure<'a> {
+    gateway: &'a Gateway,
+    call: &'a Call,
+    waits: bool,
+}
+
+impl Departure<'_> {
+    /// The caller has waited for its answer.
+    fn passes(mut self) {
+        self.waits = false;
+    }
+}
+
+impl Drop for Departure<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            let left = Outcome::Unknown("caller left before an answer".to_owned());
+            self.gateway.log_end(self.call, &left);
+        }
+    }
+}
+
 /// Turns a target's answer into a response to the caller.
 fn respond(answer: Answer) -> Response<Body> {
     let body = match answer.body {
--- a/src/gateway/track.rs
+++ b/src/gateway/track.rs
@@ -33,6 +33,9 @@
 const PAUSE_GAIN: f64 = 0.1;
 /// Pauses are told of as long as the last one is not older.
 const PAUSE_AGE: Duration = Duration::from_millis(1500);
+/// Seconds without a sign of life after which a target with work counts as dark: beside long
+/// prompts streams pause for some hundred milliseconds.
+const DARK: f64 = 1.2;
 /// Seconds from sending a request to its first event where nothing is to be read.
 const LEAST: f64 = 0.012;
 
@@ -87,10 +90,13 @@
     /// When the latest requests were sent.
     sent: Vec<Instant>,
     paused: Option<Instant>,
+    /// Since when the target has owed a sign of life: when it was last heard, or got work while it
+    /// had none.
+    owes_since: Instant,
 }
 
 impl Track {
-    pub(super) fn new(born: u64, pace: f64) -> Self {
+    pub(super) fn new(born: u64, pace: f64, now: Instant) -> Self {
         Self {
             born,
             own: Work::default(),
@@ -104,12 +110,16 @@
             pace,
             sent: Vec::new(),
             paused: None,
+            owes_since: now,
         }
     }
 
     pub(super) fn sent(&mut self, prompt: &Prompt, kept: bool, now: Instant) -> Sent {
         let (_, expected) = self.expected(prompt, kept, now);
         let tokens = self.unread(prompt, kept);
+        if self.own.requests == 0 {
+            self.owes_since = now;
+        }
         self.own.requests += 1;
         self.own.unread += tokens;
         self.cache.store(&prompt.keys(), MOST_PARTS);
@@ -118,6 +128,17 @@
         Sent { at: now, tokens, expected }
     }
 
+    /// Bytes of an answer came from the target.
+    pub(super) fn heard(&mut self, now: Instant) {
+        self.owes_since = now;
+    }
+
+    /// Whether the target has been silent for much longer than its work explains.
+    pub(super) fn is_dark(&self, now: Instant) -> bool {
+        let silent = now.saturating_duration_since(self.owes_since).as_secs_f64();
+        self.own.requests > 0 && silent > DARK + 2.0 * self.backlog(now)
+    }
+
     /// The request's prompt has been read, or never will be.
     pub(super) fn read(&mut self, sent: Sent) {
         self.own.unread = (self.own.unread - sent.tokens).max(0.0);
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -58,11 +58,18 @@
 
     /// Takes news that came at `now`; false where they are older than what is known.
     pub fn take(&mut self, news: News, now: Instant) -> bool {
-        // A replica that is cut off does not hear of the VMs beyond the cut either.
+        let told = news.known != 0 && news.known != self.known;
+        let vms = news.vms.into_iter().map(|seen| seen.entry);
         let tells = news.fresh || self.vms.is_empty();
-        if tells && news.known != 0 && news.known != self.known {
-            self.vms = news.vms.into_iter().map(|seen| seen.entry).collect();
+        if told && news.fresh {
+            self.vms = vms.collect();
             self.known = news.known;
+        } else if told {
+            // A replica that is cut off or has just started does not hear of all VMs.
+            for entry in vms {
+                self.vms.retain(|known| known.vm != entry.vm);
+                self.vms.push(entry);
+            }
         }
         if tells {
             self.loads = news.loads;
