--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod directory;
 mod follow;
+mod page;
 mod propose;
 mod replicas;
 mod shell;
--- /dev/null
+++ b/src/control/page.rs
@@ -0,0 +1,37 @@
+use super::{Control, shell::lock};
+use crate::{consensus::Role, figure::Page, registry::State};
+
+impl Control {
+    /// The figures as text.
+    pub fn page(&self) -> Page {
+        let mut page = Page::default();
+        let now = self.clock.now();
+        page.gauge("followers", &[], lock(&self.followers).len() as f64);
+        page.gauge("vms", &[], self.roster().live(now).count() as f64);
+        let Some(group) = self.group() else {
+            page.gauge("replica", &[], 0.0);
+            return page;
+        };
+        let status = group.status();
+        let leads = status.consensus.role == Role::Leader;
+        page.gauge("replica", &[], 1.0);
+        page.gauge("leads", &[], f64::from(u8::from(leads)));
+        page.gauge("term", &[], status.consensus.term as f64);
+        page.gauge("members", &[], status.consensus.membership.members.len() as f64);
+        page.gauge("applied_index", &[], status.applied as f64);
+        page.counter("syncs_total", &[], status.syncs);
+        let leaderless = status.consensus.leaderless.map_or(-1.0, |lasts| lasts.as_secs_f64());
+        page.gauge("leader_unheard_seconds", &[], leaderless);
+        group.read(|machine| {
+            page.gauge("routes_version", &[], machine.version() as f64);
+            page.gauge("established_voters", &[], f64::from(machine.established()));
+            page.gauge("drained_zones", &[], machine.drained().count() as f64);
+            for state in [State::Ready, State::Leaving, State::Gone] {
+                let count = machine.targets().filter(|row| row.state() == state).count();
+                let name = format!("{state:?}").to_lowercase();
+                page.gauge("targets", &[("state", &name)], count as f64);
+            }
+        });
+        page
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -9,9 +9,11 @@
 pub mod placement;
 pub mod product;
 pub mod registry;
+mod sampler;
 
 use std::fmt;
 
+pub use self::sampler::Sampler;
 use slog::{Drain, KV, Key, Logger, Record, Serializer, o};
 
 use crate::{
--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -37,6 +37,10 @@
 pub const TAKEN_OVER: Event =
     Event { number: 511, severity: Severity::Info, text: "handed-over request ended" };
 
+/// Ordinary lines were left out, as there were too many in a second.
+pub const LEFT_OUT: Event =
+    Event { number: 512, severity: Severity::Info, text: "ordinary lines left out" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -51,4 +55,5 @@
     BROKEN_OFF,
     RESUMED,
     TAKEN_OVER,
+    LEFT_OUT,
 ];
--- a/src/figure.rs
+++ b/src/figure.rs
@@ -4,6 +4,7 @@
 //! sample to statsd; neither ever blocks the request path.
 
 mod board;
+mod page;
 mod row;
 mod sample;
 mod snapshot;
@@ -11,6 +12,7 @@
 
 pub use self::{
     board::Board,
+    page::{Label, Page},
     sample::{Outcome, Sample},
     snapshot::{Quantiles, Refusals, Snapshot, Summary},
     statsd::Statsd,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,10 +8,12 @@
 mod admission;
 mod allowance;
 mod attempt;
+mod attempts;
 mod board;
 mod call;
 mod dialect;
 mod events;
+mod figures;
 mod flow;
 mod follow;
 mod journey;
@@ -19,6 +21,7 @@
 mod passage;
 mod pool;
 mod prompt;
+mod record;
 mod serve;
 mod share;
 mod shell;
@@ -27,6 +30,7 @@
 pub use self::{
     admission::{Admission, Applicant, Decision, Late, There},
     allowance::Allowance,
+    attempts::Attempts,
     board::{Board, Busy, Pick, Query},
     dialect::Dialect,
     events::Events,
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -18,6 +18,8 @@
 const MARGIN: f64 = 0.05;
 /// Seconds that a request and the first event of its answer take to another region and back.
 const WAY: f64 = 0.115;
+/// A region that refused a hand-over gets none for this long: by then it has told how busy it is.
+const CLOSED: Duration = Duration::from_millis(600);
 /// What a region told of itself is not taken for longer.
 const OLDEST: Duration = Duration::from_secs(4);
 /// Hand-overs that are remembered, to be counted on top of what a region told before them.
@@ -100,6 +102,14 @@
 #[derive(Debug, Default)]
 pub struct Admission {
     passed: VecDeque<Passed>,
+    closed: Vec<Closed>,
+}
+
+#[derive(Debug)]
+struct Closed {
+    region: id::Region,
+    service: id::Service,
+    until: Instant,
 }
 
 #[derive(Debug)]
@@ -122,8 +132,10 @@
         now: Instant,
     ) -> Decision {
         let delay = |there: &There| self.delay(there, applicant, vms, now);
+        let open = |there: &&There| !self.is_closed(&there.region, applicant.service, now);
         let best = there
             .iter()
+            .filter(open)
             .map(|there| (delay(there), there))
             .min_by(|one, other| one.0.total_cmp(&other.0));
         let limit = limit(applicant.rule) - applicant.waited.as_secs_f64();
@@ -160,6 +172,18 @@
         }
     }
 
+    /// A region refused a request that was handed to it.
+    pub fn refused(&mut self, region: &id::Region, service: &id::Service, now: Instant) {
+        self.closed.retain(|closed| closed.until > now);
+        let (region, service) = (region.clone(), service.clone());
+        self.closed.push(Closed { region, service, until: now + CLOSED });
+    }
+
+    fn is_closed(&self, region: &id::Region, service: &id::Service, now: Instant) -> bool {
+        let same = |closed: &&Closed| closed.region == *region && closed.service == *service;
+        self.closed.iter().filter(same).any(|closed| closed.until > now)
+    }
+
     fn delay(&self, there: &There, applicant: Applicant<'_>, vms: u32, now: Instant) -> f64 {
         if now.saturating_duration_since(there.at) > OLDEST {
             return WAY + MARGIN;
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -5,10 +5,11 @@
 use hyper::body::{Bytes, Frame, Incoming};
 
 use super::{
-    Events,
+    Attempts, Events,
     attempt::Trip,
     call::Call,
     pool::{Keep, Lease},
+    record::FlowEnd,
     shell::Gateway,
 };
 use crate::{
@@ -59,7 +60,7 @@
     /// The first piece, which was waited for before the head went out.
     first: Option<Bytes>,
     tried: Vec<id::Target>,
-    runs: u32,
+    attempts: Attempts,
     end: Instant,
     ended: bool,
     /// Where it came from, with the time until its head, for the log.
@@ -84,28 +85,16 @@
         if self.call.handed_over {
             return;
         }
-        let now = self.gateway.clock.now();
-        let word = match (&self.broken, self.ended) {
-            (Some(cause), _) => format!("broken off: {cause}"),
-            (None, true) => self.told.status.to_string(),
-            (None, false) => "caller left".to_owned(),
+        let end = FlowEnd {
+            from: &self.told.from,
+            status: self.told.status,
+            began: self.told.began,
+            pieces: self.pieces,
+            runs: self.attempts.runs(),
+            whole: self.ended,
+            broken: self.broken.as_deref(),
         };
-        let first = self.told.began.saturating_duration_since(self.call.came).as_millis();
-        let took = now.saturating_duration_since(self.call.came).as_millis();
-        event::path::REQUEST.emit(
-            &self.gateway.logger,
-            &[
-                ("request", &self.call.id),
-                ("rule", &self.call.rule.name),
-                ("version", &self.call.version),
-                ("outcome", &word),
-                ("from", &self.told.from),
-                ("first_ms", &first),
-                ("pieces", &self.pieces),
-                ("runs", &self.runs),
-                ("took_ms", &took),
-            ],
-        );
+        self.gateway.record_flow(&self.call, &end);
     }
 }
 
@@ -163,7 +152,7 @@
         source: Source,
         first: Bytes,
         tried: Vec<id::Target>,
-        runs: u32,
+        attempts: Attempts,
         told: Told,
     ) -> Self {
         let mut events = (call.rule.class == crate::route::Class::Resumable).then(Events::default);
@@ -178,7 +167,7 @@
             events,
             first: (!first.is_empty()).then_some(first),
             tried,
-            runs,
+            attempts,
             end: call.deadline,
             ended: false,
             told,
@@ -244,9 +233,9 @@
         let Some(events) = &mut self.events else { return false };
         events.cut();
         let last = events.last().or(self.call.last_event);
-        while self.runs < self.call.rule.attempts {
+        while self.attempts.may_go_on() {
             let resumed =
-                self.gateway.resume(&self.call, last, &mut self.tried, &mut self.runs).await;
+                self.gateway.resume(&self.call, last, &mut self.tried, &mut self.attempts).await;
             event::path::RESUMED.emit(
                 &self.gateway.logger,
                 &[
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -88,6 +88,7 @@
         if let Some(routes) = routes.filter(|_| newer) {
             self.take_routes(routes.version, &routes.text);
         }
+        self.record_left_out();
         let mirror = self.mirror();
         let vms = mirror.vms().iter().filter(|vm| vm.ready && !vm.callers.is_empty()).count();
         self.allowance().set_vms(u32::try_from(vms).unwrap_or(u32::MAX));
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -5,6 +5,7 @@
 use smol::{Timer, future::or};
 
 use super::{
+    Attempts,
     admission::{Applicant, Decision, Late, There},
     attempt::{Opened, Tried},
     board::{Pick, Query},
@@ -16,7 +17,7 @@
 };
 use crate::{
     clock::within,
-    event, id,
+    id,
     registry::{Entry, Mirror, Target},
 };
 
@@ -52,12 +53,10 @@
 pub(super) struct Course {
     pub(super) tried: Vec<id::Target>,
     pub(super) vms: Vec<String>,
-    pub(super) runs: u32,
+    pub(super) attempts: Attempts,
     pub(super) rejections: u32,
     pub(super) unreached: u32,
     pub(super) sent: bool,
-    /// The target that failed once and may be asked again.
-    second_chance: Option<id::Target>,
     unknown: Option<String>,
     pub(super) refused: Option<String>,
     late: Option<Late>,
@@ -68,9 +67,10 @@
 impl Gateway {
     /// Carries a request to a target's answer, or finds out that there is none.
     pub(super) async fn run(self: &Arc<Self>, call: Arc<Call>) -> Outcome {
-        let mut course = Course::default();
+        let attempts = Attempts::new(call.rule.attempts);
+        let mut course = Course { attempts, ..Course::default() };
         let patience = self.clock.now() + call.rule.objective / PATIENCE;
-        while course.may_go_on(&call) && !call.left(self.clock.now()).is_zero() {
+        while course.may_go_on() && !call.left(self.clock.now()).is_zero() {
             let place = self.place(&call, &course);
             let goes = matches!(place, Place::Target(_) | Place::Vm(_));
             if goes && course.sent && !self.may_repeat(&call) {
@@ -127,10 +127,8 @@
     fn may_repeat(&self, call: &Call) -> bool {
         // The VM that took the request from its caller decides.
         let may = !call.handed_over && self.allowance().repeat(&call.service, self.clock.now());
-        if !may && !call.handed_over {
-            let fields: [event::Field<'_>; 2] =
-                [("request", &call.id), ("customer", &call.service)];
-            event::placement::RETRIES_SPENT.emit(&self.logger, &fields);
+        if !call.handed_over {
+            self.record_repeat(call, may);
         }
         may
     }
@@ -142,9 +140,11 @@
         let here = &self.settings.region;
         let region_of = |target: &Target| self.settings.region_of(&target.zone);
         let targets = mirror.targets(&call.service);
+        let only = course.attempts.only();
         let near: Vec<&Target> = targets
             .iter()
             .filter(|target| call.rule.allows(here) && region_of(target) == Some(here))
+            .filter(|target| only.is_none_or(|only| target.target == *only))
             .collect();
         let service = self.table().and_then(|table| table.service(&call.service).cloned());
         let vms = self.near_vms(&mirror);
@@ -156,13 +156,14 @@
             vms,
         };
         let pick = self.board().choose(query, now);
-        let there = if call.handed_over { Vec::new() } else { self.there(call, course, &mirror) };
+        let stays = call.handed_over || only.is_some();
+        let there = if stays { Vec::new() } else { self.there(call, course, &mirror) };
         let draw = self.random().random();
         let applicant = Applicant {
             rule: &call.rule,
             service: &call.service,
             waited: now.saturating_duration_since(call.came),
-            begun: course.runs > 0 || call.last_event.is_some(),
+            begun: course.attempts.runs() > 0 || call.last_event.is_some(),
             tokens: call.prompt.own(),
             draw,
         };
@@ -224,6 +225,7 @@
         course: &mut Course,
     ) -> Option<Outcome> {
         let target = &pick.target;
+        self.record_placed(call, pick);
         course.tried.push(pick.target.target.clone());
         let left = call.left(self.clock.now());
         let trying = self.try_target(call, pick, call.last_event, left);
@@ -232,11 +234,11 @@
         } else {
             trying.await
         };
-        self.log_try(call, &target.target, &tried);
+        self.record_try(call, &target.target, &tried);
         match tried {
             Tried::Head(opened) => {
                 course.sent = true;
-                course.runs += 1;
+                course.attempts.ran(&target.target);
                 self.settle(call, *opened, course).await
             }
             Tried::Rejected(cause) => {
@@ -251,7 +253,7 @@
             }
             Tried::Unknown(cause) => {
                 course.sent = true;
-                course.runs += 1;
+                course.attempts.ran(&target.target);
                 self.doubt(call, format!("target `{}`: {cause}", target.target), course)
             }
         }
@@ -259,7 +261,9 @@
 
     /// Whether a request may be taken from a target that gives no answer, and sent to another one.
     fn may_leave(&self, call: &Call, course: &Course) -> bool {
-        call.rule.class.is_repeatable() && !call.handed_over && course.runs + 1 < call.rule.attempts
+        call.rule.class.is_repeatable()
+            && !call.handed_over
+            && course.attempts.runs() + 1 < call.rule.attempts
     }
 
     /// Ends when the target gives no sign of life for the work that it has.
@@ -310,7 +314,8 @@
                 let tried = std::mem::take(&mut course.tried);
                 let began = self.clock.now();
                 let told = Told { from: target.clone(), status: status.as_u16(), began };
-                let flow = Flow::new(self, call, source, bytes, tried, course.runs, told);
+                let attempts = std::mem::take(&mut course.attempts);
+                let flow = Flow::new(self, call, source, bytes, tried, attempts, told);
                 AnswerBody::Flow(Box::new(flow))
             }
             Some(Err(cause)) => {
@@ -324,7 +329,7 @@
         let failed = status.is_server_error();
         let answer = Answer { body, ..answer };
         if failed && call.rule.class.is_repeatable() {
-            course.failed_once(&answer.target);
+            course.failed(&answer.target);
             course.failure = Some(answer);
             return None;
         }
@@ -355,35 +360,37 @@
         call: &Arc<Call>,
         last: Option<u64>,
         tried: &mut Vec<id::Target>,
-        runs: &mut u32,
+        attempts: &mut Attempts,
     ) -> Option<Source> {
-        let course = Course { tried: tried.clone(), runs: *runs, ..Course::default() };
+        let course =
+            Course { tried: tried.clone(), attempts: attempts.clone(), ..Course::default() };
         let place = self.place(call, &course);
         let goes = matches!(place, Place::Target(_) | Place::Vm(_));
         if !goes || !self.may_repeat(call) {
-            *runs = call.rule.attempts;
+            attempts.end();
             return None;
         }
         let left = call.left(self.clock.now());
         match place {
             Place::Target(pick) => {
                 tried.push(pick.target.target.clone());
+                self.record_placed(call, &pick);
                 match self.try_target(call, &pick, last, left).await {
                     Tried::Head(opened) => {
-                        *runs += 1;
+                        attempts.ran(&pick.target.target);
                         let Opened { status, body, lease, keep, trip, .. } = *opened;
                         let from = FromTarget { body, lease: Some(lease), keep, trip };
                         status.is_success().then(|| Source::Target(Box::new(from)))
                     }
                     Tried::Unknown(_) => {
-                        *runs += 1;
+                        attempts.ran(&pick.target.target);
                         None
                     }
                     Tried::Rejected(_) | Tried::NotSent(_) => None,
                 }
             }
             Place::Vm(vm) => {
-                *runs += 1;
+                attempts.ran_elsewhere();
                 match self.ask_vm(call, &vm, last, left).await {
                     Passed::Head(head, exchange) if (200..300).contains(&head.status) => {
                         Some(Source::Link(exchange))
@@ -394,18 +401,6 @@
             Place::Wait | Place::Late(_) | Place::Nowhere => None,
         }
     }
-
-    fn log_try(&self, call: &Call, target: &id::Target, tried: &Tried) {
-        let outcome = match tried {
-            Tried::Head(_) => return,
-            Tried::Rejected(cause) => format!("rejected: {cause}"),
-            Tried::NotSent(cause) => format!("not sent: {cause}"),
-            Tried::Unknown(cause) => format!("unknown: {cause}"),
-        };
-        let fields: [event::Field<'_>; 3] =
-            [("request", &call.id), ("target", target), ("outcome", &outcome)];
-        event::path::NOT_ANSWERED.emit(&self.logger, &fields);
-    }
 }
 
 /// What was read of an answer.
@@ -417,19 +412,16 @@
 }
 
 impl Course {
-    /// A target answered with a failure: once, it may be asked again, as a failure tells more of
-    /// the request's luck than of the target, and it counts as one target however often it runs.
-    fn failed_once(&mut self, target: &str) {
-        if self.second_chance.is_none()
-            && self.tried.last().is_some_and(|last| last.as_str() == target)
-        {
-            self.second_chance = self.tried.pop();
-            self.runs = self.runs.saturating_sub(1);
+    /// A target answered with a failure, and may be asked again if it is the first one that did.
+    fn failed(&mut self, target: &str) {
+        let target = id::Target::from(target);
+        if self.attempts.failed(&target) {
+            self.tried.retain(|tried| *tried != target);
         }
     }
 
-    fn may_go_on(&self, call: &Call) -> bool {
-        self.runs < call.rule.attempts.max(1)
+    fn may_go_on(&self) -> bool {
+        self.attempts.may_try()
             && self.rejections < MOST_REJECTIONS
             && self.unreached < MOST_UNREACHED
     }
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     clock::within,
-    event, id,
+    id,
     link::Exchange,
     registry::Entry,
     wire::{Abort, Body, Chunk, End, Handover, Head, Need, Pair},
@@ -57,7 +57,7 @@
         match self.ask_vm(call, vm, call.last_event, left).await {
             Passed::Head(head, exchange) => {
                 course.sent = true;
-                course.runs += 1;
+                course.attempts.ran_elsewhere();
                 let status = u16::try_from(head.status).unwrap_or_default();
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                 let body = AnswerBody::Whole(Bytes::new());
@@ -72,13 +72,17 @@
             Passed::Refused(abort) => {
                 // A target that rejected it there counts it as an arrival.
                 course.sent |= abort.reason == Reason::Full.word();
+                if abort.reason == Reason::Busy.word() {
+                    let region = id::Region::from(vm.region.as_str());
+                    self.admission().refused(&region, &call.service, self.clock.now());
+                }
                 course.rejections += 1;
                 course.refused = Some(abort.detail);
                 None
             }
             Passed::Unknown(cause) => {
                 course.sent = true;
-                course.runs += 1;
+                course.attempts.ran_elsewhere();
                 self.doubt(call, cause, course)
             }
         }
@@ -92,7 +96,7 @@
         last: Option<u64>,
         left: Duration,
     ) -> Passed {
-        self.log_passage(call, vm);
+        self.record_passage(call, vm);
         let region = id::Region::from(vm.region.as_str());
         let (tokens, now) = (call.prompt.own(), self.clock.now());
         self.admission().passed(&region, &call.service, tokens, now);
@@ -149,27 +153,10 @@
                 Either::Right(_) => return,
             }
         };
-        let word = match &outcome {
-            Outcome::Answered(answer) => format!("answered by {}", answer.target),
-            Outcome::Refused(refusal) => format!("refused: {}", refusal.detail),
-            Outcome::Unknown(cause) => format!("unknown: {cause}"),
-        };
-        self.log_taken_over(&request, &from, &word);
+        self.record_taken_over(&request, &from, &outcome);
         answer(exchange, outcome).await;
     }
 
-    fn log_passage(&self, call: &Call, vm: &Entry) {
-        let fields: [event::Field<'_>; 3] =
-            [("request", &call.id), ("vm", &vm.vm), ("region", &vm.region)];
-        event::placement::SPILLED.emit(&self.logger, &fields);
-    }
-
-    fn log_taken_over(&self, request: &str, from: &id::Vm, outcome: &str) {
-        let fields: [event::Field<'_>; 3] =
-            [("request", &request), ("from", from), ("outcome", &outcome)];
-        event::path::TAKEN_OVER.emit(&self.logger, &fields);
-    }
-
     async fn run_for(self: &Arc<Self>, handover: Handover, body: Bytes) -> Outcome {
         let deadline = self.clock.now() + Duration::from_millis(handover.deadline_ms);
         let caught_up = self.clock.now() + CATCH_UP;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,7 +16,6 @@
 };
 use crate::{
     clock::within,
-    event,
     http::{self, Body, Incomplete},
 };
 
@@ -38,14 +37,11 @@
                 let departure = Departure { gateway: &self, call: &call, waits: true };
                 let outcome = self.run(Arc::clone(&call)).await;
                 departure.passes();
-                self.log_end(&call, &outcome);
+                self.record_end(&call, &outcome);
                 outcome
             }
             Err(refusal) => {
-                let reason = refusal.reason.word();
-                let fields: [event::Field<'_>; 3] =
-                    [("request", &id), ("reason", &reason), ("detail", &refusal.detail)];
-                event::path::TURNED_AWAY.emit(&self.logger, &fields);
+                self.record_turned_away(&id, &refusal);
                 Outcome::Refused(refusal)
             }
         };
@@ -156,33 +152,6 @@
         }
         response
     }
-
-    /// Logs what became of a request; an answer that comes in pieces is logged at its end.
-    fn log_end(&self, call: &Call, outcome: &Outcome) {
-        let pieces = matches!(outcome, Outcome::Answered(Answer { body: AnswerBody::Flow(_), .. }));
-        if pieces {
-            return;
-        }
-        let took = self.clock.now().saturating_duration_since(call.came).as_millis();
-        let (word, detail) = match outcome {
-            Outcome::Answered(answer) => (answer.status.as_str().to_owned(), answer.target.clone()),
-            Outcome::Refused(refusal) => {
-                (format!("refused {}", refusal.reason.word()), refusal.detail.clone())
-            }
-            Outcome::Unknown(cause) => ("unknown".to_owned(), cause.clone()),
-        };
-        event::path::REQUEST.emit(
-            &self.logger,
-            &[
-                ("request", &call.id),
-                ("rule", &call.rule.name),
-                ("version", &call.version),
-                ("outcome", &word),
-                ("detail", &detail),
-                ("took_ms", &took),
-            ],
-        );
-    }
 }
 
 /// Logs that a caller left before the head of its answer.
@@ -203,7 +172,7 @@
     fn drop(&mut self) {
         if self.waits {
             let left = Outcome::Unknown("caller left before an answer".to_owned());
-            self.gateway.log_end(self.call, &left);
+            self.gateway.record_end(self.call, &left);
         }
     }
 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -18,11 +18,13 @@
     net::TcpListener,
 };
 
-use super::{Admission, Allowance, Board, Dialect, pool::Pool};
+use super::{
+    Admission, Allowance, Board, Dialect, figures::Figures, pool::Pool, record::ORDINARY_LINES,
+};
 use crate::{
     clock::{Clock, within},
     control::{ReadRoutes, incarnation, link_settings, lock},
-    event,
+    event::{self, Sampler},
     http::{self, Body, Limits, Stop},
     id,
     link::{Hub, Inbound},
@@ -57,6 +59,8 @@
     admission: Mutex<Admission>,
     allowance: Mutex<Allowance>,
     random: Mutex<StdRng>,
+    figures: Mutex<Figures>,
+    sampler: Mutex<Sampler>,
     seeds: Mutex<Vec<id::Vm>>,
     file: Option<PathBuf>,
     stopping: AtomicBool,
@@ -113,6 +117,7 @@
             None => None,
         };
         let bounds = settings.bounds;
+        let started = clock.now();
         let seed = incarnation ^ u64::from(settings.links_port) ^ hash(&settings.name);
         let (stop_sender, stopped) = smol::channel::bounded(1);
         let (busy, idle) = smol::channel::bounded(1);
@@ -136,6 +141,8 @@
                 bounds.retry_window,
             )),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
+            figures: Mutex::default(),
+            sampler: Mutex::new(Sampler::new(ORDINARY_LINES, started)),
             file,
             stopping: AtomicBool::new(false),
             stop: Mutex::new(Some(stop_sender)),
@@ -241,6 +248,14 @@
         lock(&self.random)
     }
 
+    pub(super) fn figures(&self) -> MutexGuard<'_, Figures> {
+        lock(&self.figures)
+    }
+
+    pub(super) fn sampler(&self) -> MutexGuard<'_, Sampler> {
+        lock(&self.sampler)
+    }
+
     pub(super) fn seeds(&self) -> Vec<id::Vm> {
         lock(&self.seeds).clone()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod stop;
 pub mod target;
 pub mod tool;
+pub mod trace;
 pub mod vm;
 pub mod wire;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 
 mod bounds;
 mod error;
+mod figures;
 mod settings;
 
-pub use self::{bounds::Bounds, error::Error, settings::Settings};
+pub use self::{bounds::Bounds, error::Error, figures::serve_figures, settings::Settings};
--- /dev/null
+++ b/src/node/figures.rs
@@ -0,0 +1,55 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use smol::net::TcpListener;
+
+use super::{Error, Settings};
+use crate::{
+    figure::Page,
+    http::{self, Body, Limits, Stop},
+};
+
+/// Where figures are served.
+const PATH: &str = "/metrics";
+
+/// Serves figures as text at the settings' port, for as long as the process runs; nothing where
+/// the settings name no port.
+///
+/// # Errors
+///
+/// Where the address cannot be taken.
+pub async fn serve_figures<F>(settings: &Settings, page: F) -> Result<(), Error>
+where
+    F: Fn() -> Page + Send + Sync + 'static,
+{
+    let Some(port) = settings.figures_port else { return Ok(()) };
+    let address = SocketAddr::new(settings.address, port);
+    let listener =
+        TcpListener::bind(address).await.map_err(|cause| Error::Listen(address, cause))?;
+    let page = Arc::new(page);
+    smol::spawn(async move {
+        let (_stop, stopped) = Stop::new();
+        let handler = move |request: Request<Incoming>| {
+            let found = request.uri().path() == PATH;
+            let text = if found { page().text() } else { String::new() };
+            async move { answer(found, text) }
+        };
+        let _ = http::serve(listener, Limits::default(), stopped, handler).await;
+    })
+    .detach();
+    Ok(())
+}
+
+fn answer(found: bool, text: String) -> Response<Body> {
+    let mut response = Response::new(http::full(text));
+    if !found {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- a/src/tool/command.rs
+++ b/src/tool/command.rs
@@ -18,6 +18,7 @@
     list::{self, Allowance, Plan, digest},
     settings::Settings,
     stop::Scope,
+    trace::Trace,
 };
 
 const NOT_EVERYWHERE: u8 = 4;
@@ -42,6 +43,8 @@
     Figures,
     /// Show the way of a request.
     Way(String),
+    /// Trace a request through log files.
+    Trace(String, Vec<PathBuf>),
     /// Print a list.
     Get(List),
     /// Compare a list with a file.
@@ -110,6 +113,7 @@
             lists::check(plans, allowances, options.names.as_deref())
         }
         Command::KeyDigest => key_digest(),
+        Command::Trace(request, logs) => trace(request, logs),
         command => ask(command, options),
     }
 }
@@ -144,6 +148,20 @@
     Ok(format!("{}the settings are valid\n", loaded.warnings.report()).into())
 }
 
+fn trace(request: &str, logs: &[PathBuf]) -> Result<Output, Error> {
+    let mut trace = Trace::new(request);
+    for log in logs {
+        let bytes = fs::read(log).map_err(|cause| Error::file(log, &cause))?;
+        trace.read(&String::from_utf8_lossy(&bytes));
+    }
+    if trace.lines().is_empty() {
+        return Err(Error::Refused(format!(
+            "no line names the request `{request}`; give the logs of all VMs that take callers"
+        )));
+    }
+    Ok(trace.text().into())
+}
+
 fn key_digest() -> Result<Output, Error> {
     let mut key = String::new();
     std::io::stdin()
--- a/src/tool/help.rs
+++ b/src/tool/help.rs
@@ -11,6 +11,8 @@
       pomelogate check-lists plans.json allowances.json --names names.json
   key digest                     print the digest of the key on standard input
       printf %s \"$KEY\" | pomelogate key digest
+  trace <request> <log>...       the way of a request and the cause of its end, from logs alone
+      pomelogate trace 7f21c0ffee00c0ff edge-*.log
 
 Commands that ask a VM:
   status                         the VM, versions of the lists, VMs and targets
@@ -56,10 +58,11 @@
 ";
 
 /// The first words of the commands.
-const WORDS: [&str; 11] = [
+const WORDS: [&str; 12] = [
     "check",
     "check-lists",
     "key",
+    "trace",
     "status",
     "figures",
     "way",
--- a/src/tool/options.rs
+++ b/src/tool/options.rs
@@ -85,6 +85,10 @@
         ["key", "digest"] => Ok(Command::KeyDigest),
         ["status"] => Ok(Command::Status),
         ["figures"] => Ok(Command::Figures),
+        ["trace", request, first, rest @ ..] => {
+            let logs = std::iter::once(first).chain(rest).map(PathBuf::from).collect();
+            Ok(Command::Trace((*request).to_owned(), logs))
+        }
         ["way", request] => Ok(Command::Way((*request).to_owned())),
         ["plans", rest @ ..] => list(List::Plans, rest),
         ["allowances", rest @ ..] => list(List::Allowances, rest),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,7 +4,8 @@
 
 use pomelogate::{
     gateway::{
-        Admission, Allowance, Applicant, Board, Decision, Events, Pick, Prompt, Query, There, Work,
+        Admission, Allowance, Applicant, Attempts, Board, Decision, Events, Pick, Prompt, Query,
+        There, Work,
     },
     id,
     registry::Target,
@@ -298,3 +299,49 @@
     let only = [&first.target];
     assert!(board.choose(query(&only, &plain), at).is_some());
 }
+
+/// An incident: requests that were handed over, failed there and failed here once more ran on a
+/// third target, as the failure gave the second one's place back.
+#[test]
+fn a_request_never_runs_on_more_targets_than_its_rule_allows() {
+    let name = |n: u64| id::Target::from(format!("engine-{n}"));
+    let mut random = 1u64;
+    for round in 0..2000 {
+        let most = 1 + round % 3;
+        let mut attempts = Attempts::new(most);
+        let (mut here, mut elsewhere) = (std::collections::BTreeSet::new(), 0);
+        while attempts.may_try() {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let draw = random >> 33;
+            let target = attempts.only().cloned().unwrap_or_else(|| name(draw % 4));
+            if attempts.only().is_none() && draw.is_multiple_of(3) {
+                attempts.ran_elsewhere();
+                elsewhere += 1;
+                continue;
+            }
+            attempts.ran(&target);
+            here.insert(target.clone());
+            if draw.is_multiple_of(2) {
+                attempts.failed(&target);
+            }
+        }
+        assert!(here.len() as u32 + elsewhere <= most, "round {round}");
+    }
+}
+
+/// An incident: a region with two engines looked free by its word of a second ago, and all VMs of
+/// the other regions handed over to it, to be refused there.
+#[test]
+fn a_region_that_refused_a_hand_over_gets_none_for_a_while() {
+    let now = Instant::now();
+    let mut admission = Admission::default();
+    let rule = rule(0);
+    let region = id::Region::from("surabaya");
+    let decide = |admission: &Admission, now| {
+        admission.decide(applicant(&rule), Some(0.45), &[there(0.0, now)], 1, now)
+    };
+    assert_eq!(decide(&admission, now), Decision::There(region.clone()));
+    admission.refused(&region, &"engines".into(), now);
+    assert_eq!(decide(&admission, now), Decision::Here);
+    assert_eq!(decide(&admission, now + Duration::from_secs(1)), Decision::There(region));
+}
