--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -67,7 +67,7 @@
             return;
         }
         let fields: [event::Field<'_>; 3] =
-            [("request", &call.id), ("vm", &vm.vm), ("region", &vm.region)];
+            [("request", &call.id), ("to", &vm.vm), ("region", &vm.region)];
         event::placement::SPILLED.emit(&self.logger, &fields);
     }
 
