Charge a region that refused instead of shutting it out, serve late where targets are free

Cause: a refusal by a region shut it out for 0.6 s for all requests of this VM. Cause: the time that a request had waited counted against the limit that keeps queues short, so that it was refused where targets were free ('elsewhere 0.14 s, at most -0.12 s'). Change: a refusal charges the region 0.15 s for 0.3 s against other places; the limit holds against the expected delay, and time left only rules out what is hopeless; work that may go anywhere gives way where home-bound work is refused; a VM that starts asks all replicas at once.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     fmt,
     time::{Duration, Instant},
 };
@@ -14,12 +14,22 @@
 const LESS_URGENT: f64 = 0.15;
 /// No rank is left with less than this part.
 const LEAST_PART: f64 = 0.4;
+/// The part of a caller's time within which the first event must be expected in any case.
+const WORTH_TRYING: f64 = 0.6;
 /// Seconds by which another region must be better: what its VMs told is up to two seconds old.
 const MARGIN: f64 = 0.05;
 /// Seconds that a request and the first event of its answer take to another region and back.
 const WAY: f64 = 0.115;
-/// A region that refused a hand-over gets none for this long: by then it has told how busy it is.
-const CLOSED: Duration = Duration::from_millis(600);
+/// A region that refused a hand-over is charged for it for this long: by then others have ended
+/// there.
+const CLOSED: Duration = Duration::from_millis(300);
+/// Seconds charged for that, against other places for the same request.
+const REFUSED: f64 = 0.15;
+/// Seconds charged to a request that may go anywhere for a place that others may not leave and are
+/// refused at.
+const SCARCE: f64 = 0.25;
+/// A region counts as scarce for this long after such a refusal.
+const SCARCE_FOR: Duration = Duration::from_millis(1500);
 /// What a region told of itself is not taken for longer.
 const OLDEST: Duration = Duration::from_secs(4);
 /// Hand-overs that are remembered, to be counted on top of what a region told before them.
@@ -38,6 +48,8 @@
     pub delay: f64,
     /// Its targets of the service.
     pub targets: u32,
+    /// Whether requests that must not leave their homes were refused there lately.
+    pub scarce: bool,
     /// When that was learned.
     pub at: Instant,
 }
@@ -84,8 +96,8 @@
     pub rule: &'a Rule,
     /// Its service.
     pub service: &'a id::Service,
-    /// How long it has waited.
-    pub waited: Duration,
+    /// How long its caller will wait.
+    pub left: Duration,
     /// The tokens that another region would have to read for it.
     pub tokens: u32,
     /// Whether it has run in part or in vain: what was spent on it is lost unless it is gone on
@@ -103,6 +115,8 @@
 pub struct Admission {
     passed: VecDeque<Passed>,
     closed: Vec<Closed>,
+    /// When a request of a service that must not leave its homes was last refused here.
+    scarce: HashMap<id::Service, Instant>,
 }
 
 #[derive(Debug)]
@@ -124,23 +138,31 @@
     /// Decides, given the seconds until the first event `here`, if a target takes it here, and how
     /// busy the other regions are that may get it. `vms` send as this one does.
     pub fn decide(
-        &self,
+        &mut self,
         applicant: Applicant<'_>,
         here: Option<f64>,
         there: &[There],
         vms: u32,
         now: Instant,
     ) -> Decision {
-        let delay = |there: &There| self.delay(there, applicant, vms, now);
-        let open = |there: &&There| !self.is_closed(&there.region, applicant.service, now);
+        let free = applicant.rule.homes.is_empty();
+        let scarce = if free && self.is_scarce(applicant.service, now) { SCARCE } else { 0.0 };
         let best = there
             .iter()
-            .filter(open)
-            .map(|there| (delay(there), there))
-            .min_by(|one, other| one.0.total_cmp(&other.0));
-        let limit = limit(applicant.rule) - applicant.waited.as_secs_f64();
+            .map(|there| (self.delay(there, applicant, vms, now), there))
+            .min_by(|one, other| {
+                let cost =
+                    |(delay, there): &(f64, &There)| delay + self.surcharge(applicant, there, now);
+                cost(one).total_cmp(&cost(other))
+            });
+        // What a request has waited so far is no reason to refuse it where targets are free: late
+        // is better than not at all. The limit keeps queues short.
+        let left = applicant.left.as_secs_f64() * WORTH_TRYING;
+        let limit = limit(applicant.rule).min(left);
         let (decision, delay) = match (here, best) {
-            (Some(here), Some((delay, there))) if delay + MARGIN < here => {
+            (Some(here), Some((delay, there)))
+                if delay + self.surcharge(applicant, there, now) + MARGIN < here + scarce =>
+            {
                 (Decision::There(there.region.clone()), delay)
             }
             (Some(here), _) => (Decision::Here, here),
@@ -150,11 +172,27 @@
         if delay <= limit || applicant.begun {
             return decision;
         }
+        if !free {
+            self.scarce.insert(applicant.service.clone(), now);
+        }
         let spread = SPREAD.start + applicant.draw * (SPREAD.end - SPREAD.start);
         let after = (delay - limit + spread).min(LONGEST);
         Decision::Refuse(Late { after, here, there: best.map(|(delay, _)| delay), limit })
     }
 
+    /// Seconds charged for a place in another region beyond its delay.
+    fn surcharge(&self, applicant: Applicant<'_>, there: &There, now: Instant) -> f64 {
+        let scarce = applicant.rule.homes.is_empty() && there.scarce;
+        let refused = self.is_closed(&there.region, applicant.service, now);
+        f64::from(u8::from(scarce)) * SCARCE + f64::from(u8::from(refused)) * REFUSED
+    }
+
+    /// Whether requests of `service` that must not leave their homes were refused here lately.
+    pub fn is_scarce(&self, service: &id::Service, now: Instant) -> bool {
+        let refused = self.scarce.get(service);
+        refused.is_some_and(|at| now.saturating_duration_since(*at) < SCARCE_FOR)
+    }
+
     /// Counts a request that is handed to a region.
     pub fn passed(
         &mut self,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,5 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use prost::{Message, bytes::Bytes};
 use smol::{Timer, future::or};
 
@@ -20,12 +21,13 @@
 impl Gateway {
     /// Asks replicas for what changed, one after the other, for as long as the VM runs.
     pub(super) async fn follow(self: Arc<Self>) {
+        self.ask_all().await;
         let mut turn = 0;
         let mut former = None;
         loop {
             let replicas = self.replicas();
             let vm = &replicas[turn % replicas.len()];
-            let asked = self.ask(vm).await;
+            let asked = self.ask(vm, WAIT).await;
             let fresh = matches!(asked, Some(true));
             let state = (vm.clone(), asked);
             if former.as_ref() != Some(&state) {
@@ -51,18 +53,33 @@
         }
     }
 
+    /// Asks all replicas that are known at once, until one has told the routes: at the start any of
+    /// them may be down.
+    async fn ask_all(&self) {
+        while self.table().is_none() && !self.is_stopping() {
+            let replicas = self.replicas();
+            let mut asked: FuturesUnordered<_> =
+                replicas.iter().map(|vm| self.ask(vm, Duration::ZERO)).collect();
+            while self.table().is_none() && asked.next().await.is_some() {}
+            drop(asked);
+            if self.table().is_none() {
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+
     /// Asks one replica; whether it answered, and whether it misses nothing.
-    async fn ask(&self, vm: &id::Vm) -> Option<bool> {
+    async fn ask(&self, vm: &id::Vm, wait: Duration) -> Option<bool> {
         let address = self.settings.links_of(vm)?;
         let (since, known) = {
             let mirror = self.mirror();
             (mirror.index(), mirror.known())
         };
         let stopping = self.is_stopping();
-        let wait_ms = u64::try_from(WAIT.as_millis()).unwrap_or_default();
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or_default();
         let ask = Ask { since, entry: self.own_entry(), known, wait_ms };
         let payload = Bytes::from(ask.encode_to_vec());
-        let call = self.hub.call(address, Topic::Registry, payload, WAIT + BEYOND);
+        let call = self.hub.call(address, Topic::Registry, payload, wait + BEYOND);
         // A VM that begins to stop says so at once, not with its next question.
         let stops = async {
             if stopping {
@@ -157,6 +174,7 @@
                 slots: busy.slots,
                 requests: busy.requests,
                 delay_ms: (busy.delay * 1000.0).min(60_000.0) as u32,
+                scarce: self.admission().is_scarce(service, now),
             });
         }
         loads
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -162,7 +162,7 @@
         let applicant = Applicant {
             rule: &call.rule,
             service: &call.service,
-            waited: now.saturating_duration_since(call.came),
+            left: call.left(now),
             begun: course.attempts.runs() > 0 || call.last_event.is_some(),
             tokens: call.prompt.own(),
             draw,
@@ -197,10 +197,10 @@
         };
         let there = |(region, targets): (&id::Region, u32)| {
             let load = mirror.load(&call.service, region.as_str());
-            let (delay, at) = load.map_or((0.0, self.clock.now()), |(load, at)| {
-                (f64::from(load.delay_ms) / 1000.0, at)
+            let (delay, scarce, at) = load.map_or((0.0, false, self.clock.now()), |(load, at)| {
+                (f64::from(load.delay_ms) / 1000.0, load.scarce, at)
             });
-            There { region: region.clone(), delay, targets, at }
+            There { region: region.clone(), delay, targets, scarce, at }
         };
         counts.into_iter().filter(|(region, _)| fits(region)).map(there).collect()
     }
--- a/src/registry/news.rs
+++ b/src/registry/news.rs
@@ -72,6 +72,9 @@
     /// Milliseconds until what was sent has been read, at the least busy target.
     #[prost(uint32, tag = "5")]
     pub delay_ms: u32,
+    /// Whether requests that must not leave their homes were refused there lately.
+    #[prost(bool, tag = "6")]
+    pub scarce: bool,
 }
 
 /// A list of routes as the operator sent it.
--- a/src/registry/roster.rs
+++ b/src/registry/roster.rs
@@ -54,6 +54,9 @@
     /// Milliseconds until what was sent has been read, at the least busy target.
     #[prost(uint32, tag = "4")]
     pub delay_ms: u32,
+    /// Whether requests that must not leave their homes were refused there lately.
+    #[prost(bool, tag = "5")]
+    pub scarce: bool,
 }
 
 /// A VM and when it was last heard.
@@ -184,6 +187,7 @@
             slots: load.slots,
             requests: load.requests,
             delay_ms: load.delay_ms,
+            scarce: load.scarce,
         };
         newest.into_iter().map(load).collect()
     }
