--- a/src/node/bounds.rs
+++ b/src/node/bounds.rs
@@ -21,9 +21,6 @@
     /// How long callers may keep an answer of the directory.
     #[serde(rename = "directory_ms", with = "millis")]
     pub directory: Duration,
-    /// How long a VM that was told of a change of a target has to act on it.
-    #[serde(rename = "drain_ms", with = "millis")]
-    pub drain: Duration,
 }
 
 impl Default for Bounds {
@@ -34,7 +31,6 @@
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
             directory: Duration::from_secs(2),
-            drain: Duration::from_secs(3),
         }
     }
 }
