--- a/src/control/follow.rs
+++ b/src/control/follow.rs
@@ -6,7 +6,7 @@
 use super::{Control, shell::lock};
 use crate::{
     event,
-    registry::{Ask, Entry, Machine, News, Row, Seen, State},
+    registry::{Ask, Cold, Entry, Machine, News, Row, Seen, State},
     replica::Group,
 };
 
@@ -67,9 +67,15 @@
     fn news(&self, group: &Group<Machine>, ask: &Ask) -> News {
         let now = self.clock.now();
         let mut news = group.read(|machine| News::since(machine, ask.since));
-        for row in &mut news.targets {
-            row.cold_ms = self.cold_left(row);
-        }
+        let rows: Vec<Row> = group.read(|machine| {
+            let cold = machine.targets().filter(|row| row.cold_ms > 0);
+            cold.filter(|row| row.state() == State::Ready).cloned().collect()
+        });
+        let cold = rows.into_iter().map(|row| {
+            let left_ms = self.cold_left(&row);
+            Cold { target: row.target, left_ms }
+        });
+        news.cold = cold.filter(|cold| cold.left_ms > 0).collect();
         let status = group.status().consensus;
         news.fresh = status.leaderless.is_some_and(|lasts| lasts < FRESH);
         let limit = self.settings.announce * MISSED;
@@ -77,7 +83,7 @@
         let grown = now.saturating_duration_since(self.started) > limit;
         let silent = |row: &&Row| {
             let heard = roster.heard(&row.target);
-            heard.map_or(grown, |at| now.saturating_duration_since(at) > limit)
+            heard.map_or(grown, |word| now.saturating_duration_since(word.at) > limit)
         };
         news.silent = group.read(|machine| {
             let ready = machine.targets().filter(|row| row.state() == State::Ready);
@@ -102,6 +108,12 @@
             *applied = HashMap::new();
         }
         let at = *applied.entry((row.target.clone(), row.changed)).or_insert(now);
+        drop(applied);
+        // A replica that has just started does not know how old the row is; the target does.
+        if let Some(word) = self.roster().heard(&row.target).filter(|word| word.at > at) {
+            let left = word.cold_until.saturating_duration_since(now);
+            return u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        }
         let passed = u64::try_from(now.saturating_duration_since(at).as_millis());
         row.cold_ms.saturating_sub(passed.unwrap_or(u64::MAX))
     }
--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -87,10 +87,11 @@
         let group = self.group().ok_or_else(|| unsure("the replica's folder cannot be used"))?;
         let row = announcement.row();
         let known = group.read(|machine| machine.target(&row.target).cloned());
+        let news = self.is_news(&row, known.as_ref());
         if known.as_ref().is_none_or(|known| known.born <= row.born) {
-            self.roster().announced(&announcement.target, now);
+            self.roster().announced(&announcement, now);
         }
-        if !self.is_news(&row, known.as_ref()) {
+        if !news {
             return Ok(Verdict::Confirmed);
         }
         let verdict = self.propose(Operation::Announce(row.clone()), ANNOUNCE).await;
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -20,8 +20,8 @@
     command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
     machine::Machine,
     mirror::{Mirror, Target},
-    news::{Ask, News, RegionLoad, RoutesText},
-    roster::{Digest, Entry, Heard, Load, Roster, Seen},
+    news::{Ask, Cold, News, RegionLoad, RoutesText},
+    roster::{Digest, Entry, Heard, Load, Roster, Seen, Word},
     steward::{Action, Steward},
     target::{Row, State},
 };
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Entry, News, RegionLoad, Row, State};
+use super::{Cold, Entry, News, RegionLoad, Row, State};
 use crate::id;
 
 /// After a zone gets work again its targets may have become cold, which they say only with their
@@ -83,8 +83,15 @@
             self.rows.clear();
         }
         for row in news.targets {
-            let cold = now + Duration::from_millis(row.cold_ms);
-            self.rows.insert(row.target.clone(), (row, cold));
+            self.rows.insert(row.target.clone(), (row, now));
+        }
+        for (_, cold_until) in self.rows.values_mut() {
+            *cold_until = now;
+        }
+        for Cold { target, left_ms } in news.cold {
+            if let Some((_, cold_until)) = self.rows.get_mut(&target) {
+                *cold_until = now + Duration::from_millis(left_ms);
+            }
         }
         self.rows.retain(|_, (row, _)| row.state() != State::Gone);
         let drained: BTreeSet<String> = news.drained.into_iter().collect();
--- a/src/registry/news.rs
+++ b/src/registry/news.rs
@@ -34,7 +34,7 @@
     /// The zones that get no work.
     #[prost(string, repeated, tag = "4")]
     pub drained: Vec<String>,
-    /// The targets that changed; each `cold_ms` is what is left of it.
+    /// The targets that changed.
     #[prost(message, repeated, tag = "5")]
     pub targets: Vec<Row>,
     /// Whether the replica heard the leader lately, so that nothing older than that is missing.
@@ -52,6 +52,20 @@
     /// How busy the targets of each region are.
     #[prost(message, repeated, tag = "10")]
     pub loads: Vec<RegionLoad>,
+    /// The targets that are cold now; all others are not.
+    #[prost(message, repeated, tag = "11")]
+    pub cold: Vec<Cold>,
+}
+
+/// A target that is cold.
+#[derive(Clone, PartialEq, Message)]
+pub struct Cold {
+    /// The target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Milliseconds for which it still is.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
 }
 
 /// How busy the targets of one service in one region are, as the VMs there see them.
--- a/src/registry/roster.rs
+++ b/src/registry/roster.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -7,8 +7,7 @@
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::RegionLoad;
-use crate::id;
+use super::{Announcement, RegionLoad};
 
 /// What a VM says of itself to a replica.
 #[derive(Clone, PartialEq, Message)]
@@ -79,6 +78,15 @@
     /// Milliseconds since then.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Milliseconds for which it is still cold, as it said then.
+    #[prost(uint64, tag = "3")]
+    pub cold_ms: u64,
+    /// When its lifetime began.
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
+    /// The number of the announcement.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
 }
 
 /// What a replica heard itself since it last told the others.
@@ -108,14 +116,25 @@
 pub struct Roster {
     limit: Duration,
     vms: BTreeMap<String, (Entry, Instant)>,
-    targets: BTreeMap<String, Instant>,
-    unsent: BTreeMap<String, Instant>,
+    targets: BTreeMap<String, Word>,
+    unsent: BTreeSet<String>,
+}
+
+/// What a target said last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// When it was heard.
+    pub at: Instant,
+    /// Until when it is cold.
+    pub cold_until: Instant,
+    /// Its lifetime and the number of its announcement, by which late ones are told.
+    pub number: (u64, u64),
 }
 
 impl Roster {
     /// An empty roster, where a VM that was not heard for `limit` counts as down.
     pub fn new(limit: Duration) -> Self {
-        Self { limit, vms: BTreeMap::new(), targets: BTreeMap::new(), unsent: BTreeMap::new() }
+        Self { limit, vms: BTreeMap::new(), targets: BTreeMap::new(), unsent: BTreeSet::new() }
     }
 
     /// Takes what a VM says of itself at `at`; what is older than known is passed over.
@@ -128,10 +147,21 @@
         }
     }
 
-    /// Notes that a target announced itself at `at`.
-    pub fn announced(&mut self, target: &id::Target, at: Instant) {
-        self.targets.insert(target.to_string(), at);
-        self.unsent.insert(target.to_string(), at);
+    /// Notes that a target announced itself at `at`; a late announcement is a sign of life, but says
+    /// nothing that a later one did not say better.
+    pub fn announced(&mut self, announcement: &Announcement, at: Instant) {
+        let number = (announcement.born, announcement.sequence);
+        let word = Word { at, cold_until: at + announcement.cold, number };
+        self.learn(announcement.target.as_str(), word);
+        self.unsent.insert(announcement.target.to_string());
+    }
+
+    fn learn(&mut self, target: &str, word: Word) {
+        match self.targets.get_mut(target) {
+            Some(known) if known.number > word.number => known.at = known.at.max(word.at),
+            Some(known) => *known = Word { at: known.at.max(word.at), ..word },
+            None => drop(self.targets.insert(target.to_owned(), word)),
+        }
     }
 
     /// What this replica heard itself, for the others. `own` tells the VMs that ask this replica.
@@ -140,7 +170,13 @@
         let vms =
             vms.map(|(entry, at)| Seen { entry: entry.clone(), age_ms: age(at, now) }).collect();
         let targets = std::mem::take(&mut self.unsent).into_iter();
-        let targets = targets.map(|(target, at)| Heard { target, age_ms: age(at, now) }).collect();
+        let heard = |target: String| {
+            let word = self.targets.get(&target)?;
+            let (age_ms, cold_ms) = (age(word.at, now), age(now, word.cold_until));
+            let (born, sequence) = word.number;
+            Some(Heard { target, age_ms, cold_ms, born, sequence })
+        };
+        let targets = targets.filter_map(heard).collect();
         Digest { vms, targets }
     }
 
@@ -153,8 +189,9 @@
         }
         for heard in digest.targets {
             let at = now.checked_sub(Duration::from_millis(heard.age_ms)).unwrap_or(now);
-            let known = self.targets.entry(heard.target).or_insert(at);
-            *known = at.max(*known);
+            let cold_until = now + Duration::from_millis(heard.cold_ms);
+            let word = Word { at, cold_until, number: (heard.born, heard.sequence) };
+            self.learn(&heard.target, word);
         }
     }
 
@@ -165,8 +202,8 @@
         self.vms.values().filter(move |(_, at)| live(*at)).map(|(entry, at)| (entry, *at))
     }
 
-    /// When a target last announced itself, as far as this replica was told.
-    pub fn heard(&self, target: &str) -> Option<Instant> {
+    /// What a target said last, as far as this replica was told.
+    pub fn heard(&self, target: &str) -> Option<Word> {
         self.targets.get(target).copied()
     }
 
@@ -196,7 +233,7 @@
     pub fn sweep(&mut self, now: Instant) {
         let limit = self.limit * 10;
         self.vms.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
-        self.targets.retain(|_, at| now.saturating_duration_since(*at) < limit);
+        self.targets.retain(|_, word| now.saturating_duration_since(word.at) < limit);
     }
 
     /// A digest of the live VMs without what changes all the time.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -5,8 +5,8 @@
 use pomelogate::{
     id,
     registry::{
-        Announcement, Command, Drain, Entry, Machine, Mirror, News, Operation, Publish, Reply, Row,
-        State, Withdraw,
+        Announcement, Cold, Command, Drain, Entry, Machine, Mirror, News, Operation, Publish,
+        Reply, Roster, Row, State, Withdraw,
     },
     replica::Machine as _,
 };
@@ -189,3 +189,49 @@
     mirror.take(cut_off, now);
     assert_eq!(mirror.vms().len(), 2);
 }
+
+/// After a loss of power replicas did not know how old their rows were: every target that had once
+/// announced itself cold counted as cold again, and got a few requests a second.
+#[test]
+fn a_target_is_cold_only_as_long_as_the_replica_says_so() {
+    let now = Instant::now();
+    let engines = id::Service::from("engines");
+    let mut registry = Registry::new();
+    registry.announce(Row { cold_ms: 3000, ..row("one", 100, 1, 8080, false) });
+    let cold = |left_ms| vec![Cold { target: "one".to_owned(), left_ms }];
+    let mut mirror = Mirror::default();
+    mirror.take(News { cold: cold(3000), ..news(&registry.machine, 0) }, now);
+    assert!(mirror.targets(&engines)[0].cold_until > now);
+    // Its next announcement says that it is not: nothing changed in the registry.
+    mirror.take(news(&registry.machine, mirror.index()), now);
+    assert!(mirror.targets(&engines)[0].cold_until <= now);
+}
+
+#[test]
+fn what_a_target_said_last_goes_before_what_it_said_earlier_whoever_heard_it_when() {
+    let now = Instant::now();
+    let say = |sequence, cold| Announcement {
+        target: "engine".into(),
+        born: 100,
+        sequence,
+        service: "engines".into(),
+        address: ([10, 0, 0, 9], 8080).into(),
+        zone: "jakarta-a".into(),
+        slots: 64,
+        leaving: false,
+        cold,
+    };
+    let second = Duration::from_secs(1);
+    let mut one = Roster::new(second * 3);
+    let mut other = Roster::new(second * 3);
+    let cold = |roster: &Roster, at| roster.heard("engine").expect("heard").cold_until > at;
+    one.announced(&say(5, second * 3), now);
+    // An earlier announcement comes late.
+    one.announced(&say(4, Duration::ZERO), now + second);
+    assert!(cold(&one, now + second));
+    other.announced(&say(3, Duration::ZERO), now + second);
+    other.merge(one.digest(|_| true, now + second), now + second);
+    assert!(cold(&other, now + second));
+    other.announced(&say(6, Duration::ZERO), now + second * 2);
+    assert!(!cold(&other, now + second * 2));
+}
