--- a/src/control.rs
+++ b/src/control.rs
@@ -9,7 +9,7 @@
 mod replicas;
 mod shell;
 
-pub(crate) use self::shell::{incarnation, link_settings, lock};
+pub(crate) use self::shell::lock;
 pub use self::{
     answer::{Refused, Verdict},
     directory::{Asker, Directory},
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -10,16 +10,14 @@
 use crate::{
     clock::Clock,
     event,
-    link::{self, Hub, Inbound},
-    node::{Error, Settings},
+    link::{Hub, Inbound},
+    node::{Error, Links, Settings},
     registry::{Machine, Roster},
     replica::{Group, changed::Changed},
     route::{Fault, Table},
-    wire::{Hello, Topic},
+    wire::Topic,
 };
 
-/// Messages of other VMs that may wait.
-const INBOUND_QUEUE: usize = 1024;
 /// A VM that takes callers asks a replica about once a second, and replicas tell each other once a
 /// second; a VM that missed this many of them is not named to callers any more.
 const VM_SILENCE: Duration = Duration::from_millis(3500);
@@ -66,25 +64,14 @@
         logger: Logger,
         read_routes: ReadRoutes,
     ) -> Result<Arc<Self>, Error> {
-        let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let incarnation = incarnation(&*clock);
-        let hello = Hello {
-            vm: settings.vm().to_string(),
-            region: settings.region.to_string(),
-            incarnation,
-            connection: 0,
-        };
-        let hub = Hub::with_logger(hello, link_settings(), sender, logger.clone());
+        let Links { hub, inbound, incarnation } = Links::open(&settings, &*clock, &logger).await?;
         let links = settings.links();
-        let listener = smol::net::TcpListener::bind(links)
-            .await
-            .map_err(|cause| Error::Listen(links, cause))?;
         let control = Arc::new(Self {
             started: clock.now(),
             settings,
             clock,
             logger,
-            hub: Arc::clone(&hub),
+            hub,
             group: Mutex::default(),
             roster: Mutex::new(Roster::new(VM_SILENCE)),
             applied: Mutex::default(),
@@ -94,10 +81,6 @@
             followers: Mutex::default(),
             vms_changed: Changed::default(),
         });
-        smol::spawn(async move {
-            let _ = hub.accept(listener).await;
-        })
-        .detach();
         smol::spawn(Arc::clone(&control).receive(inbound)).detach();
         smol::spawn(Arc::clone(&control).keep_replica()).detach();
         smol::spawn(Arc::clone(&control).tell_others()).detach();
@@ -145,26 +128,6 @@
     }
 }
 
-/// The settings of links where any VM may vanish: a VM that does not answer is given up sooner
-/// than callers wait for a connection, one second.
-pub(crate) fn link_settings() -> link::Settings {
-    link::Settings {
-        connect: Duration::from_millis(700),
-        heartbeat: Duration::from_millis(700),
-        silence: Duration::from_secs(2),
-        trial: Duration::from_millis(400),
-        backoff_limit: Duration::from_millis(800),
-        ..link::Settings::default()
-    }
-}
-
-/// Grows from one start of a process to the next as far as the time of day does; only used to tell
-/// lifetimes of one VM apart.
-pub(crate) fn incarnation(clock: &dyn Clock) -> u64 {
-    let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
-
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -144,7 +144,7 @@
         let _busy = self.busy();
         let time = Duration::from_millis(handover.deadline_ms);
         let limit = self.table().map_or(0, |table| table.limits.body);
-        let Some(Some(body)) = within(time, read_body(&mut exchange, limit)).await else { return };
+        let Some(Some(body)) = within(time, exchange.collect(limit)).await else { return };
         let request = handover.request.clone();
         let outcome = {
             let work = pin!(self.run_for(handover, body));
@@ -221,19 +221,6 @@
     sent.await.map_err(|cause| cause.to_string())
 }
 
-async fn read_body(exchange: &mut Exchange, limit: usize) -> Option<Bytes> {
-    let mut body = Vec::new();
-    loop {
-        match exchange.receive().await.ok()? {
-            Body::Chunk(chunk) if body.len() + chunk.bytes.len() <= limit => {
-                body.extend_from_slice(&chunk.bytes);
-            }
-            Body::End(_) => return Some(Bytes::from(body)),
-            _ => return None,
-        }
-    }
-}
-
 /// Sends the outcome back, and stops the work when the other VM gives the request up.
 async fn answer(mut exchange: Exchange, outcome: Outcome) {
     let answer = match outcome {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -23,18 +23,17 @@
 };
 use crate::{
     clock::{Clock, within},
-    control::{ReadRoutes, incarnation, link_settings, lock},
+    control::{ReadRoutes, lock},
     event::{self, Sampler},
     http::{self, Body, Limits, Stop},
     id,
     link::{Hub, Inbound},
-    node::{Error, Settings},
+    node::{Error, Links, Settings},
     registry::Mirror,
     route::Table,
-    wire::{Hello, Topic},
+    wire::Topic,
 };
 
-const INBOUND_QUEUE: usize = 1024;
 /// How long a VM that stops goes on taking requests: its callers and the directory learn of it,
 /// the platform's checks run once a second, and callers keep answers of the directory.
 const LINGER: Duration = Duration::from_millis(3500);
@@ -98,16 +97,7 @@
         clock: Arc<dyn Clock>,
         logger: Logger,
     ) -> Result<Running, Error> {
-        let (sender, inbound) = smol::channel::bounded(INBOUND_QUEUE);
-        let incarnation = incarnation(&*clock);
-        let hello = Hello {
-            vm: settings.vm().to_string(),
-            region: settings.region.to_string(),
-            incarnation,
-            connection: 0,
-        };
-        let hub = Hub::with_logger(hello, link_settings(), sender, logger.clone());
-        let links = listen(settings.links()).await?;
+        let Links { hub, inbound, incarnation } = Links::open(&settings, &*clock, &logger).await?;
         let callers = match settings.callers {
             Some(address) => Some(listen(address).await?),
             None => None,
@@ -127,7 +117,7 @@
             clock,
             logger,
             dialect,
-            hub: Arc::clone(&hub),
+            hub,
             pool: Arc::default(),
             incarnation,
             read_routes,
@@ -149,10 +139,6 @@
             stopped,
             busy: Mutex::new(Some(busy)),
         });
-        smol::spawn(async move {
-            let _ = hub.accept(links).await;
-        })
-        .detach();
         smol::spawn(Arc::clone(&gateway).receive(inbound)).detach();
         smol::spawn(Arc::clone(&gateway).follow()).detach();
         smol::spawn(Arc::clone(&gateway).share_work()).detach();
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use prost::bytes::Bytes;
 use smol::channel::Receiver;
 
 use super::{CHUNK, Connection, Error, connection::Route};
@@ -56,6 +57,20 @@
         Ok(body)
     }
 
+    /// Reads a whole body of at most `limit` bytes; nothing where it is larger or not whole.
+    pub async fn collect(&mut self, limit: usize) -> Option<Bytes> {
+        let mut body = Vec::new();
+        loop {
+            match self.receive().await.ok()? {
+                Body::Chunk(chunk) if body.len() + chunk.bytes.len() <= limit => {
+                    body.extend_from_slice(&chunk.bytes);
+                }
+                Body::End(_) => return Some(Bytes::from(body)),
+                _ => return None,
+            }
+        }
+    }
+
     /// Declares the exchange ended, so that dropping it sends nothing.
     pub fn finish(mut self) {
         self.ended = true;
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,8 @@
 mod bounds;
 mod error;
 mod figures;
+mod links;
 mod settings;
 
+pub(crate) use self::links::Links;
 pub use self::{bounds::Bounds, error::Error, figures::serve_figures, settings::Settings};
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -82,7 +82,7 @@
         let (request, customer) = (handover.request.clone(), handover.customer.clone());
         let limit = self.settings.body_limit;
         let time = Duration::from_millis(handover.deadline_ms);
-        let Some(Some(body)) = within(time, read_body(&mut exchange, limit)).await else { return };
+        let Some(Some(body)) = within(time, exchange.collect(limit)).await else { return };
         let work = pin!(self.run(&region, handover, body));
         let outcome = match select(work, pin!(exchange.receive())).await {
             Either::Left((outcome, _)) => outcome,
@@ -182,19 +182,6 @@
     }
 }
 
-async fn read_body(exchange: &mut Exchange, limit: usize) -> Option<Bytes> {
-    let mut body = Vec::new();
-    loop {
-        match exchange.receive().await.ok()? {
-            Body::Chunk(chunk) if body.len() + chunk.bytes.len() <= limit => {
-                body.extend_from_slice(&chunk.bytes);
-            }
-            Body::End(_) => return Some(Bytes::from(body)),
-            _ => return None,
-        }
-    }
-}
-
 /// Sends the outcome back, stopping the work when the other VM's caller goes away; gives whether
 /// all of it was sent.
 async fn answer(mut exchange: Exchange, outcome: Outcome<Answer>) -> bool {
