--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -1,6 +1,7 @@
 //! From a request's identifier to the cause of its end, with nothing but logs.
 //!
-//! `tests/trace/` holds lines that VMs wrote in runs beside faults, and lines of other requests.
+//! `tests/trace/` holds lines that VMs wrote in runs beside faults, and lines of other requests. One
+//! field was renamed by hand after the run: the receiver of a hand-over is `to`, as it is written now.
 
 use std::{fs, path::Path};
 
