Keep to the limits of the routes on heads, idle connections and connections to targets

Cause: of the limits that a list of routes carries only the one on bodies was kept to; the head was bound by a constant, an idle caller's connection was closed after 30 s whatever the list said, and a VM opened as many connections to a target as it had requests, though the target bears a number over all VMs together.

Change: callers' connections are served within the limits in force when they come; a VM opens its share of a target's connections, the bound divided by the VMs of the region, and goes to another target beyond that, without counting this one as failed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use super::{
     board::Pick,
     call::Call,
-    pool::{Keep, Lease},
+    pool::{Keep, Lease, Untaken},
     shell::Gateway,
     track::{Report, Sent},
 };
@@ -114,9 +114,14 @@
         let mut fresh = false;
         loop {
             let now = self.clock.now();
-            let mut lease = match self.pool.take(target.address, target.born, fresh, now).await {
+            let most = self.connections(call);
+            let taken = self.pool.take(target.address, target.born, fresh, most, now).await;
+            let mut lease = match taken {
                 Ok(lease) => lease,
-                Err(cause) => {
+                Err(Untaken::Full) => {
+                    return Tried::NotSent(format!("all of its {most} connections are in use"));
+                }
+                Err(Untaken::Failed(cause)) => {
                     self.board().failed(target, self.clock.now());
                     return Tried::NotSent(cause.to_string());
                 }
@@ -151,6 +156,14 @@
         }
     }
 
+    /// This VM's share of the connections that a target takes from all VMs together.
+    fn connections(&self, call: &Call) -> usize {
+        let bound = self.table().and_then(|table| Some(table.service(&call.service)?.connections));
+        let bound = bound.filter(|bound| *bound > 0).unwrap_or(u32::MAX);
+        let vms = self.near_vms(&self.mirror());
+        usize::try_from(bound / vms).unwrap_or(usize::MAX).max(1)
+    }
+
     fn message(
         &self,
         call: &Call,
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, Weak},
     time::{Duration, Instant},
 };
 
@@ -22,10 +22,20 @@
 /// How long an idle connection is kept where the target states no time.
 const IDLE_UNTOLD: Duration = Duration::from_secs(20);
 
-/// Idle connections to targets.
+/// Connections to targets.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     idle: Mutex<HashMap<SocketAddr, VecDeque<Connection>>>,
+    open: Mutex<HashMap<SocketAddr, Weak<()>>>,
+}
+
+/// Why there is no connection.
+#[derive(Debug)]
+pub(super) enum Untaken {
+    /// This VM has its share of the connections that the target takes.
+    Full,
+    /// It could not be opened.
+    Failed(Failure),
 }
 
 /// One connection to a target; dropping it closes it.
@@ -33,6 +43,8 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Body>,
     _driver: Task<()>,
+    /// Counts as open while it is held.
+    _seat: Arc<()>,
     born: u64,
     idle_since: Instant,
     lasts: Duration,
@@ -49,29 +61,51 @@
 }
 
 impl Pool {
-    /// An idle connection to the target, or a new one.
+    /// An idle connection to the target, or a new one where fewer than `most` are open.
     pub(super) async fn take(
         self: &Arc<Self>,
         address: SocketAddr,
         born: u64,
         fresh: bool,
+        most: usize,
         now: Instant,
-    ) -> Result<Lease, Failure> {
+    ) -> Result<Lease, Untaken> {
         if !fresh && let Some(connection) = self.idle(address, born, now) {
             return Ok(self.lease(connection, address, true));
         }
-        let stream = http::dial(address, CONNECT).await?;
+        let seat = self.seat(address, most).ok_or(Untaken::Full)?;
+        let stream = http::dial(address, CONNECT).await.map_err(Untaken::Failed)?;
         let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
             .await
-            .map_err(|cause| Failure::NotSent(cause.to_string()))?;
+            .map_err(|cause| Untaken::Failed(Failure::NotSent(cause.to_string())))?;
         let driver = smol::spawn(async move {
             let _ = connection.await;
         });
-        let connection =
-            Connection { sender, _driver: driver, born, idle_since: now, lasts: IDLE_UNTOLD };
+        let connection = Connection {
+            sender,
+            _driver: driver,
+            _seat: seat,
+            born,
+            idle_since: now,
+            lasts: IDLE_UNTOLD,
+        };
         Ok(self.lease(connection, address, false))
     }
 
+    /// Counts one more open connection; nothing where there are `most`.
+    fn seat(&self, address: SocketAddr, most: usize) -> Option<Arc<()>> {
+        let mut open = lock(&self.open);
+        let seats = open.get(&address).and_then(Weak::upgrade);
+        // The seat that was just made from the weak one counts as well.
+        if let Some(seat) = seats {
+            return (Arc::strong_count(&seat) <= most).then_some(seat);
+        }
+        open.retain(|_, seats| seats.strong_count() > 0);
+        let seat = Arc::new(());
+        open.insert(address, Arc::downgrade(&seat));
+        (most > 0).then_some(seat)
+    }
+
     fn lease(self: &Arc<Self>, connection: Connection, address: SocketAddr, kept: bool) -> Lease {
         Lease { connection, address, pool: Arc::clone(self), kept }
     }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -30,7 +30,7 @@
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
     registry::Mirror,
-    route::Table,
+    route::{self, Table},
     wire::Topic,
 };
 
@@ -39,6 +39,9 @@
 const LINGER: Duration = Duration::from_millis(3500);
 /// The part of the grace that is left for the end of the process.
 const RESERVE: Duration = Duration::from_millis(700);
+/// Bytes that a connection buffers beyond the largest head: a head is taken up to its very limit,
+/// and the buffer is never smaller than the server needs.
+const HEAD_ROOM: usize = 8 * 1024;
 /// Headers that a request may have.
 const MOST_HEADERS: usize = 100;
 
@@ -150,12 +153,8 @@
         let serving = Arc::clone(&gateway);
         let server = smol::spawn(async move {
             let Some(listener) = callers else { return };
-            let limits = Limits {
-                // Connections may rest between requests for as long as callers keep them.
-                header_time: Duration::from_secs(30),
-                headers: MOST_HEADERS,
-                ..Limits::default()
-            };
+            let known = Arc::clone(&serving);
+            let limits = move || known.limits();
             let handler = move |request| Arc::clone(&serving).serve(request);
             let _ = http::serve(listener, limits, stop_server, handler).await;
         });
@@ -188,7 +187,7 @@
                 response as Response<Body>
             }
         };
-        let _ = http::serve(listener, Limits::default(), stopped, handler).await;
+        let _ = http::serve(listener, Limits::default, stopped, handler).await;
     }
 
     /// Whether the VM takes new work.
@@ -200,6 +199,17 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// The limits that the routes set for callers' connections.
+    fn limits(&self) -> Limits {
+        let limits = self.table().map_or_else(route::Limits::default, |table| table.limits);
+        Limits {
+            // The time for a head counts from the end of the last request.
+            header_time: limits.idle + limits.head_time,
+            headers: MOST_HEADERS,
+            buffer: limits.head + HEAD_ROOM,
+        }
+    }
+
     /// Ends when the VM begins to stop.
     pub(super) async fn stops(&self) {
         let _ = self.stopped.recv().await;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -13,7 +13,7 @@
 /// Limits on what a client may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// How long the headers of a request may take.
+    /// How long a connection may go without the whole head of a request.
     pub header_time: Duration,
     /// How many headers a request may have.
     pub headers: usize,
@@ -60,7 +60,8 @@
     }
 }
 
-/// Serves connections from `listener`; each request goes to `handler`.
+/// Serves connections from `listener`, each within the `limits` of the moment at which it came;
+/// each request goes to `handler`.
 ///
 /// Returns when told to stop and the last connection has ended. Dropping the future cuts all
 /// connections.
@@ -70,7 +71,7 @@
 /// Where the listener fails.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    limits: Limits,
+    limits: impl Fn() -> Limits,
     stopped: Stopped,
     handler: H,
 ) -> io::Result<()>
@@ -86,7 +87,7 @@
             Either::Right(_) => break,
         };
         let (stream, _) = accepted?;
-        let work = connection(stream, limits, stopped.clone(), handler.clone());
+        let work = connection(stream, limits(), stopped.clone(), handler.clone());
         smol::spawn(hold(work, cut.clone(), busy.clone())).detach();
     }
     drop(listener);
--- a/src/node/figures.rs
+++ b/src/node/figures.rs
@@ -38,7 +38,7 @@
             let text = if found { page().text() } else { String::new() };
             async move { answer(found, text) }
         };
-        let _ = http::serve(listener, Limits::default(), stopped, handler).await;
+        let _ = http::serve(listener, Limits::default, stopped, handler).await;
     })
     .detach();
     Ok(())
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -126,7 +126,7 @@
         let task = smol::spawn(async move {
             let (_stop, stopped) = Stop::new();
             let handler = move |request| Arc::clone(&shared).answer(request);
-            let serve = http::serve(listener, Limits::default(), stopped, handler);
+            let serve = http::serve(listener, Limits::default, stopped, handler);
             futures_util::future::select(std::pin::pin!(serve), std::pin::pin!(crashed.recv()))
                 .await;
         });
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -52,7 +52,7 @@
         let task = smol::spawn(async move {
             let (_stop, stopped) = Stop::new();
             let handler = move |request| run(request, Arc::clone(&noted), delay);
-            let _ = http::serve(listener, Limits::default(), stopped, handler).await;
+            let _ = http::serve(listener, Limits::default, stopped, handler).await;
         });
         Ok(Self { address, calls, _task: task })
     }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -207,7 +207,7 @@
 
     async fn listen(self: Arc<Self>, callers: TcpListener, stopped: Stopped) {
         let handler = move |request| Arc::clone(&self).route(request);
-        let _ = http::serve(callers, Limits::default(), stopped, handler).await;
+        let _ = http::serve(callers, Limits::default, stopped, handler).await;
     }
 
     fn link_tasks(
--- a/tests/tool_apply.rs
+++ b/tests/tool_apply.rs
@@ -42,7 +42,7 @@
                 hyper::Response::new(http::full(serde_json::to_vec(&applied).unwrap()))
             }
         };
-        let _ = http::serve(listener, Limits::default(), stopped, handler).await;
+        let _ = http::serve(listener, Limits::default, stopped, handler).await;
     });
     (address, seen, task)
 }
