Tell VMs what changed and concerns their region; refuse on all VMs what crashes targets

Each change of any target woke every VM, and every answer repeated the loads of all regions, all cold and all silent targets, and after each change of a VM all VMs. Targets of other regions are counted in the region's load. Ruled out: bytes of agreement (1.4 kB/s at rest), and of targets' announcements (they end at the replica that hears them, digests of them go between five replicas). Conclusion: the square is gone; what grows now is each VM's targets and the links.

Cause: a request that crashes the target that runs it was passed on without end: each VM saw some of the crashes, none counted them (crash::Ledger was not on the path of routes). Change: gateway::Suspects links exchanges that broke off with lifetimes that then ended without the target's having left; VMs tell replicas what they saw, replicas add it up among them and tell all VMs what is to be refused: three crashes, for two minutes, unless the request finishes meanwhile. Ruled out: probing a target after each break (connections are priced, and breaks are frequent); refusing at two crashes (innocents are in flight at crashes); telling every VM of every suspicion (some 280 records for each crash among 28 VMs). Tests: tests/suspects.rs, and over sockets tests/routed.rs, which before let the request run on for ever.

--- a/src/control/replicas.rs
+++ b/src/control/replicas.rs
@@ -1,4 +1,8 @@
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use prost::{Message, bytes::Bytes};
 use smol::{
@@ -10,7 +14,7 @@
 use super::{Control, shell::lock};
 use crate::{
     consensus::{self, Role},
-    event, id,
+    crash, event, id,
     registry::{Action, Command, Digest, Entry, Establish, Machine, Operation, Steward},
     replica::{self, Group, Outgoing},
     wire::Topic,
@@ -28,6 +32,8 @@
 const TELL: Duration = Duration::from_millis(900);
 /// What comes within this time is told together.
 const TOGETHER: Duration = Duration::from_millis(80);
+/// Requests that were in flight at crashes which replicas tell each other of at once, the newest.
+const MOST_CRASHES: usize = 1024;
 const QUEUE: usize = 1024;
 const PEER_QUEUE: usize = 256;
 
@@ -165,10 +171,15 @@
             let own = self.own_entry();
             let digest = {
                 let mut roster = self.roster();
+                let known = roster.census().digest();
                 roster.sweep(now);
                 roster.hear(own.clone(), now);
+                if roster.census().digest() != known {
+                    self.vms_changed.notify();
+                }
                 roster.digest(|entry| followers.contains(&entry.vm) || *entry == own, now)
             };
+            let digest = Digest { crashes: self.crashes_to_tell(), ..digest };
             let payload = Bytes::from(digest.encode_to_vec());
             for peer in group.status().consensus.membership.peers() {
                 if peer.vm != self.settings.vm() {
@@ -178,6 +189,11 @@
         }
     }
 
+    fn crashes_to_tell(&self) -> Option<crash::Notice> {
+        let told = self.crashes_told.swap(false, Ordering::Relaxed);
+        told.then(|| lock(&self.crashes).newest(self.clock.now(), MOST_CRASHES))
+    }
+
     /// What this VM says of itself: it takes no callers.
     fn own_entry(&self) -> Entry {
         Entry {
@@ -195,10 +211,13 @@
         match Digest::decode(payload.clone()) {
             Ok(digest) => {
                 let now = self.clock.now();
+                if let Some(crashes) = &digest.crashes {
+                    lock(&self.crashes).merge(now, crashes);
+                }
                 let mut roster = self.roster();
-                let known = roster.fingerprint(now);
+                let known = roster.census().digest();
                 roster.merge(digest, now);
-                let changed = roster.fingerprint(now) != known;
+                let changed = roster.census().digest() != known;
                 drop(roster);
                 if changed {
                     self.vms_changed.notify();
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -1,14 +1,16 @@
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
 use slog::Logger;
 use smol::channel::Receiver;
 
+use super::follow::Counts;
 use crate::{
     clock::Clock,
+    crash::{self, Ledger},
     event,
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
@@ -35,6 +37,11 @@
     pub(super) roster: Mutex<Roster>,
     /// When each target's row was applied here, to tell what is left of its cold time.
     pub(super) applied: Mutex<HashMap<(String, u64), Instant>>,
+    pub(super) counts: Mutex<Counts>,
+    /// Requests that were in flight where targets crashed, as all VMs told.
+    pub(super) crashes: Mutex<Ledger>,
+    /// Whether a VM told something of them that the other replicas were not told.
+    pub(super) crashes_told: AtomicBool,
     pub(super) read_routes: ReadRoutes,
     pub(super) started: Instant,
     pub(super) incarnation: u64,
@@ -75,6 +82,9 @@
             group: Mutex::default(),
             roster: Mutex::new(Roster::new(VM_SILENCE)),
             applied: Mutex::default(),
+            counts: Mutex::default(),
+            crashes: Mutex::new(Ledger::new(crash::Settings::of_routes())),
+            crashes_told: AtomicBool::new(false),
             read_routes,
             incarnation,
             tables: Mutex::default(),
--- a/src/crash.rs
+++ b/src/crash.rs
@@ -14,7 +14,7 @@
 pub use self::{
     digest::Digest,
     ledger::Ledger,
-    notice::{Death, Notice, Record},
+    notice::{Convict, Death, Notice, Record},
     settings::Settings,
     verdict::Verdict,
 };
--- a/src/crash/digest.rs
+++ b/src/crash/digest.rs
@@ -22,8 +22,19 @@
     /// assert_ne!(one, Digest::new(&"crew".into(), &need, b"[]"));
     /// ```
     pub fn new(customer: &id::Customer, need: &Need, body: &[u8]) -> Self {
+        Self::of(&[customer.as_str().as_bytes(), need.to_string().as_bytes(), body])
+    }
+
+    /// The digest of a request that is told by `parts`.
+    ///
+    /// ```
+    /// use pomelogate::crash::Digest;
+    ///
+    /// assert_ne!(Digest::of(&[b"/a", b"b"]), Digest::of(&[b"/", b"ab"]));
+    /// ```
+    pub fn of(parts: &[&[u8]]) -> Self {
         let mut hash = Sha256::new();
-        for part in [customer.as_str().as_bytes(), need.to_string().as_bytes(), body] {
+        for part in parts {
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         }
--- a/src/crash/ledger.rs
+++ b/src/crash/ledger.rs
@@ -4,7 +4,7 @@
 };
 
 use super::{
-    Death, Digest, Notice, Record, Settings, Verdict,
+    Convict, Death, Digest, Notice, Record, Settings, Verdict,
     suspect::{Mark, Site, Suspect},
 };
 use crate::{
@@ -179,6 +179,21 @@
         self.bound();
     }
 
+    /// The requests that are refused.
+    pub fn convicts(&self, now: Instant) -> Vec<Convict> {
+        let refused = |(digest, suspect): (&Digest, &Suspect)| {
+            let left = suspect.until()?.checked_duration_since(now)?;
+            let refused = suspect.count(now) >= self.settings.deaths;
+            refused.then(|| Convict { digest: digest.as_bytes().to_vec(), left_ms: millis(left) })
+        };
+        self.suspects.iter().filter_map(refused).collect()
+    }
+
+    /// Whether anything is remembered of a request.
+    pub fn holds(&self, digest: Digest) -> bool {
+        self.suspects.contains_key(&digest)
+    }
+
     /// The number of requests remembered.
     pub fn len(&self) -> usize {
         self.suspects.len()
--- a/src/crash/notice.rs
+++ b/src/crash/notice.rs
@@ -19,6 +19,17 @@
     pub deaths: Vec<Death>,
 }
 
+/// A request that is refused on all VMs.
+#[derive(Clone, PartialEq, Message)]
+pub struct Convict {
+    /// The request's digest.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+    /// Milliseconds for which it is refused.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+}
+
 /// One death of a target.
 #[derive(Clone, PartialEq, Message)]
 pub struct Death {
--- a/src/crash/settings.rs
+++ b/src/crash/settings.rs
@@ -19,6 +19,14 @@
     pub records: usize,
 }
 
+impl Settings {
+    /// For targets of routes: what is in flight at one crash or two by bad luck is far more frequent
+    /// than what causes them, and a request that crashes targets comes again within seconds.
+    pub fn of_routes() -> Self {
+        Self { deaths: 3, memory: Duration::from_secs(120), ..Self::default() }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self { deaths: 2, memory: Duration::from_secs(600), records: 4096 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,8 +2,9 @@
 //! region or hands it to a VM of another one, and gives back the target's whole answer or a break
 //! that nobody takes for one.
 //!
-//! The decisions are [`Board`] (which target), [`Allowance`] (may it be sent again), [`Events`]
-//! (what of a stream is whole); the rest carries requests and answers.
+//! The decisions are [`Board`] (which target), [`Admission`] (here, elsewhere or not at all),
+//! [`Allowance`] (may it be sent again), [`Suspects`] (does it crash targets), [`Events`] (what of a
+//! stream is whole); the rest carries requests and answers.
 
 mod admission;
 mod allowance;
@@ -25,6 +26,7 @@
 mod serve;
 mod share;
 mod shell;
+mod suspects;
 mod track;
 
 pub use self::{
@@ -36,5 +38,6 @@
     events::Events,
     prompt::{Part, Prompt},
     shell::{Gateway, Running},
+    suspects::Suspects,
     track::{Report, Work},
 };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -50,6 +50,7 @@
 pub(super) struct Trip {
     gateway: Arc<Gateway>,
     pub(super) target: Target,
+    call: Arc<Call>,
     sent: Sent,
     unread: bool,
     /// When the last piece of a stream came.
@@ -63,11 +64,12 @@
 }
 
 impl Trip {
-    fn new(gateway: &Arc<Gateway>, pick: &Pick, call: &Call) -> Self {
+    fn new(gateway: &Arc<Gateway>, pick: &Pick, call: &Arc<Call>) -> Self {
         let now = gateway.clock.now();
         let target = pick.target.clone();
         let sent = gateway.board().sent(pick, &call.prompt, now);
-        Self { gateway: Arc::clone(gateway), target, sent, unread: true, last: None }
+        let (gateway, call) = (Arc::clone(gateway), Arc::clone(call));
+        Self { gateway, target, call, sent, unread: true, last: None }
     }
 
     /// A piece of the answer came.
@@ -84,6 +86,17 @@
         }
     }
 
+    /// The target broke off before the answer was whole.
+    pub(super) fn broke(&self) {
+        let (now, digest) = (self.gateway.clock.now(), self.call.digest());
+        self.gateway.suspects().broke(&self.target.target, self.target.born, digest, now);
+    }
+
+    /// The answer is whole.
+    pub(super) fn finished(&self) {
+        self.gateway.suspects().finished(&self.target.target, || self.call.digest());
+    }
+
     fn read(&mut self) {
         if std::mem::take(&mut self.unread) {
             let now = self.gateway.clock.now();
@@ -104,7 +117,7 @@
     /// Sends the request to a target and waits at most `left` for the head of its answer.
     pub(super) async fn try_target(
         self: &Arc<Self>,
-        call: &Call,
+        call: &Arc<Call>,
         pick: &Pick,
         last_event: Option<u64>,
         left: Duration,
@@ -148,6 +161,7 @@
                     if !lease.kept {
                         self.board().failed(target, self.clock.now());
                     }
+                    trip.broke();
                     let cause = Failure::Unknown(failure.error().to_string());
                     return Tried::Unknown(cause.to_string());
                 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,8 +5,8 @@
 
 use hyper::{HeaderMap, Method, body::Bytes};
 
-use super::Prompt;
-use crate::{id, route::Rule};
+use super::{Prompt, passage::host_of};
+use crate::{crash::Digest, id, route::Rule};
 
 /// A caller's request that a rule was found for.
 #[derive(Clone, Debug)]
@@ -40,6 +40,13 @@
 }
 
 impl Call {
+    /// What tells the request when it comes again, through any VM.
+    pub(super) fn digest(&self) -> Digest {
+        let host = host_of(&self.headers).unwrap_or_default();
+        let method = self.method.as_str().as_bytes();
+        Digest::of(&[method, host.as_bytes(), self.path.as_bytes(), &self.body])
+    }
+
     /// The time until the caller gives up.
     pub(super) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -131,10 +131,12 @@
                 }
                 Some(Err(cause)) => {
                     self.lease = None;
+                    self.trip.broke();
                     gateway.board().failed(&self.trip.target, gateway.clock.now());
                     return Piece::Broken(cause.to_string());
                 }
                 None => {
+                    self.trip.finished();
                     if let Some(lease) = self.lease.take() {
                         lease.give_back(&self.keep, gateway.clock.now());
                     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 use super::shell::Gateway;
 use crate::{
     event, id,
-    registry::{Ask, Entry, Load, News},
+    registry::{Ask, Entry, Lifetime, Load, News},
     wire::Topic,
 };
 
@@ -71,13 +71,9 @@
     /// Asks one replica; whether it answered, and whether it misses nothing.
     async fn ask(&self, vm: &id::Vm, wait: Duration) -> Option<bool> {
         let address = self.settings.links_of(vm)?;
-        let (since, known) = {
-            let mirror = self.mirror();
-            (mirror.index(), mirror.known())
-        };
         let stopping = self.is_stopping();
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or_default();
-        let ask = Ask { since, entry: self.own_entry(), known, wait_ms };
+        let ask = self.question(wait);
+        let told = ask.crashes.is_some();
         let payload = Bytes::from(ask.encode_to_vec());
         let call = self.hub.call(address, Topic::Registry, payload, wait + BEYOND);
         // A VM that begins to stop says so at once, not with its next question.
@@ -89,6 +85,9 @@
             Err(crate::link::Error::Closed)
         };
         let reply = or(call, stops).await;
+        if told && reply.is_err() {
+            self.suspects().not_told();
+        }
         if !stopping && self.is_stopping() {
             return Some(true);
         }
@@ -98,10 +97,38 @@
         Some(fresh)
     }
 
+    fn question(&self, wait: Duration) -> Ask {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let (entry, now) = (self.own_entry(), self.clock.now());
+        let (crashes, convicts) = {
+            let mut suspects = self.suspects();
+            (suspects.notice(now), suspects.known())
+        };
+        let mirror = self.mirror();
+        let loads_age = mirror.loads_at().map(|at| now.saturating_duration_since(at));
+        Ask {
+            since: mirror.index(),
+            entry,
+            known: mirror.known(),
+            wait_ms: millis(wait),
+            loads_age_ms: loads_age.map(millis),
+            cold: mirror.cold_digest(),
+            silent: mirror.silent_digest(),
+            crashes,
+            convicts,
+        }
+    }
+
     fn take(&self, news: News) {
         let now = self.clock.now();
         let routes = news.routes.clone();
+        if let Some(convicts) = &news.convicts {
+            self.suspects().take(convicts.digest, &convicts.requests, now);
+        }
         let newer = self.mirror().take(news, now);
+        for Lifetime { target, born } in self.mirror().take_ended() {
+            self.suspects().ended(&target, born, now);
+        }
         if let Some(routes) = routes.filter(|_| newer) {
             self.take_routes(routes.version, &routes.text);
         }
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use hyper::body::Bytes;
 use rand::RngExt;
@@ -69,6 +69,9 @@
     pub(super) async fn run(self: &Arc<Self>, call: Arc<Call>) -> Outcome {
         let attempts = Attempts::new(call.rule.attempts);
         let mut course = Course { attempts, ..Course::default() };
+        if let Some(refusal) = self.crashes(&call) {
+            return Outcome::Refused(refusal);
+        }
         let patience = self.clock.now() + call.rule.objective / PATIENCE;
         while course.may_go_on() && !call.left(self.clock.now()).is_zero() {
             let place = self.place(&call, &course);
@@ -100,6 +103,13 @@
         self.conclude(&call, course)
     }
 
+    /// Refuses a request that crashed the targets that ran it.
+    fn crashes(&self, call: &Call) -> Option<Refusal> {
+        let left = self.suspects().refused(|| call.digest(), self.clock.now())?;
+        let detail = "targets crashed while they ran this same request; do not send it unchanged";
+        Some(Refusal::new(Reason::Crashing, detail, left))
+    }
+
     fn conclude(&self, call: &Call, course: Course) -> Outcome {
         if let Some(failure) = course.failure {
             return Outcome::Answered(failure);
@@ -185,24 +195,19 @@
 
     /// The other regions that may get the request and have targets for it and VMs in reach.
     fn there(&self, call: &Call, course: &Course, mirror: &Mirror) -> Vec<There> {
-        let mut counts: BTreeMap<&id::Region, u32> = BTreeMap::new();
-        for target in mirror.targets(&call.service) {
-            if let Some(region) = self.settings.region_of(&target.zone) {
-                *counts.entry(region).or_default() += 1;
-            }
-        }
-        counts.remove(&self.settings.region);
         let fits = |region: &id::Region| {
-            call.rule.allows(region) && !self.vms_of(region, course, mirror).is_empty()
-        };
-        let there = |(region, targets): (&id::Region, u32)| {
-            let load = mirror.load(&call.service, region.as_str());
-            let (delay, scarce, at) = load.map_or((0.0, false, self.clock.now()), |(load, at)| {
-                (f64::from(load.delay_ms) / 1000.0, load.scarce, at)
-            });
-            There { region: region.clone(), delay, targets, scarce, at }
+            *region != self.settings.region
+                && call.rule.allows(region)
+                && !self.vms_of(region, course, mirror).is_empty()
         };
-        counts.into_iter().filter(|(region, _)| fits(region)).map(there).collect()
+        let there = mirror.loads(&call.service).map(|(load, at)| There {
+            region: id::Region::from(load.region.as_str()),
+            delay: f64::from(load.delay_ms) / 1000.0,
+            targets: load.targets,
+            scarce: load.scarce,
+            at,
+        });
+        there.filter(|there| fits(&there.region)).collect()
     }
 
     fn vms_of<'a>(
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -69,6 +69,8 @@
     Busy,
     /// Its time ran out before it was sent.
     Late,
+    /// Targets crashed while they ran this same request.
+    Crashing,
 }
 
 impl Reason {
@@ -84,6 +86,7 @@
             Self::Full => "full",
             Self::Busy => "busy",
             Self::Late => "late",
+            Self::Crashing => "crashing",
         }
     }
 
@@ -94,9 +97,12 @@
             Self::NoIdentifier => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoRoutes | Self::NoTarget | Self::Full | Self::Busy | Self::Late => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoRoutes
+            | Self::NoTarget
+            | Self::Full
+            | Self::Busy
+            | Self::Late
+            | Self::Crashing => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -19,7 +19,8 @@
 };
 
 use super::{
-    Admission, Allowance, Board, Dialect, figures::Figures, pool::Pool, record::ORDINARY_LINES,
+    Admission, Allowance, Board, Dialect, Suspects, figures::Figures, pool::Pool,
+    record::ORDINARY_LINES,
 };
 use crate::{
     clock::{Clock, within},
@@ -60,6 +61,7 @@
     board: Mutex<Board>,
     admission: Mutex<Admission>,
     allowance: Mutex<Allowance>,
+    suspects: Mutex<Suspects>,
     random: Mutex<StdRng>,
     figures: Mutex<Figures>,
     sampler: Mutex<Sampler>,
@@ -133,6 +135,7 @@
                 bounds.retry_slack,
                 bounds.retry_window,
             )),
+            suspects: Mutex::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
             figures: Mutex::default(),
             sampler: Mutex::new(Sampler::new(ORDINARY_LINES, started)),
@@ -240,6 +243,10 @@
         lock(&self.allowance)
     }
 
+    pub(super) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
     pub(super) fn random(&self) -> MutexGuard<'_, StdRng> {
         lock(&self.random)
     }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -7,6 +7,7 @@
 //! ([`Roster`]). The [`Steward`] decides on the replicas themselves.
 
 mod announcement;
+mod census;
 mod command;
 mod machine;
 mod mirror;
@@ -17,10 +18,11 @@
 
 pub use self::{
     announcement::Announcement,
+    census::Census,
     command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
     machine::Machine,
-    mirror::{Mirror, Target},
-    news::{Ask, Cold, News, RegionLoad, RoutesText},
+    mirror::{Lifetime, Mirror, Target},
+    news::{Ask, Cold, Colds, Convicts, Loads, News, RegionLoad, RoutesText, Silent, Vms},
     roster::{Digest, Entry, Heard, Load, Roster, Seen, Word},
     steward::{Action, Steward},
     target::{Row, State},
--- a/src/registry/machine.rs
+++ b/src/registry/machine.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use prost::{Message, bytes::Bytes};
 
@@ -14,6 +17,8 @@
 pub struct Machine {
     image: Image,
     targets: BTreeMap<String, Row>,
+    /// The targets in the order of their last changes.
+    recent: BTreeSet<(u64, String)>,
     zones: BTreeMap<String, Zone>,
     /// The index below which rows of targets may have been forgotten.
     floor: u64,
@@ -89,6 +94,12 @@
         self.targets.values()
     }
 
+    /// The targets that changed after the index `since`.
+    pub fn changed_targets(&self, since: u64) -> impl Iterator<Item = &Row> {
+        let recent = self.recent.range((since.saturating_add(1), String::new())..);
+        recent.filter_map(|(_, target)| self.targets.get(target))
+    }
+
     /// One target.
     pub fn target(&self, target: &str) -> Option<&Row> {
         self.targets.get(target)
@@ -99,6 +110,11 @@
         self.zones.values().filter(|zone| zone.drained).map(|zone| zone.zone.as_str())
     }
 
+    /// The index at which a zone last got no work, or got work again.
+    pub(super) fn zones_changed(&self) -> u64 {
+        self.zones.values().map(|zone| zone.changed).max().unwrap_or_default()
+    }
+
     /// Whether `zone` gets no work, and the index at which that last changed.
     pub fn drain(&self, zone: &str) -> Drain {
         let known = self.zones.get(zone);
@@ -173,8 +189,7 @@
             self.end(index, &target);
         }
         let state = if leaving { State::Leaving } else { row.state() };
-        let row = Row { state: state.into(), changed: index, ..row };
-        self.targets.insert(row.target.clone(), row);
+        self.store(Row { state: state.into(), changed: index, ..row });
         Reply::Changed
     }
 
@@ -201,16 +216,24 @@
         }
     }
 
+    fn store(&mut self, row: Row) {
+        if let Some(former) = self.targets.remove(&row.target) {
+            self.recent.remove(&(former.changed, former.target));
+        }
+        self.recent.insert((row.changed, row.target.clone()));
+        self.targets.insert(row.target.clone(), row);
+    }
+
     fn end(&mut self, index: u64, target: &str) {
-        if let Some(row) = self.targets.get_mut(target) {
-            row.state = State::Gone.into();
-            row.changed = index;
+        if let Some(row) = self.targets.get(target) {
+            self.store(Row { state: State::Gone.into(), changed: index, ..row.clone() });
         }
         let gone = || self.targets.values().filter(|row| row.state() == State::Gone);
         if gone().count() > MOST_GONE {
             let oldest = gone().min_by_key(|row| row.changed).map(|row| row.target.clone());
             if let Some(row) = oldest.and_then(|target| self.targets.remove(&target)) {
                 self.floor = self.floor.max(row.changed);
+                self.recent.remove(&(row.changed, row.target));
             }
         }
     }
@@ -243,7 +266,8 @@
         let mut image = Image::decode(snapshot)
             .map_err(|cause| format!("{cause}; run the version that wrote it"))?;
         let targets = std::mem::take(&mut image.targets).into_iter();
-        self.targets = targets.map(|row| (row.target.clone(), row)).collect();
+        (self.targets, self.recent) = (BTreeMap::new(), BTreeSet::new());
+        targets.for_each(|row| self.store(row));
         let zones = std::mem::take(&mut image.zones).into_iter();
         self.zones = zones.map(|zone| (zone.zone.clone(), zone)).collect();
         (self.floor, self.index) = (image.floor, image.index);
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Cold, Entry, News, RegionLoad, Row, State};
+use super::{Cold, Entry, News, RegionLoad, Row, State, Vms};
 use crate::id;
 
 /// After a zone gets work again its targets may have become cold, which they say only with their
@@ -30,6 +30,15 @@
     pub silent: bool,
 }
 
+/// A lifetime of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lifetime {
+    /// The target.
+    pub target: id::Target,
+    /// When it began.
+    pub born: u64,
+}
+
 /// The registry as a VM that is no replica knows it. It never goes back.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -38,7 +47,10 @@
     drained: BTreeSet<String>,
     taken_back: BTreeMap<String, Instant>,
     silent: BTreeSet<String>,
+    silent_digest: u64,
+    cold_digest: u64,
     services: BTreeMap<id::Service, Vec<Target>>,
+    ended: Vec<Lifetime>,
     vms: Vec<Entry>,
     known: u64,
     loads: Vec<RegionLoad>,
@@ -56,23 +68,29 @@
         self.known
     }
 
+    /// The digest of the cold targets that are known.
+    pub fn cold_digest(&self) -> u64 {
+        self.cold_digest
+    }
+
+    /// The digest of the silent targets that are known.
+    pub fn silent_digest(&self) -> u64 {
+        self.silent_digest
+    }
+
+    /// When it was last learned how busy other regions are.
+    pub fn loads_at(&self) -> Option<Instant> {
+        self.loads_at
+    }
+
     /// Takes news that came at `now`; false where they are older than what is known.
     pub fn take(&mut self, news: News, now: Instant) -> bool {
-        let told = news.known != 0 && news.known != self.known;
-        let vms = news.vms.into_iter().map(|seen| seen.entry);
         let tells = news.fresh || self.vms.is_empty();
-        if told && news.fresh {
-            self.vms = vms.collect();
-            self.known = news.known;
-        } else if told {
-            // A replica that is cut off or has just started does not hear of all VMs.
-            for entry in vms {
-                self.vms.retain(|known| known.vm != entry.vm);
-                self.vms.push(entry);
-            }
+        if let Some(vms) = news.vms {
+            self.take_vms(vms, news.fresh);
         }
-        if tells {
-            self.loads = news.loads;
+        if let Some(loads) = news.loads.filter(|_| tells) {
+            self.loads = loads.regions;
             self.loads_at = Some(now);
         }
         if news.index < self.index {
@@ -83,14 +101,20 @@
             self.rows.clear();
         }
         for row in news.targets {
-            self.rows.insert(row.target.clone(), (row, now));
-        }
-        for (_, cold_until) in self.rows.values_mut() {
-            *cold_until = now;
+            let (born, state) = (row.born, row.state());
+            let former = self.rows.insert(row.target.clone(), (row, now));
+            let ended = |row: &Row| {
+                row.state() == State::Ready && (row.born < born || state == State::Gone)
+            };
+            self.ended.extend(former.filter(|(row, _)| ended(row)).map(|(row, _)| lifetime(&row)));
         }
-        for Cold { target, left_ms } in news.cold {
-            if let Some((_, cold_until)) = self.rows.get_mut(&target) {
-                *cold_until = now + Duration::from_millis(left_ms);
+        if let Some(colds) = news.cold {
+            self.cold_digest = colds.digest;
+            self.rows.values_mut().for_each(|(_, cold_until)| *cold_until = now);
+            for Cold { target, left_ms } in colds.targets {
+                if let Some((_, cold_until)) = self.rows.get_mut(&target) {
+                    *cold_until = now + Duration::from_millis(left_ms);
+                }
             }
         }
         self.rows.retain(|_, (row, _)| row.state() != State::Gone);
@@ -99,12 +123,40 @@
             self.taken_back.insert(zone.clone(), now + AFTER_DRAIN);
         }
         self.drained = drained;
-        self.silent = news.silent.into_iter().collect();
+        if let Some(silent) = news.silent {
+            self.silent_digest = silent.digest;
+            let silent: BTreeSet<String> = silent.targets.into_iter().collect();
+            let fresh = silent.difference(&self.silent).filter_map(|target| self.rows.get(target));
+            self.ended.extend(fresh.map(|(row, _)| lifetime(row)));
+            self.silent = silent;
+        }
         self.rebuild(now);
         true
     }
 
-    /// The targets of `service` that take work; the region of a zone is not known here.
+    /// Lifetimes that ended since this was last asked though the targets did not say that they
+    /// leave, and those of targets that have fallen silent.
+    pub fn take_ended(&mut self) -> Vec<Lifetime> {
+        std::mem::take(&mut self.ended)
+    }
+
+    fn take_vms(&mut self, vms: Vms, fresh: bool) {
+        let Vms { known, whole, there, gone } = vms;
+        // A replica that is cut off or has just started does not hear of all VMs.
+        if fresh && whole {
+            self.vms.clear();
+        }
+        if fresh {
+            self.vms.retain(|entry| !gone.contains(&entry.vm));
+            self.known = known;
+        }
+        for entry in there {
+            self.vms.retain(|known| known.vm != entry.vm);
+            self.vms.push(entry);
+        }
+    }
+
+    /// The targets of `service` in this VM's region that take work.
     pub fn targets(&self, service: &id::Service) -> &[Target] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
@@ -114,11 +166,10 @@
         self.services.iter().map(|(service, targets)| (service, targets.as_slice()))
     }
 
-    /// How busy the targets of `service` in another region were lately, and when that was learned.
-    pub fn load(&self, service: &id::Service, region: &str) -> Option<(&RegionLoad, Instant)> {
-        let mut loads = self.loads.iter();
-        let load = loads.find(|load| load.region == region && load.service == service.as_str())?;
-        Some((load, self.loads_at?))
+    /// How busy the targets of `service` in each region were lately, and when that was learned.
+    pub fn loads(&self, service: &id::Service) -> impl Iterator<Item = (&RegionLoad, Instant)> {
+        let loads = self.loads.iter().filter(move |load| load.service == service.as_str());
+        loads.filter_map(|load| Some((load, self.loads_at?)))
     }
 
     /// The other VMs and the replicas.
@@ -149,3 +200,7 @@
         }
     }
 }
+
+fn lifetime(row: &Row) -> Lifetime {
+    Lifetime { target: id::Target::from(row.target.as_str()), born: row.born }
+}
--- a/src/registry/roster.rs
+++ b/src/registry/roster.rs
@@ -5,9 +5,9 @@
 };
 
 use prost::Message;
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Announcement, RegionLoad};
+use super::{Announcement, Census};
+use crate::crash;
 
 /// What a VM says of itself to a replica.
 #[derive(Clone, PartialEq, Message)]
@@ -98,6 +98,9 @@
     /// The targets.
     #[prost(message, repeated, tag = "2")]
     pub targets: Vec<Heard>,
+    /// What its VMs told of requests that crash targets, where that is new.
+    #[prost(message, optional, tag = "3")]
+    pub crashes: Option<crash::Notice>,
 }
 
 /// Which VMs and targets were heard when, by any replica.
@@ -116,6 +119,7 @@
 pub struct Roster {
     limit: Duration,
     vms: BTreeMap<String, (Entry, Instant)>,
+    census: Census,
     targets: BTreeMap<String, Word>,
     unsent: BTreeSet<String>,
 }
@@ -134,7 +138,13 @@
 impl Roster {
     /// An empty roster, where a VM that was not heard for `limit` counts as down.
     pub fn new(limit: Duration) -> Self {
-        Self { limit, vms: BTreeMap::new(), targets: BTreeMap::new(), unsent: BTreeSet::new() }
+        Self {
+            limit,
+            vms: BTreeMap::new(),
+            census: Census::default(),
+            targets: BTreeMap::new(),
+            unsent: BTreeSet::new(),
+        }
     }
 
     /// Takes what a VM says of itself at `at`; what is older than known is passed over.
@@ -143,10 +153,21 @@
         let older = known
             .is_some_and(|(known, heard)| (known.incarnation, *heard) > (entry.incarnation, at));
         if !older {
+            self.census.set(&entry);
             self.vms.insert(entry.vm.clone(), (entry, at));
         }
     }
 
+    /// The VMs as others are told of them, as of the last [`sweep`](Self::sweep).
+    pub fn census(&self) -> &Census {
+        &self.census
+    }
+
+    /// What a VM said last.
+    pub fn entry(&self, vm: &str) -> Option<&Entry> {
+        self.vms.get(vm).map(|(entry, _)| entry)
+    }
+
     /// Notes that a target announced itself at `at`; a late announcement is a sign of life, but says
     /// nothing that a later one did not say better.
     pub fn announced(&mut self, announcement: &Announcement, at: Instant) {
@@ -177,7 +198,7 @@
             Some(Heard { target, age_ms, cold_ms, born, sequence })
         };
         let targets = targets.filter_map(heard).collect();
-        Digest { vms, targets }
+        Digest { vms, targets, crashes: None }
     }
 
     /// Takes what another replica heard.
@@ -207,8 +228,9 @@
         self.targets.get(target).copied()
     }
 
-    /// How busy each region is: what the VM there said that was heard last.
-    pub fn loads(&self, now: Instant) -> Vec<RegionLoad> {
+    /// How busy the targets of each service in each region are: what the VM there said that was
+    /// heard last.
+    pub fn loads(&self, now: Instant) -> BTreeMap<(&str, &str), &Load> {
         let mut newest: BTreeMap<(&str, &str), (Instant, &Load)> = BTreeMap::new();
         for (entry, at) in self.live(now) {
             for load in &entry.loads {
@@ -218,34 +240,20 @@
                 }
             }
         }
-        let load = |((region, service), (_, load)): ((&str, &str), (Instant, &Load))| RegionLoad {
-            region: region.to_owned(),
-            service: service.to_owned(),
-            slots: load.slots,
-            requests: load.requests,
-            delay_ms: load.delay_ms,
-            scarce: load.scarce,
-        };
-        newest.into_iter().map(load).collect()
+        newest.into_iter().map(|(key, (_, load))| (key, load)).collect()
     }
 
-    /// Forgets VMs and targets that were not heard for long.
+    /// Takes VMs that were not heard lately out of the census, and forgets VMs and targets that were
+    /// not heard for long. A replica sweeps several times in the time after which a VM is down.
     pub fn sweep(&mut self, now: Instant) {
+        let silent = |at: &Instant| now.saturating_duration_since(*at) >= self.limit;
+        for (vm, _) in self.vms.iter().filter(|(_, (_, at))| silent(at)) {
+            self.census.remove(vm);
+        }
         let limit = self.limit * 10;
         self.vms.retain(|_, (_, at)| now.saturating_duration_since(*at) < limit);
         self.targets.retain(|_, word| now.saturating_duration_since(word.at) < limit);
     }
-
-    /// A digest of the live VMs without what changes all the time.
-    pub fn fingerprint(&self, now: Instant) -> u64 {
-        let mut text = String::new();
-        for (entry, _) in self.live(now) {
-            text.push_str(&entry.vm);
-            text.push(if entry.ready { '+' } else { '-' });
-            text.push_str(&entry.callers);
-        }
-        xxh3_64(text.as_bytes()).max(1)
-    }
 }
 
 impl Entry {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -5,8 +5,8 @@
 use pomelogate::{
     id,
     registry::{
-        Announcement, Cold, Command, Drain, Entry, Machine, Mirror, News, Operation, Publish,
-        Reply, Roster, Row, State, Withdraw,
+        Announcement, Cold, Colds, Command, Drain, Entry, Load, Machine, Mirror, News, Operation,
+        Publish, Reply, Roster, Row, State, Vms, Withdraw,
     },
     replica::Machine as _,
 };
@@ -126,12 +126,12 @@
     registry.apply(Operation::Drain(Drain { on: true, ..registry.machine.drain("jakarta-a") }));
     let mut restored = Machine::default();
     restored.restore(&registry.machine.snapshot()).expect("restored");
-    assert_eq!(News::since(&restored, 0), News::since(&registry.machine, 0));
+    assert_eq!(News::since(&restored, 0, |_| true), News::since(&registry.machine, 0, |_| true));
     assert_eq!(restored.snapshot(), registry.machine.snapshot());
 }
 
 fn news(machine: &Machine, since: u64) -> News {
-    News { fresh: true, known: 1, ..News::since(machine, since) }
+    News { fresh: true, ..News::since(machine, since, |_| true) }
 }
 
 #[test]
@@ -177,17 +177,76 @@
 #[test]
 fn a_replica_that_is_cut_off_does_not_make_a_vm_forget_the_others() {
     let now = Instant::now();
-    let entry = |vm: &str| pomelogate::registry::Seen {
-        entry: Entry { vm: vm.to_owned(), ..Entry::default() },
-        age_ms: 0,
+    let entry = |vm: &str| Entry { vm: vm.to_owned(), ..Entry::default() };
+    let told = |fresh, known, there| News {
+        fresh,
+        vms: Some(Vms { known, whole: true, there, gone: vec![] }),
+        ..News::default()
     };
     let mut mirror = Mirror::default();
-    let whole =
-        News { fresh: true, known: 5, vms: vec![entry("near"), entry("far")], ..News::default() };
-    mirror.take(whole, now);
-    let cut_off = News { fresh: false, known: 6, vms: vec![entry("near")], ..News::default() };
-    mirror.take(cut_off, now);
-    assert_eq!(mirror.vms().len(), 2);
+    mirror.take(told(true, 5, vec![entry("near"), entry("far")]), now);
+    mirror.take(told(false, 6, vec![entry("near")]), now);
+    assert_eq!((mirror.vms().len(), mirror.known()), (2, 5));
+}
+
+/// Each change of a VM sent the entries of all VMs to all VMs: with 101 VMs replicas sent 1 MB/s.
+#[test]
+fn vms_are_told_what_changed_of_the_others_and_not_all_of_them() {
+    let now = Instant::now();
+    let entry =
+        |vm: &str, ready| Entry { vm: vm.to_owned(), ready, incarnation: 1, ..Entry::default() };
+    let mut roster = Roster::new(Duration::from_secs(3));
+    for vm in ["one", "two", "three"] {
+        roster.hear(entry(vm, true), now);
+    }
+    let known = roster.census().digest();
+    // The same said again later is no change, nor are loads.
+    let later = now + Duration::from_secs(2);
+    let busy = Load { service: "engines".to_owned(), requests: 7, ..Load::default() };
+    roster.hear(Entry { loads: vec![busy], ..entry("one", true) }, later);
+    roster.hear(entry("two", true), later);
+    assert_eq!(roster.census().digest(), known);
+    roster.hear(entry("two", false), later);
+    roster.sweep(now + Duration::from_secs(4));
+    let census = roster.census();
+    assert_eq!(census.since(known), Some(["three", "two"].into()));
+    assert!(census.holds("two") && !census.holds("three"));
+    assert_eq!(census.since(known ^ 1), None, "what is not known is told whole");
+}
+
+#[test]
+fn a_vm_is_told_of_the_targets_of_its_region_and_not_woken_by_others() {
+    let mut registry = Registry::new();
+    let elsewhere = |row: Row| Row { zone: "bandung-a".to_owned(), ..row };
+    let near = |row: &Row| row.zone == "jakarta-a";
+    registry.announce(row("one", 100, 1, 8080, false));
+    let known = registry.machine.index();
+    registry.announce(elsewhere(row("two", 100, 1, 8081, false)));
+    assert!(!News::matter(&registry.machine, known, near));
+    let told = News::since(&registry.machine, known, near);
+    assert!(told.targets.is_empty() && told.index > known);
+    registry.announce(row("one", 100, 2, 8080, true));
+    assert!(News::matter(&registry.machine, known, near));
+    registry.apply(publish(7, "seven"));
+    let known = registry.machine.index();
+    assert!(!News::matter(&registry.machine, known, near));
+    registry.apply(Operation::Drain(Drain { on: true, ..registry.machine.drain("bandung-a") }));
+    assert!(News::matter(&registry.machine, known, near));
+}
+
+#[test]
+fn the_targets_that_changed_are_found_in_the_order_of_their_changes() {
+    let mut registry = Registry::new();
+    for (sequence, target) in (1..).zip(["one", "two", "three", "one"]) {
+        registry.announce(row(target, 100, sequence, 8000 + sequence as u16, false));
+    }
+    registry.apply(Operation::Withdraw(Withdraw { target: "two".to_owned(), born: 100 }));
+    let changed = |since| -> Vec<&str> {
+        registry.machine.changed_targets(since).map(|row| row.target.as_str()).collect()
+    };
+    assert_eq!(changed(0), ["three", "one", "two"]);
+    assert_eq!(changed(3), ["one", "two"]);
+    assert_eq!(changed(5), [""; 0]);
 }
 
 /// After a loss of power replicas did not know how old their rows were: every target that had once
@@ -198,12 +257,17 @@
     let engines = id::Service::from("engines");
     let mut registry = Registry::new();
     registry.announce(Row { cold_ms: 3000, ..row("one", 100, 1, 8080, false) });
-    let cold = |left_ms| vec![Cold { target: "one".to_owned(), left_ms }];
+    let cold = Cold { target: "one".to_owned(), left_ms: 3000 };
+    let cold = Some(Colds { digest: 1, targets: vec![cold] });
     let mut mirror = Mirror::default();
-    mirror.take(News { cold: cold(3000), ..news(&registry.machine, 0) }, now);
+    mirror.take(News { cold, ..news(&registry.machine, 0) }, now);
     assert!(mirror.targets(&engines)[0].cold_until > now);
-    // Its next announcement says that it is not: nothing changed in the registry.
+    // What is known already is not told again.
     mirror.take(news(&registry.machine, mirror.index()), now);
+    assert!(mirror.targets(&engines)[0].cold_until > now);
+    // Its next announcement says that it is not: nothing changed in the registry.
+    let warm = Some(Colds { digest: 2, targets: vec![] });
+    mirror.take(News { cold: warm, ..news(&registry.machine, mirror.index()) }, now);
     assert!(mirror.targets(&engines)[0].cold_until <= now);
 }
 
--- a/tests/routed.rs
+++ b/tests/routed.rs
@@ -220,6 +220,9 @@
     }
 }
 
+/// The connections that one target takes from all VMs together.
+const CONNECTIONS: u32 = 6;
+
 /// `VERSION` and then a route a line: class, prefix, attempts, milliseconds, homes.
 fn read_routes(text: &[u8]) -> Result<Table, Fault> {
     let text = String::from_utf8_lossy(text);
@@ -254,7 +257,7 @@
     let rules = lines.map(rule).collect::<Option<_>>().ok_or_else(unreadable)?;
     let service = Service {
         name: "jobs".into(),
-        connections: 100,
+        connections: CONNECTIONS,
         cold_rate: 0.0,
         cold: Duration::ZERO,
         memory_tokens: 0,
@@ -338,19 +341,7 @@
         })
         .await;
         for engine in &self.engines {
-            let region = if engine.name.starts_with("near") { "jakarta" } else { "surabaya" };
-            let announcement = Announcement {
-                target: engine.name.into(),
-                born: 1,
-                sequence: 1,
-                service: "jobs".into(),
-                address: engine.address,
-                zone: id::Zone::from(format!("{region}-a")),
-                slots: 8,
-                leaving: false,
-                cold: Duration::ZERO,
-            };
-            self.control.announce(announcement).await.expect("announced");
+            self.announce(engine, 1).await;
         }
         // Both VMs know all targets, and each other, once a request to the other region works.
         for vm in [&self.near, &self.far] {
@@ -369,12 +360,34 @@
         .await;
     }
 
+    /// A target announces itself in the lifetime that began at `born`.
+    async fn announce(&self, engine: &Engine, born: u64) {
+        let region = if engine.name.starts_with("near") { "jakarta" } else { "surabaya" };
+        let announcement = Announcement {
+            target: engine.name.into(),
+            born,
+            sequence: 1,
+            service: "jobs".into(),
+            address: engine.address,
+            zone: id::Zone::from(format!("{region}-a")),
+            slots: 8,
+            leaving: false,
+            cold: Duration::ZERO,
+        };
+        self.control.announce(announcement).await.expect("announced");
+    }
+
     fn tell(&self, path: &str, deeds: &[Deed]) {
         self.deeds.lock().expect("deeds").insert(path.to_owned(), deeds.to_vec());
     }
 
+    /// Where the VM in `jakarta` takes callers.
     fn callers(&self) -> SocketAddr {
-        let last = self.net[2].wrapping_mul(8).wrapping_add(2);
+        self.callers_of(2)
+    }
+
+    fn callers_of(&self, vm: u8) -> SocketAddr {
+        let last = self.net[2].wrapping_mul(8).wrapping_add(vm);
         (IpAddr::from([127, self.net[0], self.net[1], last]), CALLERS).into()
     }
 
@@ -395,8 +408,16 @@
     }
 
     async fn send(&self, request: Request<http::Body>) -> (u16, HeaderMap, String, bool) {
+        self.send_to(self.callers(), request).await
+    }
+
+    async fn send_to(
+        &self,
+        callers: SocketAddr,
+        request: Request<http::Body>,
+    ) -> (u16, HeaderMap, String, bool) {
         let limit = Duration::from_secs(10);
-        let opened = http::open(self.callers(), request, limit, limit).await;
+        let opened = http::open(callers, request, limit, limit).await;
         let Ok((response, _driver)) = opened else {
             return (0, HeaderMap::new(), String::new(), false);
         };
@@ -579,3 +600,82 @@
         drop(far);
     });
 }
+
+#[test]
+fn a_head_beyond_the_limit_of_the_routes_is_refused() {
+    smol::block_on(async {
+        let site = Site::start().await;
+        let request = |id: &str, length: usize| {
+            let long = "x".repeat(length);
+            let request = Request::post("/once/head").header("host", "a.example");
+            let request = request.header("request", id).header("long", long);
+            request.body(http::full("b")).expect("a request")
+        };
+        let (status, ..) = site.send(request("within", 15 * 1024)).await;
+        assert_eq!((status, site.arrivals("within")), (200, 1));
+        let (status, ..) = site.send(request("beyond", 40 * 1024)).await;
+        assert_eq!((status, site.arrivals("beyond")), (431, 0));
+    });
+}
+
+/// A VM opened a connection for each request, whatever the target bears.
+#[test]
+fn a_vm_opens_no_more_connections_to_a_target_than_its_share() {
+    smol::block_on(async {
+        let site = Arc::new(Site::start().await);
+        site.tell("/once/hang", &[Deed::Hang]);
+        let share = CONNECTIONS as usize;
+        let hangs = |seen: &&Seen| seen.id.starts_with("hang");
+        let hang = |number: usize| {
+            let site = Arc::clone(&site);
+            smol::spawn(async move {
+                site.call(&format!("hang-{number}"), Method::POST, "/once/hang").await.0
+            })
+        };
+        let calls: Vec<_> = (0..4 * share).map(hang).collect();
+        let mut refused = 0;
+        for call in calls {
+            refused += usize::from(call.await == 503);
+        }
+        assert!(refused >= share, "what is beyond the share of all three targets: {refused}");
+        for engine in &site.engines {
+            let hanging = engine.seen.lock().expect("seen").iter().filter(hangs).count();
+            assert!(hanging <= share, "{hanging} at {}", engine.name);
+        }
+    });
+}
+
+/// Each VM saw a part of the crashes alone, and went on passing the request to sound targets.
+#[test]
+fn a_request_that_crashes_targets_is_refused_by_every_vm() {
+    smol::block_on(async {
+        let site = Site::start().await;
+        site.tell("/once/crash", &[Deed::Vanish]);
+        let call = async |vm: u8, id: &str| {
+            let request = Request::post("/once/crash").header("host", "a.example");
+            let request = request.header("request", id).body(http::full("b")).expect("a request");
+            let (status, _, text, _) = site.send_to(site.callers_of(vm), request).await;
+            (status, text.contains("crashing"))
+        };
+        for (round, vm) in [(1, 2), (2, 3), (3, 2)] {
+            let id = format!("crash-{round}");
+            assert_eq!(call(vm, &id).await, (502, false));
+            let ran = |engine: &&Engine| !engine.arrivals(&id).is_empty();
+            let engine = site.engines.iter().find(ran).expect("one target ran it");
+            site.announce(engine, 1 + round).await;
+        }
+        for vm in [2, 3] {
+            let mut tries = 0;
+            eventually("the request is refused", async || {
+                tries += 1;
+                let id = format!("refused-{vm}-{tries}");
+                call(vm, &id).await == (503, true) && site.arrivals(&id) == 0
+            })
+            .await;
+            let id = format!("after-{vm}");
+            assert_eq!((call(vm, &id).await, site.arrivals(&id)), ((503, true), 0), "and stays so");
+        }
+        let (status, ..) = site.call("other", Method::POST, "/once/other").await;
+        assert_eq!(status, 200, "others are served");
+    });
+}
--- /dev/null
+++ b/tests/suspects.rs
@@ -0,0 +1,117 @@
+//! Requests that crash the targets of routes, as VMs and replicas count them together.
+
+use std::time::{Duration, Instant};
+
+use pomelogate::{
+    crash::{self, Digest, Ledger},
+    gateway::Suspects,
+    id,
+    registry::{Lifetime, Mirror, News, Row, Silent, State},
+};
+
+fn digest(text: &str) -> Digest {
+    Digest::of(&[text.as_bytes()])
+}
+
+fn crash(suspects: &mut Suspects, target: &str, digests: &[Digest], now: Instant) {
+    let target = id::Target::from(target);
+    digests.iter().for_each(|digest| suspects.broke(&target, 1, *digest, now));
+    suspects.ended(&target, 1, now);
+}
+
+/// A request came to three VMs in turn and crashed a target at each: every one of them knew of one
+/// crash alone.
+#[test]
+fn crashes_that_different_vms_saw_are_counted_together() {
+    let now = Instant::now();
+    let (bad, innocent) = (digest("bad"), digest("innocent"));
+    let mut vms = [Suspects::default(), Suspects::default(), Suspects::default()];
+    let mut replicas =
+        [Ledger::new(crash::Settings::of_routes()), Ledger::new(crash::Settings::of_routes())];
+    for (place, target) in ["one", "two", "three"].into_iter().enumerate() {
+        assert!(vms[place].refused(|| bad, now).is_none());
+        crash(&mut vms[place], target, &[bad], now);
+        let notice = vms[place].notice(now).expect("something to tell");
+        assert!(vms[place].notice(now).is_none(), "told once");
+        replicas[place % 2].merge(now, &notice);
+    }
+    crash(&mut vms[0], "four", &[innocent], now);
+    let told = replicas[1].newest(now, 10);
+    replicas[0].merge(now, &told);
+    let convicts = replicas[0].convicts(now);
+    assert_eq!(convicts.len(), 1);
+    for vm in &mut vms {
+        vm.take(1, &convicts, now);
+        assert!(vm.refused(|| bad, now).is_some());
+        assert!(vm.refused(|| innocent, now).is_none());
+        assert!(vm.refused(|| bad, now + Duration::from_secs(200)).is_none(), "not for ever");
+    }
+}
+
+#[test]
+fn a_broken_connection_alone_accuses_nobody() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    for _ in 0..9 {
+        suspects.broke(&"one".into(), 1, digest("job"), now);
+    }
+    // The target goes on, or ends long after.
+    suspects.ended(&"one".into(), 1, now + Duration::from_secs(60));
+    suspects.ended(&"two".into(), 1, now);
+    assert!(suspects.notice(now).is_none());
+}
+
+#[test]
+fn a_request_that_finishes_is_cleared() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    let popular = digest("popular");
+    for target in ["one", "two"] {
+        crash(&mut suspects, target, &[popular], now);
+    }
+    suspects.finished(&"three".into(), || popular);
+    crash(&mut suspects, "four", &[popular], now);
+    assert!(suspects.refused(|| popular, now).is_none());
+    let mut replica = Ledger::new(crash::Settings::of_routes());
+    replica.merge(now, &suspects.notice(now).expect("changed"));
+    assert!(replica.convicts(now).is_empty());
+}
+
+#[test]
+fn a_notice_that_did_not_arrive_is_told_again() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "one", &[digest("job")], now);
+    let first = suspects.notice(now);
+    suspects.not_told();
+    assert_eq!(suspects.notice(now), first);
+}
+
+fn row(target: &str, born: u64, state: State) -> Row {
+    let (target, zone) = (target.to_owned(), "jakarta-a".to_owned());
+    Row { target, born, zone, state: state.into(), ..Row::default() }
+}
+
+fn tell(mirror: &mut Mirror, index: u64, rows: Vec<Row>, silent: Option<Silent>) -> Vec<Lifetime> {
+    let news = News { index, targets: rows, silent, ..News::default() };
+    mirror.take(news, Instant::now());
+    mirror.take_ended()
+}
+
+#[test]
+fn a_lifetime_ends_where_the_target_did_not_leave() {
+    let ended = |target: &str, born| Lifetime { target: target.into(), born };
+    let mut mirror = Mirror::default();
+    let rows = ["crashed", "reborn", "left", "silent"];
+    let rows = rows.map(|target| row(target, 1, State::Ready)).to_vec();
+    assert_eq!(tell(&mut mirror, 1, rows, None), []);
+    let gone = tell(&mut mirror, 2, vec![row("crashed", 1, State::Gone)], None);
+    assert_eq!(gone, [ended("crashed", 1)]);
+    let reborn = tell(&mut mirror, 3, vec![row("reborn", 5, State::Ready)], None);
+    assert_eq!(reborn, [ended("reborn", 1)]);
+    assert_eq!(tell(&mut mirror, 4, vec![row("left", 1, State::Leaving)], None), []);
+    assert_eq!(tell(&mut mirror, 5, vec![row("left", 1, State::Gone)], None), []);
+    let silent = || Some(Silent { digest: 1, targets: vec!["silent".to_owned()] });
+    assert_eq!(tell(&mut mirror, 6, vec![], silent()), [ended("silent", 1)]);
+    assert_eq!(tell(&mut mirror, 7, vec![], silent()), []);
+}
