--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -13,7 +13,7 @@
     settings::Settings,
     standin::{Caller, deployment, with_disks},
 };
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use tempfile::TempDir;
 
 /// How long a test waits for something that has to come; no test asserts on less.
@@ -83,12 +83,20 @@
         let child = Command::new(env!("CARGO_BIN_EXE_pomelogated"))
             .arg(&self.path)
             .stdin(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(self.log())
             .spawn()
             .expect("the daemon starts");
         self.child = Some(child);
     }
 
+    /// Where the log goes: nowhere, unless `TEST_LOGS` names a folder.
+    fn log(&self) -> Stdio {
+        let Ok(folder) = std::env::var("TEST_LOGS") else { return Stdio::null() };
+        let path = Path::new(&folder).join(format!("{}.log", self.settings.vm));
+        let file = fs::File::options().create(true).append(true).open(path);
+        file.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
     /// Waits until the VM takes callers.
     pub async fn ready(&self) {
         let caller = Caller::new("");
@@ -107,9 +115,12 @@
         }
     }
 
-    /// Freezes the process.
+    /// Freezes the process, and waits until all of it stands still: on a busy machine it goes on
+    /// for a while after the signal was sent.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
+        let child = self.child.as_ref().expect("the process runs");
+        waitpid(Some(Pid::from_child(child)), WaitOptions::UNTRACED).expect("the process is ours");
     }
 
     /// Lets a frozen process go on.
