--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -331,7 +331,8 @@
         event::path::STOPPING.emit(&gateway.logger, &[]);
         gateway.stopping.store(true, Ordering::Relaxed);
         drop(lock(&gateway.stop).take());
-        Timer::after(LINGER.min(grace)).await;
+        // The other half of a short grace is for the requests that are in flight then.
+        Timer::after(LINGER.min(grace / 2)).await;
         stop.stop();
         let left = || end.saturating_duration_since(gateway.clock.now());
         let _ = within(left(), server).await;
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -40,7 +40,7 @@
             connection: 0,
         };
         let hub = Hub::with_logger(hello, link_settings(), sender, logger.clone());
-        let address = settings.links();
+        let address = settings.listens();
         let listener =
             TcpListener::bind(address).await.map_err(|cause| Error::Listen(address, cause))?;
         let accepting = Arc::clone(&hub);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -41,6 +41,10 @@
     pub regions: BTreeMap<id::Zone, id::Region>,
     /// The port for links, the same on all VMs.
     pub links_port: u16,
+    /// The IP number on which it listens for links, where that is another one than `address`, as
+    /// behind a translation of addresses.
+    #[serde(default)]
+    pub bind: Option<IpAddr>,
     /// Where it takes callers, if it does.
     #[serde(default)]
     pub callers: Option<SocketAddr>,
@@ -123,7 +127,12 @@
         id::Vm::from(self.address.to_string())
     }
 
-    /// Where this VM takes links.
+    /// Where this VM listens for links.
+    pub fn listens(&self) -> SocketAddr {
+        SocketAddr::new(self.bind.unwrap_or(self.address), self.links_port)
+    }
+
+    /// Where other VMs reach its links.
     pub fn links(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.links_port)
     }
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -54,7 +54,12 @@
 impl Proxy {
     /// Starts a proxy to `to`.
     pub async fn start(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::at(([127, 0, 0, 1], 0).into(), to).await
+    }
+
+    /// Starts a proxy on `address` to `to`.
+    pub async fn at(address: SocketAddr, to: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let state = Arc::<Mutex<State>>::default();
         let _task = smol::spawn(serve(listener, to, Arc::clone(&state)));
