Many VMs before the same engines: share what cold ones bear, choose among a few, charge crowds

Change: where there is less than one request to share for each VM, the first in an order that is another one for each target have it (Peers); with many requests unseen, the choice is among the keeper and a few targets drawn at random; other regions are charged for requests in their places; a VM hands over to three VMs of a region, others for each VM.

Conclusion: with many VMs what binds is how late they learn of each other; the draw costs nothing where they are few.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,7 +33,7 @@
     admission::{Admission, Applicant, Decision, Late, There},
     allowance::Allowance,
     attempts::Attempts,
-    board::{Board, Busy, Pick, Query},
+    board::{Board, Busy, Peers, Pick, Query},
     dialect::Dialect,
     events::Events,
     prompt::{Part, Prompt},
@@ -41,3 +41,4 @@
     suspects::Suspects,
     track::{Report, Work},
 };
+pub(crate) use self::{share::period, track::Sent};
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::track::PREFILL;
+use super::{board::CROWD, track::PREFILL};
 use crate::{id, route::Rule};
 
 /// The part of the objective within which the first event must be expected, for the most urgent
@@ -46,6 +46,8 @@
     pub region: id::Region,
     /// Seconds until its least busy target has read what was sent to it.
     pub delay: f64,
+    /// Requests there for each place.
+    pub busy: f64,
     /// Its targets of the service.
     pub targets: u32,
     /// Whether requests that must not leave their homes were refused there lately.
@@ -238,7 +240,8 @@
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         let targets = f64::from(there.targets.max(1));
         let added = (sent * f64::from(vms.max(1)) / PREFILL / targets - elapsed).max(0.0);
-        WAY + there.delay + added + f64::from(applicant.tokens) / PREFILL
+        let read = f64::from(applicant.tokens) / PREFILL;
+        WAY + there.delay + CROWD * there.busy.min(1.0) + added + read
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -174,7 +174,7 @@
     fn connections(&self, call: &Call) -> usize {
         let bound = self.table().and_then(|table| Some(table.service(&call.service)?.connections));
         let bound = bound.filter(|bound| *bound > 0).unwrap_or(u32::MAX);
-        let vms = self.near_vms(&self.mirror());
+        let vms = self.near_vms(&self.mirror()).count();
         usize::try_from(bound / vms).unwrap_or(usize::MAX).max(1)
     }
 
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -1,10 +1,11 @@
 use std::{collections::HashMap, time::Instant};
 
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Prompt,
+    share::period,
     track::{PREFILL, Report, Sent, Track, Work},
 };
 use crate::{id, registry::Target};
@@ -12,9 +13,14 @@
 /// Targets that are remembered beyond those of the registry.
 const MOST_TRACKS: usize = 4096;
 /// Seconds that a full batch adds to the time until the first event.
-const CROWD: f64 = 0.1;
+pub(super) const CROWD: f64 = 0.1;
 /// Seconds charged for each request that waits beyond the places of a target.
 const QUEUED: f64 = 0.02;
+/// The targets to choose from, were the other VMs of the region to send one request each between
+/// two words of theirs; with more requests unseen, fewer.
+const CHOICES: f64 = 4.0;
+/// The fewest targets to choose from: the better of two is far better than one at random.
+const FEWEST: usize = 2;
 /// Seconds charged for a target that fails all requests, in proportion.
 const FAILING: f64 = 1.0;
 /// Seconds charged for a target that failed to announce itself.
@@ -47,7 +53,53 @@
     /// Requests a second that a cold target bears over all VMs; zero where there is no bound.
     pub cold_rate: f64,
     /// The VMs of this region that take callers, this one included.
-    pub vms: u32,
+    pub vms: &'a Peers,
+}
+
+/// The VMs that share what the targets of a region bear, as one of them sees it.
+///
+/// A VM's share is worked out without asking anybody. Where there is less than one to share for
+/// each, the first in an order that is another one for each target have it, and the rest nothing.
+///
+/// ```
+/// use pomelogate::gateway::Peers;
+///
+/// let shares = |vms: &[&str], rate| -> Vec<u32> {
+///     let share = |own| Peers::new(own, vms.iter().copied()).share(&"engine".into(), rate);
+///     vms.iter().map(|own| share(*own)).collect()
+/// };
+/// assert_eq!(shares(&["one", "two"], 5.0), [2, 2]);
+/// assert_eq!(shares(&["one", "two", "three", "four", "five"], 2.0).iter().sum::<u32>(), 2);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    own: u64,
+    others: Vec<u64>,
+}
+
+impl Peers {
+    /// The view of `own` among the VMs named, whether it is one of them or not.
+    pub fn new<'a>(own: &str, vms: impl Iterator<Item = &'a str>) -> Self {
+        let number = |vm: &str| xxh3_64(vm.as_bytes());
+        Self { own: number(own), others: vms.filter(|vm| *vm != own).map(number).collect() }
+    }
+
+    /// How many VMs there are.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// This VM's part of the `rate` requests a second that a target bears.
+    pub fn share(&self, target: &id::Target, rate: f64) -> u32 {
+        let each = rate / f64::from(self.count());
+        if each >= 1.0 {
+            return each as u32;
+        }
+        let subject = xxh3_64(target.as_str().as_bytes());
+        let place = |vm: u64| xxh3_64(&(vm ^ subject).to_le_bytes());
+        let before = self.others.iter().filter(|vm| place(**vm) < place(self.own)).count();
+        u32::from((before as f64) < rate)
+    }
 }
 
 /// The target chosen, and what is expected of it.
@@ -84,12 +136,36 @@
     tracks: HashMap<id::Target, Track>,
     random: StdRng,
     pace: f64,
+    rate: Rate,
+}
+
+/// Requests a second, lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    count: f64,
+    at: Option<Instant>,
+}
+
+impl Rate {
+    fn at(&self, now: Instant) -> f64 {
+        let passed = self.at.map(|at| now.saturating_duration_since(at).as_secs_f64());
+        self.count * (-passed.unwrap_or(0.0)).exp()
+    }
+
+    fn count(&mut self, now: Instant) {
+        *self = Self { count: self.at(now) + 1.0, at: Some(now) };
+    }
 }
 
 impl Board {
     /// A board that knows nothing yet.
     pub fn new(seed: u64) -> Self {
-        Self { tracks: HashMap::new(), random: StdRng::seed_from_u64(seed), pace: 1.0 }
+        Self {
+            tracks: HashMap::new(),
+            random: StdRng::seed_from_u64(seed),
+            pace: 1.0,
+            rate: Rate::default(),
+        }
     }
 
     /// Chooses a target; nothing where none may get the request now.
@@ -100,6 +176,7 @@
         let keeper = self.keeper(query, now);
         let kept = keeper.is_some_and(|keeper| self.track(keeper, now).keeps(query.prompt));
         let resting = open.iter().all(|target| self.is_out(target, now));
+        let open = self.sample(open, keeper, query.vms, now);
         let mut best: Option<(f64, Pick)> = None;
         for target in open {
             if self.is_cold(target, now) && !self.may_warm(target, query, now) {
@@ -131,9 +208,35 @@
         best.map(|(_, pick)| pick)
     }
 
+    /// The targets to choose from: `keeper` and, where other VMs choose by the same stale word many
+    /// times over, a few drawn at random, as all would choose the same best ones.
+    fn sample<'a>(
+        &mut self,
+        mut open: Vec<&'a Target>,
+        keeper: Option<&Target>,
+        vms: &Peers,
+        now: Instant,
+    ) -> Vec<&'a Target> {
+        let others = vms.count() - 1;
+        let unseen = f64::from(others) * self.rate.at(now) * period(others).as_secs_f64();
+        let most = (CHOICES * open.len() as f64 / unseen.max(1.0)).ceil() as usize;
+        let most = most.max(FEWEST);
+        if most >= open.len() {
+            return open;
+        }
+        let (drawn, _) = open.partial_shuffle(&mut self.random, most);
+        let mut drawn = drawn.to_vec();
+        let keeps = |target: &&Target| keeper.is_some_and(|keeper| keeper.target == target.target);
+        if !drawn.iter().any(keeps) {
+            drawn.extend(open.iter().copied().find(|target| keeps(target)));
+        }
+        drawn
+    }
+
     /// Counts a request that is sent as chosen.
-    pub(super) fn sent(&mut self, pick: &Pick, prompt: &Prompt, now: Instant) -> Sent {
+    pub(crate) fn sent(&mut self, pick: &Pick, prompt: &Prompt, now: Instant) -> Sent {
         let kept = pick.is_keeper || pick.keeper.is_some();
+        self.rate.count(now);
         self.track(&pick.target, now).sent(prompt, kept, now)
     }
 
@@ -143,12 +246,12 @@
     }
 
     /// A request's prompt has been read, or never will be.
-    pub(super) fn read(&mut self, target: &Target, sent: Sent, now: Instant) {
+    pub(crate) fn read(&mut self, target: &Target, sent: Sent, now: Instant) {
         self.track(target, now).read(sent);
     }
 
     /// The first event of a request came.
-    pub(super) fn began(&mut self, target: &Target, sent: Sent, now: Instant) {
+    pub(crate) fn began(&mut self, target: &Target, sent: Sent, now: Instant) {
         let sample = self.track(target, now).began(sent, now);
         self.pace += PACE_GAIN * (sample - self.pace);
     }
@@ -230,8 +333,8 @@
         if query.cold_rate <= 0.0 {
             return true;
         }
-        let share = (query.cold_rate / f64::from(query.vms.max(1))).floor().max(1.0);
-        (self.track(target, now).sent_lately(now) as f64) < share
+        let share = query.vms.share(&target.target, query.cold_rate);
+        self.track(target, now).sent_lately(now) < share as usize
     }
 
     /// The target where requests with the same shared parts are read first, the same on every VM;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -208,7 +208,7 @@
     }
 }
 
-/// Spreads VMs over the replicas of their region.
-fn mix(one: &str, other: &str) -> u64 {
+/// A number by which each VM puts other VMs in an order of its own, so that all are spread.
+pub(super) fn mix(one: &str, other: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(format!("{one} {other}").as_bytes())
 }
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -11,6 +11,7 @@
     board::{Pick, Query},
     call::Call,
     flow::{Flow, FromTarget, Piece, Source, Told},
+    follow::mix,
     outcome::{Answer, AnswerBody, Outcome, Reason, Refusal},
     passage::Passed,
     shell::Gateway,
@@ -37,6 +38,10 @@
 /// When callers are told to come back: spread out, so that they do not come together.
 const COME_BACK: std::ops::Range<f64> = 0.4..1.2;
 
+/// VMs of another region to which a VM hands requests: opening a link there takes four times the
+/// way, so that links are to be used again, and all to all are too many.
+const PARTNERS: usize = 3;
+
 /// Where a request goes next.
 enum Place {
     Target(Box<Pick>),
@@ -163,7 +168,7 @@
             prompt: &call.prompt,
             tried: &course.tried,
             cold_rate: service.map_or(0.0, |service| service.cold_rate),
-            vms,
+            vms: &vms,
         };
         let pick = self.board().choose(query, now);
         let stays = call.handed_over || only.is_some();
@@ -178,11 +183,11 @@
             draw,
         };
         let delay = pick.as_ref().map(|pick| pick.delay);
-        match (self.admission().decide(applicant, delay, &there, vms, now), pick) {
+        match (self.admission().decide(applicant, delay, &there, vms.count(), now), pick) {
             (Decision::Here, Some(pick)) => Place::Target(Box::new(pick)),
             (Decision::There(region), _) => {
-                let vms = self.vms_of(&region, course, &mirror);
-                match vms.get(self.random().random_range(0..vms.len().max(1))) {
+                let partners = self.partners(&region, course, &mirror);
+                match partners.get(self.random().random_range(0..partners.len().max(1))) {
                     Some(vm) => Place::Vm((*vm).clone()),
                     None => Place::Nowhere,
                 }
@@ -203,6 +208,7 @@
         let there = mirror.loads(&call.service).map(|(load, at)| There {
             region: id::Region::from(load.region.as_str()),
             delay: f64::from(load.delay_ms) / 1000.0,
+            busy: f64::from(load.requests) / f64::from(load.slots.max(1)),
             targets: load.targets,
             scarce: load.scarce,
             at,
@@ -210,6 +216,20 @@
         there.filter(|there| fits(&there.region)).collect()
     }
 
+    /// The few VMs of another region that this one hands requests to, others for each VM.
+    fn partners<'a>(
+        &self,
+        region: &id::Region,
+        course: &Course,
+        mirror: &'a Mirror,
+    ) -> Vec<&'a Entry> {
+        let own = self.settings.vm();
+        let mut vms = self.vms_of(region, course, mirror);
+        vms.sort_by_cached_key(|vm| mix(own.as_str(), &vm.vm));
+        vms.truncate(PARTNERS);
+        vms
+    }
+
     fn vms_of<'a>(
         &self,
         region: &id::Region,
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -13,6 +13,11 @@
 /// the same: at most this many messages in each `PACE`.
 const MOST_MESSAGES: u32 = 8;
 
+/// How often one of a region's VMs tells `others` others of its work.
+pub(crate) fn period(others: u32) -> Duration {
+    PACE * (others / MOST_MESSAGES + 1)
+}
+
 /// The work that one VM has at targets.
 #[derive(Clone, PartialEq, Message)]
 struct Shared {
@@ -39,7 +44,7 @@
         loop {
             let siblings = self.siblings();
             let count = u32::try_from(siblings.len()).unwrap_or(u32::MAX);
-            Timer::after(PACE * (count / MOST_MESSAGES + 1)).await;
+            Timer::after(period(count)).await;
             let shared = self.shared();
             if shared == former && shared.work.is_empty() {
                 continue;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    Admission, Allowance, Board, Dialect, Suspects, figures::Figures, pool::Pool,
+    Admission, Allowance, Board, Dialect, Peers, Suspects, figures::Figures, pool::Pool,
     record::ORDINARY_LINES,
 };
 use crate::{
@@ -264,14 +264,13 @@
     }
 
     /// The VMs of this region that take callers, this one included.
-    pub(super) fn near_vms(&self, mirror: &Mirror) -> u32 {
+    pub(super) fn near_vms(&self, mirror: &Mirror) -> Peers {
         let here = self.settings.region.as_str();
         let near = mirror
             .vms()
             .iter()
-            .filter(|vm| vm.ready && !vm.callers.is_empty() && vm.region == here)
-            .count();
-        u32::try_from(near).unwrap_or(u32::MAX).max(1)
+            .filter(|vm| vm.ready && !vm.callers.is_empty() && vm.region == here);
+        Peers::new(self.settings.vm().as_str(), near.map(|vm| vm.vm.as_str()))
     }
 
     /// Whether the nearest replica was tried lately, while another one is followed.
--- a/src/gateway/track.rs
+++ b/src/gateway/track.rs
@@ -63,7 +63,7 @@
 
 /// A request that was sent, and what was expected of it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Sent {
+pub(crate) struct Sent {
     at: Instant,
     /// Prompt tokens that the target has to read for it.
     tokens: f64,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,11 +1,14 @@
 //! The gateway's decisions: which target, whether at all, and how often again.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::LazyLock,
+    time::{Duration, Instant},
+};
 
 use pomelogate::{
     gateway::{
-        Admission, Allowance, Applicant, Attempts, Board, Decision, Events, Pick, Prompt, Query,
-        There, Work,
+        Admission, Allowance, Applicant, Attempts, Board, Decision, Events, Peers, Pick, Prompt,
+        Query, There, Work,
     },
     id,
     registry::Target,
@@ -25,7 +28,8 @@
 }
 
 fn query<'a>(targets: &'a [&'a Target], prompt: &'a Prompt) -> Query<'a> {
-    Query { targets, prompt, tried: &[], cold_rate: 3.0, vms: 1 }
+    static ALONE: LazyLock<Peers> = LazyLock::new(Peers::default);
+    Query { targets, prompt, tried: &[], cold_rate: 3.0, vms: &ALONE }
 }
 
 fn prompt(subject: u32) -> Prompt {
@@ -112,7 +116,8 @@
     let mut sent = 0;
     for step in 0..40 {
         let at = now + Duration::from_millis(25 * step);
-        let query = Query { vms: 3, ..query(&targets, &plain) };
+        let vms = Peers::new("one", ["one", "two", "three"].into_iter());
+        let query = Query { vms: &vms, ..query(&targets, &plain) };
         if let Some(pick) = board.choose(query, at) {
             board.note_sent(&pick, &plain, at);
             sent += 1;
@@ -121,6 +126,89 @@
     assert_eq!(sent, 1, "a third of three a second");
 }
 
+/// Among 28 VMs each sent a cold target one request a second, ten times what it bears.
+#[test]
+fn cold_targets_get_what_they_bear_from_many_vms_together() {
+    let now = Instant::now();
+    let names: Vec<String> = (0..28).map(|number| format!("10.0.0.{number}")).collect();
+    let all = || names.iter().map(String::as_str);
+    let colds: Vec<Target> = (0..10)
+        .map(|number| Target {
+            cold_until: now + Duration::from_secs(3),
+            ..target(&format!("cold-{number}"), now)
+        })
+        .collect();
+    let plain = Prompt::default();
+    let mut most_of_a_vm = 0;
+    let mut sent = vec![0; colds.len()];
+    for own in all() {
+        let (peers, mut board) = (Peers::new(own, all()), Board::new(1));
+        let mut of_vm = 0;
+        for (cold, sent) in colds.iter().zip(&mut sent) {
+            for step in 0..40 {
+                let at = now + Duration::from_millis(25 * step);
+                let targets = [cold];
+                let query = Query { vms: &peers, cold_rate: 2.5, ..query(&targets, &plain) };
+                if let Some(pick) = board.choose(query, at) {
+                    board.note_sent(&pick, &plain, at);
+                    *sent += 1;
+                    of_vm += 1;
+                }
+            }
+        }
+        most_of_a_vm = most_of_a_vm.max(of_vm);
+    }
+    assert_eq!(sent, vec![3; colds.len()], "each target gets its rate, rounded up");
+    assert!(most_of_a_vm <= 5, "other VMs for each target: {most_of_a_vm}");
+}
+
+/// 28 VMs that learn of each other's requests 400 ms late all chose the target that was the best
+/// then: three targets got ten times the mean, all that was sent.
+#[test]
+fn many_vms_that_learn_late_of_each_other_do_not_all_choose_the_same_target() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..30).map(|number| target(&format!("{number}"), now)).collect();
+    let all: Vec<&Target> = targets.iter().collect();
+    let names: Vec<String> = (0..28).map(|number| format!("10.0.0.{number}")).collect();
+    let word = Work { requests: 8, unread: 20_000.0, pause: 0.0 };
+    let mut counts = vec![0; targets.len()];
+    for (seed, own) in names.iter().enumerate() {
+        let peers = Peers::new(own, names.iter().map(String::as_str));
+        let mut board = Board::new(seed as u64);
+        // All were told the same: three targets have little to read.
+        for busy in &targets[3..] {
+            board.shared("sibling", busy, word, now);
+        }
+        for step in 0..20 {
+            let at = now + Duration::from_millis(20 * step);
+            let alone = Prompt::parse(Some(&format!("{seed:x}{step}:800")), Some("800,300"));
+            let query = Query { vms: &peers, ..query(&all, &alone) };
+            let pick = board.choose(query, at).expect("a target");
+            board.note_sent(&pick, &alone, at);
+            let place = targets.iter().position(|target| target.target == pick.target.target);
+            counts[place.expect("one of them")] += 1;
+        }
+    }
+    let (most, sum) = (counts.iter().max().expect("targets"), counts.iter().sum::<u32>());
+    let mean = f64::from(sum) / targets.len() as f64;
+    assert!(f64::from(*most) < 5.0 * mean, "{most} at the busiest, {mean} on average: {counts:?}");
+}
+
+/// Each VM of a region at its peak passed requests to the same one of two regions, the first by
+/// name, as the least busy target had nothing to read in either.
+#[test]
+fn a_region_with_free_places_is_preferred_to_a_crowded_one() {
+    let now = Instant::now();
+    let crowded = There { busy: 0.9, ..there(0.0, now) };
+    let idle = There { region: "bandung".into(), busy: 0.1, ..there(0.0, now) };
+    let rule = rule(0);
+    for order in [[crowded.clone(), idle.clone()], [idle, crowded]] {
+        let mut admission = Admission::default();
+        let decision = admission.decide(applicant(&rule), None, &order, 1, now);
+        assert_eq!(decision, Decision::There("bandung".into()));
+    }
+}
+
 /// Some engines answer with failures though they say that they are sound.
 #[test]
 fn a_target_that_fails_many_requests_is_chosen_last_but_not_shut_out() {
@@ -146,7 +234,7 @@
 }
 
 fn there(delay: f64, now: Instant) -> There {
-    There { region: "surabaya".into(), delay, targets: 6, scarce: false, at: now }
+    There { region: "surabaya".into(), delay, busy: 0.0, targets: 6, scarce: false, at: now }
 }
 
 /// A region at its peak beside one at its trough.
