Compare policies in an emulator of regions that peak in turn

The emulator (emulator::peak) has engines that batch, read prompts in chunks, keep shared parts until memory is needed and report late; regions whose callers peak one after the other; VMs that learn late of each other; callers that come back once. The product's Board and Admission run in it unchanged, beside round robin and least reported load.

--- a/src/emulator.rs
+++ b/src/emulator.rs
@@ -7,6 +7,7 @@
 mod job;
 mod outcome;
 mod pace;
+pub mod peak;
 mod prefix;
 mod scenario;
 mod traffic;
--- /dev/null
+++ b/src/emulator/peak/world.rs
@@ -0,0 +1,538 @@
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{Engine, Job, Outcome, Policy, Site, engine::Progress};
+use crate::{
+    gateway::{
+        Admission, Applicant, Board, Decision, Part, Peers, Pick, Prompt, Query, Report, Sent,
+        There, period,
+    },
+    id,
+    registry::Target,
+    route::{Class, Rule, Split},
+};
+
+/// All engines serve the same.
+const SERVICE: &str = "engines";
+/// Seconds between two words of a region on its load, as replicas pass them on.
+const LOADS: f64 = 1.0;
+/// How often a hand-over that was refused leads to another place.
+const MOST_REFUSALS: u32 = 2;
+/// The part of its time within which a refused caller comes back.
+const PATIENCE: f64 = 1.0 / 3.0;
+
+/// One run: the same seed gives the same callers to every policy.
+pub struct World<'a> {
+    site: &'a Site,
+    policy: Policy,
+    /// What callers ask and when, the same for each policy.
+    callers: StdRng,
+    /// What policies draw.
+    random: StdRng,
+    now: f64,
+    base: Instant,
+    events: BinaryHeap<Reverse<(u64, usize, Event)>>,
+    count: usize,
+    engines: Vec<Engine>,
+    stepping: Vec<bool>,
+    /// The load of each engine as it is known, late.
+    reports: Vec<usize>,
+    targets: Vec<Target>,
+    vms: Vec<Vm>,
+    requests: Vec<Request>,
+    loads: Vec<Vec<There>>,
+    rules: Vec<Rule>,
+    outcome: Outcome,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { class: usize, region: usize },
+    Place { request: usize, vm: usize },
+    Reach { request: usize, engine: usize },
+    Step { engine: usize },
+    Report { engine: usize, load: usize },
+    Word { vm: usize },
+    Loads,
+    Deadline { request: usize },
+}
+
+struct Vm {
+    region: usize,
+    board: Board,
+    admission: Admission,
+    peers: Peers,
+    turn: usize,
+}
+
+struct Request {
+    class: usize,
+    vm: usize,
+    came: f64,
+    second: usize,
+    job: Job,
+    returned: bool,
+    refusals: u32,
+    /// Where it is: the VM that placed it, the engine, and what was expected.
+    at: Option<(usize, usize, Sent)>,
+    over: bool,
+    first: Option<f64>,
+}
+
+impl<'a> World<'a> {
+    /// A world before its first event.
+    pub fn new(site: &'a Site, policy: Policy, seed: u64) -> Self {
+        let base = Instant::now();
+        let (mut targets, mut engines, mut vms) = (Vec::new(), Vec::new(), Vec::new());
+        for (region, described) in site.regions.iter().enumerate() {
+            for number in 0..described.engines {
+                targets.push(target(region, number, site.pace.slots, base));
+                engines.push(Engine::new(site.pace));
+            }
+            let names: Vec<String> =
+                (0..described.vms).map(|number| format!("vm-{region}-{number}")).collect();
+            for name in &names {
+                let number = vms.len() as u64;
+                vms.push(Vm {
+                    region,
+                    board: Board::new(seed ^ number),
+                    admission: Admission::default(),
+                    peers: Peers::new(name, names.iter().map(String::as_str)),
+                    turn: 0,
+                });
+            }
+        }
+        let rules = site.classes.iter().map(|class| rule(site, class)).collect();
+        let mut world = Self {
+            site,
+            policy,
+            callers: StdRng::seed_from_u64(seed),
+            random: StdRng::seed_from_u64(!seed),
+            now: 0.0,
+            base,
+            events: BinaryHeap::new(),
+            count: 0,
+            stepping: vec![false; engines.len()],
+            reports: vec![0; engines.len()],
+            engines,
+            targets,
+            vms,
+            requests: Vec::new(),
+            loads: vec![Vec::new(); site.classes.len()],
+            rules,
+            outcome: Outcome::default(),
+        };
+        for class in 0..site.classes.len() {
+            for region in 0..site.regions.len() {
+                world.arrive_later(class, region);
+            }
+        }
+        for vm in 0..world.vms.len() {
+            world.after(0.0, Event::Word { vm });
+        }
+        world.after(0.0, Event::Loads);
+        world
+    }
+
+    /// Runs to the end of the traffic and of what it left to do.
+    pub fn run(mut self) -> Outcome {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at as f64 / 1e6;
+            if self.now > self.site.lasts + 12.0 {
+                break;
+            }
+            self.act(event);
+        }
+        self.outcome.shared_read = self.engines.iter().map(|engine| engine.read).sum();
+        self.outcome
+    }
+
+    fn act(&mut self, event: Event) {
+        match event {
+            Event::Arrive { class, region } => {
+                self.arrive(class, region);
+                self.arrive_later(class, region);
+            }
+            Event::Place { request, vm } => self.place(request, vm),
+            Event::Reach { request, engine } => self.reach(request, engine),
+            Event::Step { engine } => self.step(engine),
+            Event::Report { engine, load } => self.reports[engine] = load,
+            Event::Word { vm } => self.tell(vm),
+            Event::Loads => self.tell_loads(),
+            Event::Deadline { request } => self.give_up(request),
+        }
+    }
+
+    fn after(&mut self, seconds: f64, event: Event) {
+        self.count += 1;
+        let at = ((self.now + seconds) * 1e6) as u64;
+        self.events.push(Reverse((at, self.count, event)));
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + Duration::from_secs_f64(self.now)
+    }
+
+    fn arrive_later(&mut self, class: usize, region: usize) {
+        let site = self.site;
+        // The rate changes slowly against the time between two requests.
+        let rate = site.rate(&site.classes[class], region, self.now).max(0.05);
+        let wait = -(1.0 - self.callers.random::<f64>()).ln() / rate;
+        if self.now + wait < site.lasts {
+            self.after(wait.min(1.0 / rate * 20.0), Event::Arrive { class, region });
+        }
+    }
+
+    fn arrive(&mut self, class: usize, region: usize) {
+        let described = &self.site.classes[class];
+        let number = self.requests.len();
+        let subject = self.callers.random_range(0..described.subjects);
+        let mut spread = |mean: u32| {
+            let factor = 0.3 + 1.4 * self.callers.random::<f64>();
+            (f64::from(mean) * factor) as u32 + 1
+        };
+        let job = Job {
+            number,
+            subject: (class as u64) << 32 | u64::from(subject),
+            shared: described.shared,
+            own: spread(described.own),
+            output: spread(described.output),
+        };
+        let near: Vec<usize> =
+            (0..self.vms.len()).filter(|vm| self.vms[*vm].region == region).collect();
+        let vm = near[self.callers.random_range(0..near.len())];
+        let second = self.now as usize;
+        self.outcome.owe(second, described.worth);
+        self.requests.push(Request {
+            class,
+            vm,
+            came: self.now,
+            second,
+            job,
+            returned: false,
+            refusals: 0,
+            at: None,
+            over: false,
+            first: None,
+        });
+        self.after(0.0, Event::Place { request: number, vm });
+        self.after(described.deadline, Event::Deadline { request: number });
+    }
+
+    /// A VM places a request: its own caller's, or one that was handed over.
+    fn place(&mut self, request: usize, vm: usize) {
+        if self.requests[request].over {
+            return;
+        }
+        match self.policy {
+            Policy::Gateway => self.place_as_gateway(request, vm),
+            Policy::RoundRobin | Policy::LeastLoad => self.place_plainly(request, vm),
+        }
+    }
+
+    fn place_plainly(&mut self, request: usize, vm: usize) {
+        let site = self.site;
+        let class = &site.classes[self.requests[request].class];
+        let own = self.vms[vm].region;
+        let region = if site.allows(class, own) { own } else { class.homes[0] };
+        let engines: Vec<usize> = self.engines_of(region).collect();
+        self.vms[vm].turn += 1;
+        let engine = match self.policy {
+            Policy::LeastLoad => {
+                let start = self.random.random_range(0..engines.len());
+                let turned = (0..engines.len()).map(|step| engines[(start + step) % engines.len()]);
+                turned.min_by_key(|engine| self.reports[*engine]).unwrap_or(engines[0])
+            }
+            _ => engines[self.vms[vm].turn % engines.len()],
+        };
+        let way = if region == own { 0.0 } else { site.way };
+        let pick = Pick {
+            target: self.targets[engine].clone(),
+            keeper: None,
+            is_keeper: false,
+            delay: 0.0,
+            load: 0,
+        };
+        self.send(request, vm, &pick, engine, way);
+    }
+
+    fn place_as_gateway(&mut self, request: usize, vm: usize) {
+        let now = self.instant();
+        let asked = &self.requests[request];
+        let (class, own) = (asked.class, self.vms[vm].region);
+        let here = asked.vm == vm;
+        let described = &self.site.classes[class];
+        let allowed = self.site.allows(described, own);
+        let near: Vec<&Target> = match allowed {
+            true => self.engines_of(own).map(|engine| &self.targets[engine]).collect(),
+            false => Vec::new(),
+        };
+        let prompt = prompt(&asked.job);
+        let state = &mut self.vms[vm];
+        let query = Query {
+            targets: &near,
+            prompt: &prompt,
+            tried: &[],
+            cold_rate: 0.0,
+            vms: &state.peers,
+        };
+        let pick = state.board.choose(query, now);
+        let elsewhere = |there: &&There| here && there.region.as_str() != own.to_string();
+        let there: Vec<There> = self.loads[class].iter().filter(elsewhere).cloned().collect();
+        let service = id::Service::from(SERVICE);
+        let left = (described.deadline - (self.now - asked.came)).max(0.0);
+        let applicant = Applicant {
+            rule: &self.rules[class],
+            service: &service,
+            left: Duration::from_secs_f64(left),
+            tokens: prompt.own(),
+            begun: false,
+            draw: self.random.random(),
+        };
+        let delay = pick.as_ref().map(|pick| pick.delay);
+        let vms = state.peers.count();
+        match (state.admission.decide(applicant, delay, &there, vms, now), pick) {
+            (Decision::Here, Some(pick)) => {
+                let engine = self.engine_of(&pick.target);
+                self.send(request, vm, &pick, engine, 0.0);
+            }
+            (Decision::There(region), _) => {
+                let tokens = prompt.own();
+                state.admission.passed(&region, &service, tokens, now);
+                let to: usize = region.as_str().parse().unwrap_or_default();
+                let partners: Vec<usize> =
+                    (0..self.vms.len()).filter(|vm| self.vms[*vm].region == to).collect();
+                let partner = partners[self.random.random_range(0..partners.len())];
+                self.after(self.site.way, Event::Place { request, vm: partner });
+            }
+            (Decision::Refuse(late), _) => self.refuse(request, vm, late.after),
+            _ => self.refuse(request, vm, 0.5),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, vm: usize, after: f64) {
+        let now = self.instant();
+        let asked = &mut self.requests[request];
+        let home = asked.vm;
+        if vm != home && asked.refusals < MOST_REFUSALS {
+            asked.refusals += 1;
+            let region = id::Region::from(self.vms[vm].region.to_string());
+            let service = id::Service::from(SERVICE);
+            self.vms[home].admission.refused(&region, &service, now);
+            self.after(self.site.way, Event::Place { request, vm: home });
+            return;
+        }
+        let left = self.site.classes[asked.class].deadline - (self.now - asked.came);
+        if asked.returned || after > left * PATIENCE {
+            asked.over = true;
+            self.outcome.refused += 1;
+            return;
+        }
+        asked.returned = true;
+        self.after(after, Event::Place { request, vm: home });
+    }
+
+    fn send(&mut self, request: usize, vm: usize, pick: &Pick, engine: usize, way: f64) {
+        let now = self.instant();
+        let job = self.requests[request].job;
+        if let Some(keeper) = &pick.keeper {
+            let keeper = self.engine_of(keeper);
+            if self.engines[keeper].keeps(job.subject) {
+                self.engines[engine].copy(job.subject, job.shared);
+            }
+        }
+        let sent = self.vms[vm].board.sent(pick, &prompt(&job), now);
+        self.requests[request].at = Some((vm, engine, sent));
+        self.after(way, Event::Reach { request, engine });
+    }
+
+    fn reach(&mut self, request: usize, engine: usize) {
+        if self.requests[request].over {
+            return;
+        }
+        let job = self.requests[request].job;
+        if !self.engines[engine].take(job) {
+            let vm = self.leave(request).unwrap_or(self.requests[request].vm);
+            return self.refuse(request, vm, 0.5);
+        }
+        if !self.stepping[engine] {
+            self.step(engine);
+        }
+    }
+
+    fn step(&mut self, engine: usize) {
+        let Some((took_ms, progress)) = self.engines[engine].step() else {
+            self.stepping[engine] = false;
+            return;
+        };
+        self.stepping[engine] = true;
+        // What a step brings is taken at its beginning, a few milliseconds early.
+        for progress in progress {
+            self.progress(engine, progress);
+        }
+        let (running, waiting) = self.engines[engine].load();
+        let load = running + waiting;
+        self.after(self.site.pace.report_lag, Event::Report { engine, load });
+        self.after(took_ms / 1000.0, Event::Step { engine });
+    }
+
+    fn progress(&mut self, engine: usize, progress: Progress) {
+        let now = self.instant();
+        let (request, last) = match progress {
+            Progress::First(request) => (request, false),
+            Progress::Last(request) => (request, true),
+        };
+        let Some((vm, _, sent)) = self.requests[request].at else { return };
+        let target = &self.targets[engine];
+        let (running, waiting) = self.engines[engine].load();
+        let board = &mut self.vms[vm].board;
+        board.heard(target, now);
+        if !last {
+            let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+            let slots = target.slots;
+            let report = Report { running: count(running), waiting: count(waiting), slots };
+            board.reported(target, report, now);
+            board.began(target, sent, now);
+            board.read(target, sent, now);
+            let away = self.vms[vm].region != self.vms[self.requests[request].vm].region;
+            let back = if away { self.site.way } else { 0.0 };
+            self.requests[request].first = Some(self.now + back);
+            return;
+        }
+        self.leave(request);
+        let asked = &mut self.requests[request];
+        if !std::mem::replace(&mut asked.over, true) {
+            let class = &self.site.classes[asked.class];
+            let took = asked.first.unwrap_or(self.now) - asked.came;
+            let in_time = took <= class.objective;
+            let worth = if in_time { class.worth } else { class.late };
+            self.outcome.earn(asked.second, worth, in_time);
+        }
+    }
+
+    /// A request is no longer at its engine; the VM that had placed it.
+    fn leave(&mut self, request: usize) -> Option<usize> {
+        let now = self.instant();
+        let (vm, engine, sent) = self.requests[request].at.take()?;
+        let board = &mut self.vms[vm].board;
+        if self.requests[request].first.is_none() {
+            board.read(&self.targets[engine], sent, now);
+        }
+        board.ended(&self.targets[engine], now);
+        Some(vm)
+    }
+
+    fn give_up(&mut self, request: usize) {
+        if std::mem::replace(&mut self.requests[request].over, true) {
+            return;
+        }
+        self.outcome.given_up += 1;
+        if let Some((_, engine, _)) = self.requests[request].at {
+            self.engines[engine].cancel(request);
+        }
+        self.leave(request);
+    }
+
+    /// A VM tells the others of its region of its work.
+    fn tell(&mut self, vm: usize) {
+        let now = self.instant();
+        let region = self.vms[vm].region;
+        let work: HashMap<id::Target, _> =
+            self.vms[vm].board.work(now).map(|(target, work)| (target.clone(), work)).collect();
+        let others: Vec<usize> = (0..self.vms.len())
+            .filter(|other| *other != vm && self.vms[*other].region == region)
+            .collect();
+        let name = vm.to_string();
+        for other in &others {
+            for engine in self.engines_of(region).collect::<Vec<_>>() {
+                let target = &self.targets[engine];
+                let told = work.get(&target.target).copied().unwrap_or_default();
+                self.vms[*other].board.shared(&name, target, told, now);
+            }
+        }
+        if self.now < self.site.lasts {
+            let count = u32::try_from(others.len()).unwrap_or(u32::MAX);
+            self.after(period(count).as_secs_f64(), Event::Word { vm });
+        }
+    }
+
+    /// The VMs of all regions learn how busy each region is.
+    fn tell_loads(&mut self) {
+        let now = self.instant();
+        let site = self.site;
+        let mut regions = Vec::new();
+        for region in 0..site.regions.len() {
+            let engines: Vec<usize> = self.engines_of(region).collect();
+            let near: Vec<&Target> = engines.iter().map(|engine| &self.targets[*engine]).collect();
+            let Some(vm) = self.vms.iter_mut().find(|vm| vm.region == region) else { continue };
+            let busy = vm.board.busy(&near, now);
+            regions.push(There {
+                region: id::Region::from(region.to_string()),
+                delay: busy.delay,
+                busy: f64::from(busy.requests) / f64::from(busy.slots.max(1)),
+                targets: u32::try_from(near.len()).unwrap_or(u32::MAX),
+                scarce: false,
+                at: now,
+            });
+        }
+        for (class, loads) in site.classes.iter().zip(&mut self.loads) {
+            let fits = |there: &&There| {
+                there.region.as_str().parse().is_ok_and(|region| site.allows(class, region))
+            };
+            *loads = regions.iter().filter(fits).cloned().collect();
+        }
+        if self.now < site.lasts {
+            self.after(LOADS, Event::Loads);
+        }
+    }
+
+    fn engines_of(&self, region: usize) -> std::ops::Range<usize> {
+        let before = self.site.regions[..region].iter().map(|region| region.engines).sum::<usize>();
+        before..before + self.site.regions[region].engines
+    }
+
+    fn engine_of(&self, target: &Target) -> usize {
+        self.targets.iter().position(|known| known.target == target.target).unwrap_or_default()
+    }
+}
+
+fn target(region: usize, number: usize, slots: usize, now: Instant) -> Target {
+    Target {
+        target: id::Target::from(format!("engine-{region}-{number}")),
+        born: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: id::Zone::from(region.to_string()),
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        cold_until: now,
+        silent: false,
+    }
+}
+
+fn rule(site: &Site, class: &super::Class) -> Rule {
+    let homes = (0..site.regions.len()).filter(|region| class.homes.contains(region));
+    Rule {
+        name: class.name.clone(),
+        host: "emulator".to_owned(),
+        prefix: format!("/{}/", class.name),
+        class: Class::Stream,
+        longest_wait: Duration::from_secs_f64(class.deadline),
+        objective: Duration::from_secs_f64(class.objective),
+        pause: Duration::ZERO,
+        rank: class.rank,
+        attempts: 1,
+        keeps_parts: true,
+        split: Split::whole(SERVICE.into()),
+        homes: homes.map(|region| id::Region::from(region.to_string())).collect(),
+    }
+}
+
+fn prompt(job: &Job) -> Prompt {
+    let own = Part { key: u64::MAX - job.number as u64, tokens: job.own };
+    let shared = Part { key: job.subject, tokens: job.shared };
+    Prompt { parts: vec![shared, own], tokens: job.shared + job.own, output: job.output }
+}
