--- a/examples/peaks.rs
+++ b/examples/peaks.rs
@@ -2,6 +2,7 @@
 //! virtual time. Prints a table, and writes the worth lost in each second as a file to plot.
 //!
 //! `cargo run --release --locked --example peaks -- SITE.json [SEED] [FILE.csv] [LOAD]`
+#![expect(clippy::print_stdout, reason = "the program speaks to the terminal")]
 
 use std::{env, error::Error, fs};
 
--- a/src/event/placement.rs
+++ b/src/event/placement.rs
@@ -33,6 +33,13 @@
 pub const CRASHING: Event =
     Event { number: 331, severity: Severity::Error, text: "crashing request refused" };
 
+/// A VM could not be reached; it is handed nothing for a while.
+pub const UNREACHED: Event = Event {
+    number: 323,
+    severity: Severity::Warning,
+    text: "VM left alone, as it was not reached",
+};
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     NAMES_INVALID,
@@ -43,6 +50,7 @@
     PLACED,
     SPILLED,
     NOWHERE,
+    UNREACHED,
     SUSPECT,
     CRASHING,
 ];
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -30,6 +30,10 @@
 const SCARCE: f64 = 0.25;
 /// A region counts as scarce for this long after such a refusal.
 const SCARCE_FOR: Duration = Duration::from_millis(1500);
+/// A VM that cannot be reached gets nothing for this long, twice as long with each time in a row: an
+/// attempt to reach it holds a request for most of a second.
+const FIRST_CUT: Duration = Duration::from_secs(1);
+const LONGEST_CUT: Duration = Duration::from_secs(4);
 /// What a region told of itself is not taken for longer.
 const OLDEST: Duration = Duration::from_secs(4);
 /// Hand-overs that are remembered, to be counted on top of what a region told before them.
@@ -117,10 +121,18 @@
 pub struct Admission {
     passed: VecDeque<Passed>,
     closed: Vec<Closed>,
+    /// VMs that cannot be reached.
+    cuts: HashMap<String, Cut>,
     /// When a request of a service that must not leave its homes was last refused here.
     scarce: HashMap<id::Service, Instant>,
 }
 
+#[derive(Debug)]
+struct Cut {
+    until: Instant,
+    times: u32,
+}
+
 #[derive(Debug)]
 struct Closed {
     region: id::Region,
@@ -219,6 +231,27 @@
         self.closed.push(Closed { region, service, until: now + CLOSED });
     }
 
+    /// A VM could not be reached, or its link broke.
+    pub fn unreached(&mut self, vm: &str, now: Instant) {
+        self.cuts.retain(|_, cut| now.saturating_duration_since(cut.until) < LONGEST_CUT);
+        let cut = self.cuts.entry(vm.to_owned()).or_insert(Cut { until: now, times: 0 });
+        // Requests that were on their way together count once.
+        if cut.until <= now {
+            let lasts = FIRST_CUT * 2u32.saturating_pow(cut.times.min(8));
+            *cut = Cut { until: now + lasts.min(LONGEST_CUT), times: cut.times + 1 };
+        }
+    }
+
+    /// A VM answered.
+    pub fn reached(&mut self, vm: &str) {
+        self.cuts.remove(vm);
+    }
+
+    /// Whether a VM could not be reached a moment ago.
+    pub fn is_cut(&self, vm: &str, now: Instant) -> bool {
+        self.cuts.get(vm).is_some_and(|cut| cut.until > now)
+    }
+
     fn is_closed(&self, region: &id::Region, service: &id::Service, now: Instant) -> bool {
         let same = |closed: &&Closed| closed.region == *region && closed.service == *service;
         self.closed.iter().filter(same).any(|closed| closed.until > now)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -124,10 +124,16 @@
         let routes = news.routes.clone();
         if let Some(convicts) = &news.convicts {
             self.suspects().take(convicts.digest, &convicts.requests, now);
+            event::placement::CRASHING
+                .emit(&self.logger, &[("requests", &convicts.requests.len())]);
         }
         let newer = self.mirror().take(news, now);
         for Lifetime { target, born } in self.mirror().take_ended() {
-            self.suspects().ended(&target, born, now);
+            let suspected = self.suspects().ended(&target, born, now);
+            if suspected > 0 {
+                event::placement::SUSPECT
+                    .emit(&self.logger, &[("target", &target), ("requests", &suspected)]);
+            }
         }
         if let Some(routes) = routes.filter(|_| newer) {
             self.take_routes(routes.version, &routes.text);
--- a/src/gateway/journey.rs
+++ b/src/gateway/journey.rs
@@ -183,7 +183,8 @@
             draw,
         };
         let delay = pick.as_ref().map(|pick| pick.delay);
-        match (self.admission().decide(applicant, delay, &there, vms.count(), now), pick) {
+        let decision = self.admission().decide(applicant, delay, &there, vms.count(), now);
+        match (decision, pick) {
             (Decision::Here, Some(pick)) => Place::Target(Box::new(pick)),
             (Decision::There(region), _) => {
                 let partners = self.partners(&region, course, &mirror);
@@ -203,7 +204,7 @@
         let fits = |region: &id::Region| {
             *region != self.settings.region
                 && call.rule.allows(region)
-                && !self.vms_of(region, course, mirror).is_empty()
+                && !self.partners(region, course, mirror).is_empty()
         };
         let there = mirror.loads(&call.service).map(|(load, at)| There {
             region: id::Region::from(load.region.as_str()),
@@ -216,7 +217,8 @@
         there.filter(|there| fits(&there.region)).collect()
     }
 
-    /// The few VMs of another region that this one hands requests to, others for each VM.
+    /// The few VMs of another region that this one hands requests to, others for each VM; without
+    /// those that were tried or could not be reached.
     fn partners<'a>(
         &self,
         region: &id::Region,
@@ -224,24 +226,15 @@
         mirror: &'a Mirror,
     ) -> Vec<&'a Entry> {
         let own = self.settings.vm();
-        let mut vms = self.vms_of(region, course, mirror);
+        let fits = |vm: &&Entry| vm.ready && !vm.callers.is_empty() && vm.region == region.as_str();
+        let mut vms: Vec<&Entry> = mirror.vms().iter().filter(fits).collect();
         vms.sort_by_cached_key(|vm| mix(own.as_str(), &vm.vm));
         vms.truncate(PARTNERS);
+        let (admission, now) = (self.admission(), self.clock.now());
+        vms.retain(|vm| !course.vms.contains(&vm.vm) && !admission.is_cut(&vm.vm, now));
         vms
     }
 
-    fn vms_of<'a>(
-        &self,
-        region: &id::Region,
-        course: &Course,
-        mirror: &'a Mirror,
-    ) -> Vec<&'a Entry> {
-        let vms = mirror.vms().iter();
-        vms.filter(|vm| vm.ready && !vm.callers.is_empty() && vm.region == region.as_str())
-            .filter(|vm| !course.vms.contains(&vm.vm))
-            .collect()
-    }
-
     /// Tries a target; gives an outcome where the request goes no further.
     async fn visit(
         self: &Arc<Self>,
--- a/src/gateway/passage.rs
+++ b/src/gateway/passage.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     clock::within,
-    id,
+    event, id,
     link::Exchange,
     registry::Entry,
     wire::{Abort, Body, Chunk, End, Handover, Head, Need, Pair},
@@ -103,9 +103,16 @@
         let Some(address) = vm.links() else { return Passed::NotSent };
         let handover = self.handover(call, last, left);
         let Ok(mut exchange) = self.hub.hand_over(address, handover).await else {
+            self.not_reached(call, vm);
             return Passed::NotSent;
         };
-        match within(left, ask(&mut exchange, &call.body)).await {
+        let asked = within(left, ask(&mut exchange, &call.body)).await;
+        match &asked {
+            Some(Ok(_)) => self.admission().reached(&vm.vm),
+            Some(Err(_)) => self.not_reached(call, vm),
+            None => {}
+        }
+        match asked {
             Some(Ok(Body::Head(head))) => Passed::Head(head, exchange),
             Some(Ok(Body::Abort(abort))) if abort.did_not_run => Passed::Refused(abort),
             Some(Ok(Body::Abort(abort))) => Passed::Unknown(abort.detail),
@@ -115,6 +122,13 @@
         }
     }
 
+    fn not_reached(&self, call: &Call, vm: &Entry) {
+        self.admission().unreached(&vm.vm, self.clock.now());
+        let fields: [event::Field<'_>; 3] =
+            [("request", &call.id), ("vm", &vm.vm), ("region", &vm.region)];
+        event::placement::UNREACHED.emit(&self.logger, &fields);
+    }
+
     fn handover(&self, call: &Call, last: Option<u64>, left: Duration) -> Handover {
         let left = left.saturating_sub(WAY);
         let mut headers = call.headers.clone();
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -91,8 +91,9 @@
         }
     }
 
-    /// A lifetime of a target ended, or nothing is heard of it any more, though it did not leave.
-    pub fn ended(&mut self, target: &id::Target, born: u64, now: Instant) {
+    /// A lifetime of a target ended, or nothing is heard of it any more, though it did not leave;
+    /// the number of requests that are suspected of it.
+    pub fn ended(&mut self, target: &id::Target, born: u64, now: Instant) -> usize {
         let same = |broken: &&Broken| broken.target == *target && broken.born == born;
         let young = |broken: &&Broken| now.saturating_duration_since(broken.at) <= LINK;
         let blamed = self.broken.iter().filter(same).filter(young).map(|broken| broken.digest);
@@ -103,7 +104,9 @@
             self.ledger.tick(now);
             self.ledger.target_died(now, target, born, &blamed);
             self.changed = true;
+            return blamed.len();
         }
+        0
     }
 
     /// A target answered a request whole: it caused no crash so far.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -194,6 +194,24 @@
     assert!(f64::from(*most) < 5.0 * mean, "{most} at the busiest, {mean} on average: {counts:?}");
 }
 
+/// Regions were cut from each other: each request tried three VMs there for most of a second each.
+#[test]
+fn a_vm_that_cannot_be_reached_gets_nothing_for_a_while() {
+    let now = Instant::now();
+    let (vm, seconds) = ("10.2.0.7", Duration::from_secs);
+    let mut admission = Admission::default();
+    assert!(!admission.is_cut(vm, now));
+    admission.unreached(vm, now);
+    // Another request that was on its way as well.
+    admission.unreached(vm, now + seconds(1) / 2);
+    assert!(admission.is_cut(vm, now + seconds(1) / 2));
+    assert!(!admission.is_cut(vm, now + seconds(1)), "it is tried again");
+    admission.unreached(vm, now + seconds(1));
+    assert!(admission.is_cut(vm, now + seconds(2)), "and left alone for longer");
+    admission.reached(vm);
+    assert!(!admission.is_cut(vm, now + seconds(2)));
+}
+
 /// Each VM of a region at its peak passed requests to the same one of two regions, the first by
 /// name, as the least busy target had nothing to read in either.
 #[test]
