--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,8 +20,10 @@
 mod journey;
 mod outcome;
 mod passage;
+mod peers;
 mod pool;
 mod prompt;
+mod rate;
 mod record;
 mod serve;
 mod share;
@@ -33,9 +35,10 @@
     admission::{Admission, Applicant, Decision, Late, There},
     allowance::Allowance,
     attempts::Attempts,
-    board::{Board, Busy, Peers, Pick, Query},
+    board::{Board, Busy, Pick, Query},
     dialect::Dialect,
     events::Events,
+    peers::Peers,
     prompt::{Part, Prompt},
     shell::{Gateway, Running},
     suspects::Suspects,
