Go on logging after a line that could not be written

Cause: with `pomelogate-node ... | head -3` the thread that writes the log ended by a panic at the first line after the reader had gone (slog's Fuse), seen by hand while the README was checked; a disk that is full for a moment would end the log for good as well.

Change: such a line is dropped and the next one tried.

--- a/src/event.rs
+++ b/src/event.rs
@@ -58,13 +58,13 @@
 pub fn logger(vm: &id::Vm, settings: Log) -> Logger {
     let level = settings.level.filter();
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match settings.format {
-        Format::Json => Box::new(slog_json::Json::default(std::io::stderr()).fuse()),
+        Format::Json => Box::new(slog_json::Json::default(std::io::stderr()).ignore_res()),
         Format::Terminal => {
             let lines = slog_term::PlainSyncDecorator::new(std::io::stderr());
-            Box::new(slog_term::FullFormat::new(lines).build().fuse())
+            Box::new(slog_term::FullFormat::new(lines).build().ignore_res())
         }
     };
-    let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
+    let drain = slog_async::Async::new(drain).build().filter_level(level).ignore_res();
     Logger::root(drain, o!("vm" => vm.to_string()))
 }
 
@@ -74,8 +74,9 @@
 
 /// A logger that writes JSON lines to standard output, each with the name of the VM.
 pub fn stdout_logger(vm: &str) -> Logger {
-    let drain = slog_json::Json::default(std::io::stdout()).fuse();
-    let drain = slog_async::Async::new(drain).chan_size(MOST_WAITING).build().fuse();
+    // A line that cannot be written is lost, as there is nowhere to say so; the next one is tried.
+    let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
+    let drain = slog_async::Async::new(drain).chan_size(MOST_WAITING).build().ignore_res();
     Logger::root(drain, o!("vm" => vm.to_owned()))
 }
 
