--- a/src/emulator/peak.rs
+++ b/src/emulator/peak.rs
@@ -6,6 +6,7 @@
 
 mod engine;
 mod outcome;
+mod place;
 mod policy;
 mod site;
 mod world;
--- a/src/emulator/peak/world.rs
+++ b/src/emulator/peak/world.rs
@@ -8,50 +8,43 @@
 
 use super::{Engine, Job, Outcome, Policy, Site, engine::Progress};
 use crate::{
-    gateway::{
-        Admission, Applicant, Board, Decision, Part, Peers, Pick, Prompt, Query, Report, Sent,
-        There, period,
-    },
+    gateway::{Admission, Board, Part, Peers, Pick, Prompt, Report, Sent, There, period},
     id,
     registry::Target,
     route::{Class, Rule, Split},
 };
 
 /// All engines serve the same.
-const SERVICE: &str = "engines";
+pub(super) const SERVICE: &str = "engines";
 /// Seconds between two words of a region on its load, as replicas pass them on.
 const LOADS: f64 = 1.0;
-/// How often a hand-over that was refused leads to another place.
-const MOST_REFUSALS: u32 = 2;
-/// The part of its time within which a refused caller comes back.
-const PATIENCE: f64 = 1.0 / 3.0;
 
 /// One run: the same seed gives the same callers to every policy.
 pub struct World<'a> {
-    site: &'a Site,
-    policy: Policy,
+    pub(super) site: &'a Site,
+    pub(super) policy: Policy,
     /// What callers ask and when, the same for each policy.
     callers: StdRng,
     /// What policies draw.
-    random: StdRng,
-    now: f64,
+    pub(super) random: StdRng,
+    pub(super) now: f64,
     base: Instant,
     events: BinaryHeap<Reverse<(u64, usize, Event)>>,
     count: usize,
-    engines: Vec<Engine>,
+    pub(super) engines: Vec<Engine>,
     stepping: Vec<bool>,
     /// The load of each engine as it is known, late.
-    reports: Vec<usize>,
-    targets: Vec<Target>,
-    vms: Vec<Vm>,
-    requests: Vec<Request>,
-    loads: Vec<Vec<There>>,
-    rules: Vec<Rule>,
-    outcome: Outcome,
+    pub(super) reports: Vec<usize>,
+    pub(super) targets: Vec<Target>,
+    pub(super) vms: Vec<Vm>,
+    pub(super) requests: Vec<Request>,
+    pub(super) loads: Vec<Vec<There>>,
+    pub(super) rules: Vec<Rule>,
+    pub(super) outcome: Outcome,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     Arrive { class: usize, region: usize },
     Place { request: usize, vm: usize },
     Reach { request: usize, engine: usize },
@@ -62,25 +55,25 @@
     Deadline { request: usize },
 }
 
-struct Vm {
-    region: usize,
-    board: Board,
-    admission: Admission,
-    peers: Peers,
-    turn: usize,
+pub(super) struct Vm {
+    pub(super) region: usize,
+    pub(super) board: Board,
+    pub(super) admission: Admission,
+    pub(super) peers: Peers,
+    pub(super) turn: usize,
 }
 
-struct Request {
-    class: usize,
-    vm: usize,
-    came: f64,
+pub(super) struct Request {
+    pub(super) class: usize,
+    pub(super) vm: usize,
+    pub(super) came: f64,
     second: usize,
-    job: Job,
-    returned: bool,
-    refusals: u32,
+    pub(super) job: Job,
+    pub(super) returned: bool,
+    pub(super) refusals: u32,
     /// Where it is: the VM that placed it, the engine, and what was expected.
     at: Option<(usize, usize, Sent)>,
-    over: bool,
+    pub(super) over: bool,
     first: Option<f64>,
 }
 
@@ -168,13 +161,13 @@
         }
     }
 
-    fn after(&mut self, seconds: f64, event: Event) {
+    pub(super) fn after(&mut self, seconds: f64, event: Event) {
         self.count += 1;
         let at = ((self.now + seconds) * 1e6) as u64;
         self.events.push(Reverse((at, self.count, event)));
     }
 
-    fn instant(&self) -> Instant {
+    pub(super) fn instant(&self) -> Instant {
         self.base + Duration::from_secs_f64(self.now)
     }
 
@@ -224,120 +217,7 @@
         self.after(described.deadline, Event::Deadline { request: number });
     }
 
-    /// A VM places a request: its own caller's, or one that was handed over.
-    fn place(&mut self, request: usize, vm: usize) {
-        if self.requests[request].over {
-            return;
-        }
-        match self.policy {
-            Policy::Gateway => self.place_as_gateway(request, vm),
-            Policy::RoundRobin | Policy::LeastLoad => self.place_plainly(request, vm),
-        }
-    }
-
-    fn place_plainly(&mut self, request: usize, vm: usize) {
-        let site = self.site;
-        let class = &site.classes[self.requests[request].class];
-        let own = self.vms[vm].region;
-        let region = if site.allows(class, own) { own } else { class.homes[0] };
-        let engines: Vec<usize> = self.engines_of(region).collect();
-        self.vms[vm].turn += 1;
-        let engine = match self.policy {
-            Policy::LeastLoad => {
-                let start = self.random.random_range(0..engines.len());
-                let turned = (0..engines.len()).map(|step| engines[(start + step) % engines.len()]);
-                turned.min_by_key(|engine| self.reports[*engine]).unwrap_or(engines[0])
-            }
-            _ => engines[self.vms[vm].turn % engines.len()],
-        };
-        let way = if region == own { 0.0 } else { site.way };
-        let pick = Pick {
-            target: self.targets[engine].clone(),
-            keeper: None,
-            is_keeper: false,
-            delay: 0.0,
-            load: 0,
-        };
-        self.send(request, vm, &pick, engine, way);
-    }
-
-    fn place_as_gateway(&mut self, request: usize, vm: usize) {
-        let now = self.instant();
-        let asked = &self.requests[request];
-        let (class, own) = (asked.class, self.vms[vm].region);
-        let here = asked.vm == vm;
-        let described = &self.site.classes[class];
-        let allowed = self.site.allows(described, own);
-        let near: Vec<&Target> = match allowed {
-            true => self.engines_of(own).map(|engine| &self.targets[engine]).collect(),
-            false => Vec::new(),
-        };
-        let prompt = prompt(&asked.job);
-        let state = &mut self.vms[vm];
-        let query = Query {
-            targets: &near,
-            prompt: &prompt,
-            tried: &[],
-            cold_rate: 0.0,
-            vms: &state.peers,
-        };
-        let pick = state.board.choose(query, now);
-        let elsewhere = |there: &&There| here && there.region.as_str() != own.to_string();
-        let there: Vec<There> = self.loads[class].iter().filter(elsewhere).cloned().collect();
-        let service = id::Service::from(SERVICE);
-        let left = (described.deadline - (self.now - asked.came)).max(0.0);
-        let applicant = Applicant {
-            rule: &self.rules[class],
-            service: &service,
-            left: Duration::from_secs_f64(left),
-            tokens: prompt.own(),
-            begun: false,
-            draw: self.random.random(),
-        };
-        let delay = pick.as_ref().map(|pick| pick.delay);
-        let vms = state.peers.count();
-        match (state.admission.decide(applicant, delay, &there, vms, now), pick) {
-            (Decision::Here, Some(pick)) => {
-                let engine = self.engine_of(&pick.target);
-                self.send(request, vm, &pick, engine, 0.0);
-            }
-            (Decision::There(region), _) => {
-                let tokens = prompt.own();
-                state.admission.passed(&region, &service, tokens, now);
-                let to: usize = region.as_str().parse().unwrap_or_default();
-                let partners: Vec<usize> =
-                    (0..self.vms.len()).filter(|vm| self.vms[*vm].region == to).collect();
-                let partner = partners[self.random.random_range(0..partners.len())];
-                self.after(self.site.way, Event::Place { request, vm: partner });
-            }
-            (Decision::Refuse(late), _) => self.refuse(request, vm, late.after),
-            _ => self.refuse(request, vm, 0.5),
-        }
-    }
-
-    fn refuse(&mut self, request: usize, vm: usize, after: f64) {
-        let now = self.instant();
-        let asked = &mut self.requests[request];
-        let home = asked.vm;
-        if vm != home && asked.refusals < MOST_REFUSALS {
-            asked.refusals += 1;
-            let region = id::Region::from(self.vms[vm].region.to_string());
-            let service = id::Service::from(SERVICE);
-            self.vms[home].admission.refused(&region, &service, now);
-            self.after(self.site.way, Event::Place { request, vm: home });
-            return;
-        }
-        let left = self.site.classes[asked.class].deadline - (self.now - asked.came);
-        if asked.returned || after > left * PATIENCE {
-            asked.over = true;
-            self.outcome.refused += 1;
-            return;
-        }
-        asked.returned = true;
-        self.after(after, Event::Place { request, vm: home });
-    }
-
-    fn send(&mut self, request: usize, vm: usize, pick: &Pick, engine: usize, way: f64) {
+    pub(super) fn send(&mut self, request: usize, vm: usize, pick: &Pick, engine: usize, way: f64) {
         let now = self.instant();
         let job = self.requests[request].job;
         if let Some(keeper) = &pick.keeper {
@@ -491,12 +371,12 @@
         }
     }
 
-    fn engines_of(&self, region: usize) -> std::ops::Range<usize> {
+    pub(super) fn engines_of(&self, region: usize) -> std::ops::Range<usize> {
         let before = self.site.regions[..region].iter().map(|region| region.engines).sum::<usize>();
         before..before + self.site.regions[region].engines
     }
 
-    fn engine_of(&self, target: &Target) -> usize {
+    pub(super) fn engine_of(&self, target: &Target) -> usize {
         self.targets.iter().position(|known| known.target == target.target).unwrap_or_default()
     }
 }
@@ -531,7 +411,7 @@
     }
 }
 
-fn prompt(job: &Job) -> Prompt {
+pub(super) fn prompt(job: &Job) -> Prompt {
     let own = Part { key: u64::MAX - job.number as u64, tokens: job.own };
     let shared = Part { key: job.subject, tokens: job.shared };
     Prompt { parts: vec![shared, own], tokens: job.shared + job.own, output: job.output }
