Tell the VMs of a region which prompts were sent where

Cause: a VM knew the prefixes of its own requests alone.

Change: load messages carry the parts of the prompts sent since the last one. What a target holds is bounded by its memory (PrefixCache), least recently used first out. Targets that hold the prefix join the random sample, and the others copy from one of them.

--- a/src/emulator/peak/place.rs
+++ b/src/emulator/peak/place.rs
@@ -75,6 +75,7 @@
             prompt: &prompt,
             tried: &[],
             cold_requests_per_sec: 0.0,
+            cache_capacity_tokens: self.site.pace.memory.into(),
             peers: &state.peers,
         };
         let pick = state.board.choose(query, now);
@@ -94,7 +95,7 @@
         let vms = state.peers.vm_count();
         match (state.admission.decide(applicant, delay, &there, vms, now), pick) {
             (Decision::Local, Some(pick)) => {
-                let engine = self.engine_of(&pick.target);
+                let engine = self.engine_of(&pick.target.target);
                 self.send(request, vm, &pick, engine, 0.0);
             }
             (Decision::Remote(region), _) => {
--- a/src/emulator/peak/world.rs
+++ b/src/emulator/peak/world.rs
@@ -9,8 +9,8 @@
 use super::{Engine, Job, Outcome, Policy, Site, engine::Progress};
 use crate::{
     gateway::{
-        Admission, Balancer, LoadReport, Peers, Pick, Prompt, PromptPart, RemoteLoad, SentRequest,
-        share_interval,
+        Admission, Balancer, LoadReport, Peers, Pick, Prompt, PromptPart, RemoteLoad, SentPrompt,
+        SentRequest, share_interval,
     },
     id,
     registry::Target,
@@ -224,7 +224,7 @@
         let now = self.instant();
         let job = self.requests[request].job;
         if let Some(keeper) = &pick.cache_source {
-            let keeper = self.engine_of(keeper);
+            let keeper = self.engine_of(&keeper.target);
             if self.engines[keeper].keeps(job.subject) {
                 self.engines[engine].copy(job.subject, job.shared);
             }
@@ -334,7 +334,12 @@
             .filter(|other| *other != vm && self.vms[*other].region == region)
             .collect();
         let name = vm.to_string();
+        let prompts = self.vms[vm].board.take_unreported_prompts();
         for other in &others {
+            for SentPrompt { target, parts } in &prompts {
+                let target = &self.targets[self.engine_of(target)];
+                self.vms[*other].board.record_peer_prompt(target, parts, now);
+            }
             for engine in self.engines_of(region).collect::<Vec<_>>() {
                 let target = &self.targets[engine];
                 let told = work.get(&target.target).copied().unwrap_or_default();
@@ -382,8 +387,8 @@
         before..before + self.site.regions[region].engines
     }
 
-    pub(super) fn engine_of(&self, target: &Target) -> usize {
-        self.targets.iter().position(|known| known.target == target.target).unwrap_or_default()
+    pub(super) fn engine_of(&self, target: &id::Target) -> usize {
+        self.targets.iter().position(|known| known.target == *target).unwrap_or_default()
     }
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod outcome;
 mod peers;
+mod prefix_cache;
 mod prompt;
 mod record;
 mod registry_sync;
@@ -37,11 +38,12 @@
 pub use self::{
     admission::{Admission, AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
     attempts::Attempts,
-    balancer::{Balancer, LocalLoad, Pick, TargetQuery},
+    balancer::{Balancer, LocalLoad, Pick, SentPrompt, TargetQuery},
     crash_suspects::CrashSuspects,
     event_splitter::EventSplitter,
     header_names::HeaderNames,
     peers::Peers,
+    prefix_cache::PrefixCache,
     prompt::{Prompt, PromptPart},
     retry_budget::RetryBudget,
     server::{Gateway, RunningGateway},
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Peers, Prompt,
+    Peers, Prompt, PromptPart,
     decaying_rate::DecayingRate,
     load_sharing::share_interval,
     target_tracker::{InFlight, LoadReport, PREFILL_TOKENS_PER_SEC, SentRequest, TargetTracker},
@@ -22,6 +22,9 @@
 const SAMPLE_SIZE_FACTOR: f64 = 4.0;
 /// The better of two random targets is a far better choice than a single random one.
 const MIN_SAMPLE_SIZE: usize = 2;
+/// The targets with the prefix of a prompt that are added to a sample. One of them is likely to be
+/// free, and requests that share a prefix stay on few targets.
+const MAX_SAMPLED_HOLDERS: usize = 2;
 /// Added to the cost of a target in proportion to the share of its responses that are failures.
 const FAILURE_PENALTY_SECS: f64 = 1.0;
 /// Added to the cost of a target that has stopped announcing itself.
@@ -57,6 +60,17 @@
     pub cold_requests_per_sec: f64,
     /// The VMs of this region that accept callers, including this one.
     pub peers: &'a Peers,
+    /// The prompt tokens that the memory of one target holds; zero if they are unknown.
+    pub cache_capacity_tokens: u64,
+}
+
+/// The parts of a prompt that a VM sent to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentPrompt {
+    /// The target.
+    pub target: id::Target,
+    /// The parts in order.
+    pub parts: Vec<PromptPart>,
 }
 
 /// The chosen target, and what is expected of it.
@@ -93,6 +107,8 @@
     random: StdRng,
     default_slowdown: f64,
     send_rate: DecayingRate,
+    /// The prompts that the other VMs of the region have not been told of.
+    unreported_prompts: Vec<SentPrompt>,
 }
 
 impl Balancer {
@@ -103,6 +119,7 @@
             random: StdRng::seed_from_u64(seed),
             default_slowdown: 1.0,
             send_rate: DecayingRate::default(),
+            unreported_prompts: Vec::new(),
         }
     }
 
@@ -111,11 +128,22 @@
         let tried = |target: &Target| query.tried.contains(&target.target);
         let untried: Vec<&Target> =
             query.targets.iter().copied().filter(|target| !tried(target)).collect();
-        let owner = self.prefix_owner(query, now);
-        let owner_caches =
-            owner.is_some_and(|owner| self.tracker(owner, now).caches_prefix(query.prompt));
+        for target in query.targets {
+            self.tracker(target, now).set_cache_capacity(query.cache_capacity_tokens);
+        }
+        let ranked = self.rank_by_prefix(query, now);
+        let owner = ranked.first().copied();
+        let holders: Vec<&Target> = ranked
+            .into_iter()
+            .filter(|target| self.tracker(target, now).caches_prefix(query.prompt))
+            .collect();
         let all_unavailable = untried.iter().all(|target| self.is_unavailable(target, now));
-        let sample = self.sample(untried, owner, query.peers, now);
+        let preferred: Vec<&Target> = owner
+            .into_iter()
+            .chain(holders.iter().copied().take(MAX_SAMPLED_HOLDERS))
+            .filter(|target| !tried(target))
+            .collect();
+        let sample = self.sample(untried, &preferred, query.peers, now);
         let mut best: Option<(f64, Pick)> = None;
         for target in sample {
             if self.is_cold(target, now) && !self.is_below_cold_limit(target, query, now) {
@@ -125,11 +153,9 @@
                 continue;
             }
             // The owner is assumed to have the shared prefix, as every VM sends it there first.
-            // Other targets copy it from the owner once this VM knows that the owner has it.
-            let owns_prefix = owner.is_some_and(|owner| owner.target == target.target);
-            let copies_prefix = !owns_prefix
-                && owner_caches
-                && !self.tracker(target, now).caches_prefix(query.prompt);
+            // Other targets copy it from a target that is known to have it.
+            let owns_prefix = is_among(target, owner.as_slice());
+            let copies_prefix = !holders.is_empty() && !is_among(target, &holders);
             let (first_event_secs, in_flight) =
                 self.estimate(target, query.prompt, owns_prefix || copies_prefix, now);
             let mut cost_secs = first_event_secs + self.random.random_range(0.0..MAX_JITTER_SECS);
@@ -143,7 +169,8 @@
                 cost_secs += PREFIX_COPY_PENALTY_SECS;
             }
             if best.as_ref().is_none_or(|(least, _)| cost_secs < *least) {
-                let cache_source = owner.filter(|_| copies_prefix).cloned();
+                let cache_source =
+                    holders.first().filter(|_| copies_prefix).map(|holder| (*holder).clone());
                 let pick = Pick {
                     target: target.clone(),
                     cache_source,
@@ -157,14 +184,15 @@
         best.map(|(_, pick)| pick)
     }
 
-    /// The targets to choose from: a random sample and the prefix owner.
+    /// The targets to choose from: a random sample and the `preferred` ones, which are the prefix
+    /// owner and targets that have the prefix.
     ///
     /// The other VMs choose by the same data. The more requests they send before their next load
     /// messages, the smaller the sample, as all VMs would choose the same best targets otherwise.
     fn sample<'a>(
         &mut self,
         mut targets: Vec<&'a Target>,
-        owner: Option<&Target>,
+        preferred: &[&'a Target],
         peers: &Peers,
         now: Instant,
     ) -> Vec<&'a Target> {
@@ -180,9 +208,10 @@
         }
         let (sample, _) = targets.partial_shuffle(&mut self.random, size);
         let mut sample = sample.to_vec();
-        let is_owner = |target: &&Target| owner.is_some_and(|owner| owner.target == target.target);
-        if !sample.iter().any(is_owner) {
-            sample.extend(targets.iter().copied().find(|target| is_owner(target)));
+        for target in preferred {
+            if !is_among(target, &sample) {
+                sample.push(target);
+            }
         }
         sample
     }
@@ -196,6 +225,11 @@
     ) -> SentRequest {
         let has_prefix = pick.owns_prefix || pick.cache_source.is_some();
         self.send_rate.record(now);
+        if !prompt.parts.is_empty() {
+            let sent =
+                SentPrompt { target: pick.target.target.clone(), parts: prompt.parts.clone() };
+            self.unreported_prompts.push(sent);
+        }
         self.tracker(&pick.target, now).record_sent(prompt, has_prefix, now)
     }
 
@@ -256,6 +290,16 @@
         self.tracker(target, now).record_peer_in_flight(vm, in_flight, now);
     }
 
+    /// Takes the prompts that were sent since the last call, to tell the other VMs of them.
+    pub fn take_unreported_prompts(&mut self) -> Vec<SentPrompt> {
+        std::mem::take(&mut self.unreported_prompts)
+    }
+
+    /// Records the parts of a prompt that another VM of the region sent to a target.
+    pub fn record_peer_prompt(&mut self, target: &Target, parts: &[PromptPart], now: Instant) {
+        self.tracker(target, now).record_peer_prompt(parts);
+    }
+
     /// The requests that this VM has in flight at each target.
     pub fn own_in_flight(&self, now: Instant) -> impl Iterator<Item = (&id::Target, InFlight)> {
         let has_requests = |in_flight: &InFlight| in_flight.requests > 0;
@@ -309,18 +353,17 @@
         self.tracker(target, now).recent_send_count(now) < share_per_sec as usize
     }
 
-    /// The target that reads the shared prefix of the prompt first, the same on every VM. None if
-    /// the prompt has no shared prefix, or if every target is unavailable, cold or silent.
-    fn prefix_owner<'a>(&mut self, query: TargetQuery<'a>, now: Instant) -> Option<&'a Target> {
-        let prefix_key = query.prompt.shared_prefix_key()?;
-        let is_suitable = |balancer: &mut Self, target: &Target| {
-            !balancer.is_unavailable(target, now)
-                && !balancer.is_cold(target, now)
-                && !target.silent
+    /// The targets that may own the shared prefix of the prompt, in an order that is the same on
+    /// every VM. The first one owns it: it reads the prefix first. Empty if the prompt has no
+    /// shared prefix, or if every target is unavailable, cold or silent.
+    fn rank_by_prefix<'a>(&mut self, query: TargetQuery<'a>, now: Instant) -> Vec<&'a Target> {
+        let Some(prefix_key) = query.prompt.shared_prefix_key() else { return Vec::new() };
+        let is_suitable = |target: &&Target| {
+            !self.is_unavailable(target, now) && !self.is_cold(target, now) && !target.silent
         };
-        let mut targets = query.targets.to_vec();
-        targets.sort_by_key(|target| std::cmp::Reverse(rendezvous_hash(prefix_key, target)));
-        targets.into_iter().find(|target| is_suitable(self, target))
+        let mut targets: Vec<&Target> = query.targets.iter().copied().filter(is_suitable).collect();
+        targets.sort_by_cached_key(|target| std::cmp::Reverse(rendezvous_hash(prefix_key, target)));
+        targets
     }
 
     /// The cost of the delays that the request and the streams at the target cause each other.
@@ -377,6 +420,10 @@
     }
 }
 
+fn is_among(target: &Target, targets: &[&Target]) -> bool {
+    targets.iter().any(|other| other.target == target.target)
+}
+
 fn rendezvous_hash(key: u64, target: &Target) -> u64 {
     let mut bytes = key.to_le_bytes().to_vec();
     bytes.extend_from_slice(target.target.as_str().as_bytes());
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -181,7 +181,10 @@
             targets: &local_targets,
             prompt: &request.prompt,
             tried: &state.tried_targets,
-            cold_requests_per_sec: service.map_or(0.0, |service| service.cold_requests_per_sec),
+            cold_requests_per_sec: service
+                .as_ref()
+                .map_or(0.0, |service| service.cold_requests_per_sec),
+            cache_capacity_tokens: service.map_or(0, |service| service.cache_capacity_tokens),
             peers: &peers,
         };
         let pick = self.balancer().choose(target_query, now);
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -3,7 +3,7 @@
 use prost::{Message, bytes::Bytes};
 use smol::Timer;
 
-use super::{server::Gateway, target_tracker};
+use super::{PromptPart, SentPrompt, server::Gateway, target_tracker};
 use crate::{id, registry::Target, wire::Topic};
 
 /// How often the VMs of a region send each other their load. It is short because a target
@@ -35,6 +35,18 @@
     unread_tokens: u32,
     #[prost(uint32, tag = "4")]
     stream_gap_ms: u32,
+    /// The prompts that were sent to the target since the last message.
+    #[prost(message, repeated, tag = "5")]
+    prompts: Vec<PromptParts>,
+}
+
+/// The parts of a prompt in order.
+#[derive(Clone, PartialEq, Message)]
+struct PromptParts {
+    #[prost(fixed64, repeated, tag = "1")]
+    keys: Vec<u64>,
+    #[prost(uint32, repeated, tag = "2")]
+    tokens: Vec<u32>,
 }
 
 impl Gateway {
@@ -63,14 +75,24 @@
     }
 
     fn load_message(&self) -> LoadMessage {
-        let balancer = self.balancer();
-        let targets =
-            balancer.own_in_flight(self.clock.now()).map(|(target, in_flight)| TargetLoad {
-                target: target.to_string(),
-                requests: in_flight.requests,
-                unread_tokens: in_flight.unread_tokens as u32,
-                stream_gap_ms: (in_flight.stream_gap_secs * 1000.0) as u32,
+        let mut balancer = self.balancer();
+        let mut loads: HashMap<id::Target, TargetLoad> = HashMap::new();
+        for SentPrompt { target, parts } in balancer.take_unreported_prompts() {
+            let load = loads.entry(target).or_default();
+            load.prompts.push(PromptParts {
+                keys: parts.iter().map(|part| part.key).collect(),
+                tokens: parts.iter().map(|part| part.tokens).collect(),
             });
+        }
+        for (target, in_flight) in balancer.own_in_flight(self.clock.now()) {
+            let load = loads.entry(target.clone()).or_default();
+            load.requests = in_flight.requests;
+            load.unread_tokens = in_flight.unread_tokens as u32;
+            load.stream_gap_ms = (in_flight.stream_gap_secs * 1000.0) as u32;
+        }
+        let targets = loads
+            .into_iter()
+            .map(|(target, load)| TargetLoad { target: target.to_string(), ..load });
         LoadMessage { targets: targets.collect() }
     }
 
@@ -105,6 +127,14 @@
                 },
             );
             balancer.record_peer_in_flight(from.as_str(), target, in_flight, now);
+            for prompt in
+                loads.get(target.target.as_str()).into_iter().flat_map(|load| &load.prompts)
+            {
+                let parts = prompt.keys.iter().zip(&prompt.tokens);
+                let parts: Vec<PromptPart> =
+                    parts.map(|(&key, &tokens)| PromptPart { key, tokens }).collect();
+                balancer.record_peer_prompt(target, &parts, now);
+            }
         }
     }
 }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -70,9 +70,4 @@
         let last_shared = self.parts.len().checked_sub(2)?;
         Some(self.parts[last_shared].key)
     }
-
-    /// The keys of the parts in order.
-    pub fn part_keys(&self) -> Vec<u64> {
-        self.parts.iter().map(|part| part.key).collect()
-    }
 }
--- a/src/gateway/target_tracker.rs
+++ b/src/gateway/target_tracker.rs
@@ -3,8 +3,7 @@
     time::{Duration, Instant},
 };
 
-use super::Prompt;
-use crate::placement::CacheIndex;
+use super::{PrefixCache, Prompt, PromptPart};
 
 /// Older load reports of a target are ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(400);
@@ -22,8 +21,6 @@
 /// Samples are clamped to this range, as no engine is twice as fast as a typical one or ten times
 /// slower.
 const SLOWDOWN_RANGE: std::ops::RangeInclusive<f64> = 0.5..=10.0;
-/// The prompt parts remembered for each target: a few for each session that fits into its memory.
-const MAX_CACHED_PARTS: usize = 2048;
 /// The window of the limit on requests to cold targets: a second and some slack for the time that
 /// requests take to arrive.
 const COLD_LIMIT_WINDOW: Duration = Duration::from_millis(1100);
@@ -79,7 +76,7 @@
     /// What the other VMs of the region reported, by VM.
     peers: HashMap<String, (InFlight, Instant)>,
     report: Option<(LoadReport, Instant)>,
-    cache: CacheIndex,
+    cache: PrefixCache,
     failures: u32,
     backoff_until: Option<Instant>,
     /// Until when the target is treated as cold because it was unreachable.
@@ -102,7 +99,7 @@
             own: InFlight::default(),
             peers: HashMap::new(),
             report: None,
-            cache: CacheIndex::default(),
+            cache: PrefixCache::default(),
             failures: 0,
             backoff_until: None,
             possible_restart_until: None,
@@ -127,12 +124,21 @@
         }
         self.own.requests += 1;
         self.own.unread_tokens += unread_tokens;
-        self.cache.store(&prompt.part_keys(), MAX_CACHED_PARTS);
+        self.cache.store(&prompt.parts);
         self.recent_sends.push(now);
         self.recent_sends.retain(|at| now.saturating_duration_since(*at) < COLD_LIMIT_WINDOW);
         SentRequest { sent_at: now, unread_tokens, typical_first_event_secs }
     }
 
+    pub(super) fn set_cache_capacity(&mut self, tokens: u64) {
+        self.cache.set_capacity(tokens);
+    }
+
+    /// Records the parts of a prompt that another VM sent.
+    pub(super) fn record_peer_prompt(&mut self, parts: &[PromptPart]) {
+        self.cache.store(parts);
+    }
+
     /// Records that bytes of a response arrived.
     pub(super) fn record_activity(&mut self, now: Instant) {
         self.silent_since = now;
@@ -254,15 +260,13 @@
     /// The tokens of `prompt` that the target has to read. With `has_prefix` it is assumed to have
     /// the shared prefix, whether or not this VM has sent it there.
     pub(super) fn unread_tokens(&self, prompt: &Prompt, has_prefix: bool) -> f64 {
-        let keys = prompt.part_keys();
-        let shared_parts = if has_prefix { keys.len().saturating_sub(1) } else { 0 };
-        f64::from(prompt.uncached_tokens(self.cache.matched_prefix_len(&keys).max(shared_parts)))
+        let shared_parts = if has_prefix { prompt.parts.len().saturating_sub(1) } else { 0 };
+        f64::from(prompt.uncached_tokens(self.cache.held_parts(&prompt.parts).max(shared_parts)))
     }
 
     /// Whether the target is believed to have the whole shared prefix of `prompt` in its cache.
     pub(super) fn caches_prefix(&self, prompt: &Prompt) -> bool {
-        let keys = prompt.part_keys();
-        self.cache.matched_prefix_len(&keys) + 1 >= keys.len()
+        self.cache.held_parts(&prompt.parts) + 1 >= prompt.parts.len()
     }
 
     /// The expected seconds until the first event of `prompt`, at this target and at a typical
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -29,7 +29,14 @@
 
 fn query<'a>(targets: &'a [&'a Target], prompt: &'a Prompt) -> TargetQuery<'a> {
     static ALONE: LazyLock<Peers> = LazyLock::new(Peers::default);
-    TargetQuery { targets, prompt, tried: &[], cold_requests_per_sec: 3.0, peers: &ALONE }
+    TargetQuery {
+        targets,
+        prompt,
+        tried: &[],
+        cold_requests_per_sec: 3.0,
+        cache_capacity_tokens: 0,
+        peers: &ALONE,
+    }
 }
 
 fn prompt(prefix: u32) -> Prompt {
