Give up heads without end and stalled streams; answer requests that cross a stop

Cause: hyper skips interim responses without a limit and waits for the rest of a head as long as the connection lasts; streams were kept by any byte, comments included; a stop closed idle connections at once, with requests on them that had arrived and not been read.

Change: a connection to a target fails after 32 interim responses, 256 KiB or 2 s of an incomplete head, and the target is blamed. A stopping server answers for another 500 ms with Connection: close, then accepts what the operating system has accepted, and closes no connection with unread bytes. The cause of a malformed body is stated.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -155,10 +155,12 @@
                 Ok(http_request) => http_request,
                 Err(cause) => return AttemptOutcome::NotSent(cause.to_string()),
             };
+            lease.connection.head.start();
             let result =
                 within(timeout, lease.connection.sender.try_send_request(http_request)).await;
             match result {
                 Some(Ok(response)) => {
+                    lease.connection.head.complete();
                     return self.check_response(request, response, lease, attempt).await;
                 }
                 Some(Err(mut failure)) => {
@@ -172,13 +174,17 @@
                         let cause = "the connection ended before it was used";
                         return AttemptOutcome::NotSent(cause.to_owned());
                     }
+                    let head_error = lease.connection.head.error();
                     // The end of a reused connection says little about the target's health.
-                    if !lease.reused {
+                    if !lease.reused || head_error.is_some() {
                         self.balancer().record_failure(target, self.clock.now());
                     }
                     attempt.record_broken_exchange();
-                    let cause = RequestError::OutcomeUnknown(failure.error().to_string());
-                    return AttemptOutcome::Unknown(cause.to_string());
+                    let cause = head_error
+                        .map_or_else(|| failure.error().to_string(), |error| error.to_string());
+                    return AttemptOutcome::Unknown(
+                        RequestError::OutcomeUnknown(cause).to_string(),
+                    );
                 }
                 None => return AttemptOutcome::Unknown("no answer in time".to_owned()),
             }
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     control::lock,
-    http::{self, Body, RequestError},
+    http::{self, Body, HeadGuard, HeadState, RequestError},
 };
 
 /// The timeout for connecting to a target of the region. The network there takes a millisecond, and
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Body>,
+    /// Bounds the head of each response.
+    pub(super) head: HeadState,
     _driver: Task<()>,
     /// Counts the connection as open while it is held.
     _open_token: Arc<()>,
@@ -79,6 +81,7 @@
         let open_token = self.open_token(address, max_open).ok_or(AcquireError::Full)?;
         let stream =
             http::connect(address, CONNECT_TIMEOUT).await.map_err(AcquireError::Connect)?;
+        let (stream, head) = HeadGuard::new(stream);
         let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|cause| AcquireError::Connect(RequestError::NotSent(cause.to_string())))?;
@@ -87,6 +90,7 @@
         });
         let connection = Connection {
             sender,
+            head,
             _driver: driver,
             _open_token: open_token,
             incarnation,
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
@@ -15,12 +18,20 @@
 use crate::{
     clock::within,
     event,
-    http::{Body, IncompleteBody},
+    http::{self, Body, IncompleteBody, StallDetector},
     id,
     link::Exchange,
+    route::Route,
     wire,
 };
 
+/// The shortest time without a complete event after which a stream counts as stalled.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// A stream counts as stalled after this many times the route's latency objective.
+const STALL_LATENCY_OBJECTIVES: u32 = 4;
+/// A stream counts as stalled after this many times the route's objective for a pause.
+const STALL_GAP_OBJECTIVES: u32 = 8;
+
 /// Where the body of a response comes from.
 #[derive(Debug)]
 pub(super) enum BodySource {
@@ -60,6 +71,8 @@
     source: Option<BodySource>,
     /// Set if the stream can be resumed.
     event_splitter: Option<EventSplitter>,
+    /// Set if the response is a stream.
+    stall_detector: Option<StallDetector>,
     /// The chunk that was received before the head was sent to the caller.
     first_chunk: Option<Bytes>,
     tried_targets: Vec<id::Target>,
@@ -123,6 +136,15 @@
     }
 }
 
+impl BodySource {
+    /// Records that the stream stalled. Another VM records it for its own targets.
+    fn record_stall(self, gateway: &Gateway) {
+        if let Self::Target(target_body) = self {
+            gateway.balancer().record_failure(&target_body.attempt.target, gateway.clock.now());
+        }
+    }
+}
+
 impl TargetBody {
     async fn next(&mut self, gateway: &Gateway) -> BodyChunk {
         loop {
@@ -136,7 +158,7 @@
                     self.lease = None;
                     self.attempt.record_broken_exchange();
                     gateway.balancer().record_failure(&self.attempt.target, gateway.clock.now());
-                    return BodyChunk::Broken(cause.to_string());
+                    return BodyChunk::Broken(http::read_failure(&cause));
                 }
                 None => {
                     self.attempt.record_success();
@@ -163,6 +185,10 @@
         let mut event_splitter = (request.route.delivery_mode
             == crate::route::DeliveryMode::Resumable)
             .then(EventSplitter::default);
+        let mut stall_detector = stall_detector(&request.route);
+        if let Some(stall_detector) = &mut stall_detector {
+            stall_detector.push(&first_chunk);
+        }
         let first_chunk = match &mut event_splitter {
             Some(event_splitter) => event_splitter.push(&first_chunk),
             None => first_chunk,
@@ -172,6 +198,7 @@
             request: Arc::clone(request),
             source: Some(source),
             event_splitter,
+            stall_detector,
             first_chunk: (!first_chunk.is_empty()).then_some(first_chunk),
             tried_targets,
             attempts,
@@ -196,8 +223,18 @@
         }
         while !self.ended {
             let time_left = self.deadline.saturating_duration_since(self.gateway.clock.now());
+            let stall_time_left =
+                self.stall_detector.as_ref().map_or(Duration::MAX, StallDetector::time_left);
             let Some(source) = &mut self.source else { break };
-            let chunk = within(time_left, source.next(&self.gateway)).await;
+            let waits_since = self.gateway.clock.now();
+            let chunk = within(time_left.min(stall_time_left), source.next(&self.gateway)).await;
+            if let Some(stall_detector) = &mut self.stall_detector {
+                let now = self.gateway.clock.now();
+                stall_detector.record_wait(now.saturating_duration_since(waits_since));
+                if let Some(BodyChunk::Data(bytes)) = &chunk {
+                    stall_detector.push(bytes);
+                }
+            }
             match chunk {
                 Some(BodyChunk::Data(bytes)) => {
                     let bytes = match &mut self.event_splitter {
@@ -224,6 +261,15 @@
                         return self.fail(&cause);
                     }
                 }
+                None if stall_time_left < time_left => {
+                    let cause = "its target sends no events";
+                    if let Some(source) = self.source.take() {
+                        source.record_stall(&self.gateway);
+                    }
+                    if !self.resume(cause).await {
+                        return self.fail(cause);
+                    }
+                }
                 None => return self.fail("its time ran out"),
             }
         }
@@ -266,6 +312,7 @@
             );
             if let Some(source) = resumed {
                 self.source = Some(source);
+                self.stall_detector = stall_detector(&self.request.route);
                 return true;
             }
             if self.request.time_left(self.gateway.clock.now()).is_zero() {
@@ -284,3 +331,12 @@
         BodyExt::boxed_unsync(StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))))
     }
 }
+
+/// Detects that a response on a route stalls, if it is a stream. A caller is assumed to wait for
+/// several times the objectives of the route.
+fn stall_detector(route: &Route) -> Option<StallDetector> {
+    let timeout = MIN_STALL_TIMEOUT
+        .max(route.latency_objective * STALL_LATENCY_OBJECTIVES)
+        .max(route.event_gap_objective * STALL_GAP_OBJECTIVES);
+    route.delivery_mode.is_stream().then(|| StallDetector::new(timeout))
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,13 +3,21 @@
 mod body;
 mod client;
 mod deadline_body;
+mod event_progress;
+mod head_guard;
 mod server;
+mod stall_detector;
 mod write_tracker;
 
-pub(crate) use self::client::connect;
 pub use self::{
-    body::{Body, CollectError, IncompleteBody, channel, collect, empty, full},
+    body::{Body, CollectError, IncompleteBody, channel, collect, empty, full, read_failure},
     client::{RequestError, send_request},
     deadline_body::full_before_deadline,
+    event_progress::EventProgress,
     server::{Limits, Stop, Stopped, serve},
+    stall_detector::StallDetector,
+};
+pub(crate) use self::{
+    client::connect,
+    head_guard::{HeadGuard, HeadState},
 };
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,4 +1,8 @@
-use std::{convert::Infallible, fmt};
+use std::{
+    convert::Infallible,
+    fmt,
+    io::{self, ErrorKind},
+};
 
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
@@ -72,3 +76,15 @@
         Err(_) => Err(CollectError::Incomplete),
     }
 }
+
+/// Says why the body of a target's response could not be read to its end.
+pub fn read_failure(error: &hyper::Error) -> String {
+    let io_error =
+        std::error::Error::source(error).and_then(|cause| cause.downcast_ref::<io::Error>());
+    match io_error {
+        Some(cause) if matches!(cause.kind(), ErrorKind::InvalidData | ErrorKind::InvalidInput) => {
+            format!("the target's answer is malformed: {cause}")
+        }
+        _ => "the target cut its answer short".to_owned(),
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,7 +6,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::{
-    Body,
+    Body, HeadGuard,
     write_tracker::{WriteFlag, WriteTracker},
 };
 use crate::clock::within;
@@ -52,15 +52,23 @@
 ) -> Result<(Response<Incoming>, Task<()>), RequestError> {
     let stream = connect(address, connect_timeout).await?;
     let (stream, written) = WriteTracker::new(stream);
+    let (stream, head) = HeadGuard::new(stream);
     let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
         .await
         .map_err(|cause| request_error(&written, &cause.to_string()))?;
     let driver = smol::spawn(async move {
         let _ = connection.await;
     });
+    head.start();
     match within(first_byte_timeout, sender.send_request(request)).await {
-        Some(Ok(response)) => Ok((response, driver)),
-        Some(Err(cause)) => Err(request_error(&written, &cause.to_string())),
+        Some(Ok(response)) => {
+            head.complete();
+            Ok((response, driver))
+        }
+        Some(Err(cause)) => {
+            let cause = head.error().map_or_else(|| cause.to_string(), |error| error.to_string());
+            Err(request_error(&written, &cause))
+        }
         None => Err(request_error(&written, "no first byte in time")),
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,8 +1,18 @@
 use std::{convert::Infallible, io, pin::pin, time::Duration};
 
-use futures_util::future::{Either, select};
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use smol::{
+    Timer,
     channel::{Receiver, Sender},
     net::{TcpListener, TcpStream},
 };
@@ -10,6 +20,12 @@
 
 use super::Body;
 
+/// How long a stopping server still accepts connections and keeps idle ones open. A request that
+/// crosses the stop is answered, and its response closes the connection.
+const STOP_LINGER: Duration = Duration::from_millis(500);
+/// How long a connection with unread bytes is given to read them before it is looked at again.
+const UNREAD_BYTES_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Limits of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -31,8 +47,8 @@
     }
 }
 
-/// Tells a server to shut down gracefully: it accepts no new connections, closes idle ones, and
-/// closes the others after their current response.
+/// Tells a server to shut down gracefully: it closes connections after their next response. Half a
+/// second later it accepts no new connections and closes idle ones.
 #[derive(Debug)]
 pub struct Stop(Sender<Infallible>);
 
@@ -62,6 +78,12 @@
     async fn wait(&self) {
         let _ = self.0.recv().await;
     }
+
+    /// Waits until idle connections may be closed.
+    async fn wait_and_linger(&self) {
+        self.wait().await;
+        Timer::after(STOP_LINGER).await;
+    }
 }
 
 /// Serves connections from `listener` and passes each request to `handler`. `limits` is called once
@@ -85,10 +107,24 @@
 {
     let (_server_alive, server_dropped) = smol::channel::bounded::<Infallible>(1);
     let (connection_guard, all_ended) = smol::channel::bounded::<Infallible>(1);
+    let mut lingered = pin!(stopped.wait_and_linger());
+    let mut is_closing = false;
     loop {
-        let accepted = match select(pin!(listener.accept()), pin!(stopped.wait())).await {
-            Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => break,
+        let accept = listener.accept();
+        let accepted = if is_closing {
+            // Connections that the operating system has accepted may carry a request already.
+            match accept.now_or_never() {
+                Some(accepted) => accepted,
+                None => break,
+            }
+        } else {
+            match select(pin!(accept), lingered.as_mut()).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => {
+                    is_closing = true;
+                    continue;
+                }
+            }
         };
         let (stream, _) = accepted?;
         let work = serve_connection(stream, limits(), stopped.clone(), handler.clone());
@@ -117,9 +153,18 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let socket = stream.clone();
+    let stop_flag = stopped.clone();
     let service = service_fn(move |request| {
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let stop_flag = stop_flag.clone();
+        async move {
+            let mut response = response.await;
+            if stop_flag.is_stopped() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -128,8 +173,23 @@
         .max_buf_size(limits.max_buffer_bytes)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
-    if let Either::Right(_) = select(connection.as_mut(), pin!(stopped.wait())).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let mut lingered = pin!(stopped.wait_and_linger());
+    if let Either::Left(_) = select(connection.as_mut(), lingered.as_mut()).await {
+        return;
+    }
+    // A shutdown discards bytes that were received and not read, so they are read first.
+    while has_unread_bytes(&socket) {
+        let read = Timer::after(UNREAD_BYTES_POLL_INTERVAL);
+        if let Either::Left(_) = select(connection.as_mut(), read).await {
+            return;
+        }
     }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Whether bytes have been received and not read.
+fn has_unread_bytes(socket: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(socket.peek(&mut byte).now_or_never(), Some(Ok(length)) if length > 0)
 }
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use hyper::{
     HeaderMap, Response, StatusCode,
@@ -9,7 +9,7 @@
 
 use super::{Admitted, BodyPart, Request, TargetResponse, header, resumable_body::ResumableBody};
 use crate::{
-    clock::within,
+    clock::{Clock, within},
     http::{self, RequestError},
     outcome::{Outcome, Reason, Refusal, UnknownOutcome},
     target::Announcement,
@@ -27,7 +27,8 @@
     pub connect_timeout: Duration,
     /// The longest wait for the first byte of the response.
     pub first_byte_timeout: Duration,
-    /// The longest gap between two parts of the response.
+    /// The longest gap between two parts of the response, and between two complete events of an
+    /// event stream.
     pub idle_timeout: Duration,
     /// How many times a broken stream may be resumed.
     pub max_resumptions: u32,
@@ -61,6 +62,7 @@
     target: &Announcement,
     limits: DispatchLimits,
     time_left: Duration,
+    clock: &Arc<dyn Clock>,
 ) -> Outcome<TargetResponse> {
     let target_request = match target_request(request, target, time_left) {
         Ok(target_request) => target_request,
@@ -76,7 +78,8 @@
     .await
     {
         Ok((response, connection_task)) => {
-            let response = receive_response(request, target, response, connection_task, limits);
+            let response =
+                receive_response(request, target, response, connection_task, limits, clock);
             within(time_left, response)
                 .await
                 .unwrap_or_else(|| Outcome::Unknown(deadline_passed(target)))
@@ -116,6 +119,7 @@
     response: Response<Incoming>,
     connection_task: Task<()>,
     limits: DispatchLimits,
+    clock: &Arc<dyn Clock>,
 ) -> Outcome<TargetResponse> {
     let status = response.status();
     // An unknown outcome lets another target answer an idempotent request.
@@ -126,7 +130,8 @@
         status: u32::from(status.as_u16()),
         headers: end_to_end_headers(response.headers()),
     };
-    let mut response_body = ResumableBody::new(target.address, response, connection_task, limits);
+    let mut response_body =
+        ResumableBody::new(target.address, response, connection_task, limits, Arc::clone(clock));
     let mut chunks = Vec::new();
     let mut received_bytes = 0;
     let is_complete = loop {
--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use http_body_util::BodyExt;
 use hyper::{
@@ -13,7 +13,10 @@
     framing::{Framing, StreamTail},
     header,
 };
-use crate::{clock::within, http};
+use crate::{
+    clock::{Clock, within},
+    http::{self, StallDetector},
+};
 
 /// Reads the body of a target's response. A stream that breaks off is resumed at its byte offset
 /// if the target offers that.
@@ -26,6 +29,9 @@
     resumptions: u32,
     received_bytes: u64,
     tail: StreamTail,
+    /// Set if the response is an event stream.
+    stall_detector: Option<StallDetector>,
+    clock: Arc<dyn Clock>,
     ended: bool,
     body: Incoming,
     connection_task: Task<()>,
@@ -37,6 +43,7 @@
         response: Response<Incoming>,
         connection_task: Task<()>,
         limits: DispatchLimits,
+        clock: Arc<dyn Clock>,
     ) -> Self {
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, &body);
@@ -49,6 +56,9 @@
             resumptions: 0,
             received_bytes: 0,
             tail: StreamTail::default(),
+            stall_detector: (framing == Framing::EventStream)
+                .then(|| StallDetector::new(limits.idle_timeout)),
+            clock,
             ended: false,
             body,
             connection_task,
@@ -76,8 +86,22 @@
 
     async fn read(&mut self) -> Result<BodyPart, String> {
         loop {
-            let Some(frame) = within(self.limits.idle_timeout, self.body.frame()).await else {
-                return Err("the target fell silent in its answer".to_owned());
+            let time_left = self
+                .stall_detector
+                .as_ref()
+                .map_or(self.limits.idle_timeout, StallDetector::time_left);
+            let waits_since = self.clock.now();
+            let frame = within(time_left, self.body.frame()).await;
+            if let Some(stall_detector) = &mut self.stall_detector {
+                let waited = self.clock.now().saturating_duration_since(waits_since);
+                stall_detector.record_wait(waited);
+            }
+            let Some(frame) = frame else {
+                let cause = match self.stall_detector {
+                    Some(_) => "the target sends no events",
+                    None => "the target fell silent in its answer",
+                };
+                return Err(cause.to_owned());
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -85,7 +109,7 @@
                         return Ok(self.record_chunk(bytes));
                     }
                 }
-                Some(Err(_)) => return Err("the target cut its answer short".to_owned()),
+                Some(Err(error)) => return Err(http::read_failure(&error)),
                 None if self.is_complete() => {
                     self.ended = true;
                     return Ok(BodyPart::End);
@@ -98,6 +122,9 @@
     fn record_chunk(&mut self, bytes: Bytes) -> BodyPart {
         self.received_bytes += bytes.len() as u64;
         self.tail.push(&bytes);
+        if let Some(stall_detector) = &mut self.stall_detector {
+            stall_detector.push(&bytes);
+        }
         BodyPart::Chunk(bytes)
     }
 
@@ -125,6 +152,9 @@
         {
             Ok((response, connection_task)) if response.status() == StatusCode::PARTIAL_CONTENT => {
                 self.body = response.into_body();
+                if let Some(stall_detector) = &mut self.stall_detector {
+                    *stall_detector = StallDetector::new(limits.idle_timeout);
+                }
                 self.connection_task = connection_task;
                 true
             }
--- a/src/vm/at_most_once.rs
+++ b/src/vm/at_most_once.rs
@@ -240,7 +240,7 @@
         time_left: Duration,
     ) -> Outcome<TargetResponse> {
         let limits = vm.settings.dispatch();
-        let outcome = match path::dispatch(request, target, limits, time_left).await {
+        let outcome = match path::dispatch(request, target, limits, time_left, &vm.clock).await {
             Outcome::Answered(response) => {
                 read_complete_response(response, vm.settings.body_limit).await
             }
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -239,7 +239,7 @@
     ) -> Outcome<TargetResponse> {
         let target = attempt.target.clone();
         let outcome = if request.stage.resolved.idempotent {
-            path::dispatch(request, &target, self.settings.dispatch(), time_left).await
+            path::dispatch(request, &target, self.settings.dispatch(), time_left, &self.clock).await
         } else {
             self.run_at_most_once(request, &target, time_left).await
         };
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -57,6 +57,10 @@
     EventsThenClose(u32),
     /// Streams all events.
     AllEvents,
+    /// Streams events up to this ID, then comments until the connection is closed.
+    EventsThenComments(u32),
+    /// Sends interim responses until the connection is closed.
+    EndlessInterim,
     /// Never responds.
     Hang,
 }
@@ -81,6 +85,7 @@
 type Behaviors = Arc<Mutex<HashMap<String, Vec<Behavior>>>>;
 
 const LAST_EVENT_ID: u32 = 9;
+const LAST_CHUNK: &str = "0\r\n\r\n";
 
 impl FakeTarget {
     async fn start(name: &'static str, ip: Ipv4Addr, behaviors: Behaviors) -> Self {
@@ -194,6 +199,19 @@
         ),
         Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
         Behavior::AllEvents => events(id, last_event_id, LAST_EVENT_ID, true),
+        Behavior::EventsThenComments(last) => {
+            let events = events(id, last_event_id, *last, true);
+            let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
+            let _ = stream.write_all(events.as_bytes()).await;
+            while stream.write_all(b"4\r\n: \n\n\r\n").await.is_ok() {
+                Timer::after(Duration::from_millis(300)).await;
+            }
+            return false;
+        }
+        Behavior::EndlessInterim => {
+            while stream.write_all(b"HTTP/1.1 103 Early Hints\r\n\r\n").await.is_ok() {}
+            return false;
+        }
         Behavior::CloseConnection | Behavior::Hang => String::new(),
     };
     let _ = stream.write_all(text.as_bytes()).await;
@@ -218,7 +236,7 @@
         let event = format!("id: {number}\ndata: {number}\n\n");
         text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
     }
-    let remainder = if complete { "0\r\n\r\n" } else { "8\r\nid: 99\nd\r\n" };
+    let remainder = if complete { LAST_CHUNK } else { "8\r\nid: 99\nd\r\n" };
     text + remainder
 }
 
@@ -267,7 +285,7 @@
             prefix: (*prefix).to_owned(),
             delivery_mode,
             timeout,
-            latency_objective: Duration::from_secs(5),
+            latency_objective: Duration::from_secs(if *prefix == "/brisk/" { 1 } else { 5 }),
             event_gap_objective: Duration::ZERO,
             priority: 0,
             max_targets: max_targets.parse().ok()?,
@@ -296,6 +314,7 @@
 once /once/ 1 8000 -
 stream /stream/ 1 8000 -
 resumable /resumable/ 2 8000 -
+resumable /brisk/ 2 8000 -
 once /short/ 1 700 -
 safe /far/ 1 8000 surabaya";
 
@@ -320,6 +339,14 @@
     serde_json::from_value(text).expect("settings")
 }
 
+async fn start_gateway(ip: Ipv4Addr, region: &str, seed: Ipv4Addr) -> RunningGateway {
+    let settings =
+        Settings { callers: Some((ip, CALLERS_PORT).into()), ..settings(ip, region, seed) };
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let clock = Arc::new(clock::System);
+    Gateway::start(settings, None, header_names(), read_routes, clock, logger).await.expect("a VM")
+}
+
 impl Deployment {
     /// Starts a replica, a gateway and two targets in `jakarta`, and a gateway and a target in
     /// `surabaya`.
@@ -342,23 +369,8 @@
         let control = Control::start(replica, clock.clone(), logger.clone(), read_routes)
             .await
             .expect("a replica");
-        let gateway = |vm, region| {
-            let address = ip(vm);
-            let settings = Settings {
-                callers: Some((address, CALLERS_PORT).into()),
-                ..settings(address, region, seed)
-            };
-            Gateway::start(
-                settings,
-                None,
-                header_names(),
-                read_routes,
-                clock.clone(),
-                logger.clone(),
-            )
-        };
-        let jakarta_gateway = gateway(2, "jakarta").await.expect("a VM");
-        let surabaya_gateway = gateway(3, "surabaya").await.expect("a VM");
+        let jakarta_gateway = start_gateway(ip(2), "jakarta", seed).await;
+        let surabaya_gateway = start_gateway(ip(3), "surabaya", seed).await;
         let behaviors = Behaviors::default();
         let mut targets = Vec::new();
         for name in ["near-1", "near-2", "far-1"] {
@@ -377,6 +389,13 @@
         deployment
     }
 
+    /// Starts one more gateway.
+    async fn start_gateway(&self, vm: u8, region: &str) -> RunningGateway {
+        let IpAddr::V4(ip) = self.callers_address_of(vm).ip() else { unreachable!("IPv4 only") };
+        let IpAddr::V4(seed) = self.callers_address_of(1).ip() else { unreachable!("IPv4 only") };
+        start_gateway(ip, region, seed).await
+    }
+
     async fn wait_until_ready(&self) {
         let text = Bytes::from_static(ROUTES.as_bytes());
         eventually("routes are published", async || {
@@ -405,11 +424,20 @@
 
     /// Announces a target to the replica under the given `incarnation`.
     async fn announce(&self, target: &FakeTarget, incarnation: u64) {
+        self.announce_with(target, incarnation, 1).await;
+    }
+
+    /// Announces a target of the first incarnation once more.
+    async fn announce_again(&self, target: &FakeTarget, sequence: u64) {
+        self.announce_with(target, 1, sequence).await;
+    }
+
+    async fn announce_with(&self, target: &FakeTarget, incarnation: u64, sequence: u64) {
         let region = if target.name.starts_with("near") { "jakarta" } else { "surabaya" };
         let announcement = Announcement {
             target: target.name.into(),
             incarnation,
-            sequence: 1,
+            sequence,
             service: "jobs".into(),
             address: target.address,
             zone: id::Zone::from(format!("{region}-a")),
@@ -576,6 +604,77 @@
     });
 }
 
+/// A target that is stuck may send comments now and then, so that its connection is never idle.
+#[test]
+fn stream_without_further_events_is_continued_by_another_target() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment
+            .set_behaviors("/brisk/a", &[Behavior::EventsThenComments(4), Behavior::AllEvents]);
+        let (status, text, complete) = deployment.send_with_id("a", Method::POST, "/brisk/a").await;
+        // The comments were passed on like any bytes.
+        let events = text.replace(": \n\n", "");
+        assert_eq!((status, events, complete), (200, all_events(), true));
+    });
+}
+
+#[test]
+fn repeatable_request_leaves_a_target_that_sends_interim_responses_without_end() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/safe/i", &[Behavior::EndlessInterim, Behavior::Respond]);
+        let (status, text, complete) = deployment.send_with_id("i", Method::GET, "/safe/i").await;
+        assert_eq!((status, text.as_str(), complete), (200, "whole", true));
+        deployment.set_behaviors("/once/i", &[Behavior::EndlessInterim]);
+        let (status, text, _) = deployment.send_with_id("o", Method::POST, "/once/i").await;
+        assert_eq!(status, 502, "it may have run: {text}");
+        assert!(text.contains("interim responses"), "the cause is stated: {text}");
+    });
+}
+
+/// Each of many VMs sends a given prefix rarely, so VMs tell each other what they sent.
+#[test]
+fn prefix_that_another_gateway_of_the_region_sent_is_copied() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let neighbor = deployment.start_gateway(5, "jakarta").await;
+        eventually("the neighbor is ready", async || neighbor.gateway().is_ready()).await;
+        let request = |id: &str, path: &str| {
+            Request::builder()
+                .uri(path)
+                .header("host", "a.example")
+                .header("request", id)
+                .header("parts", format!("shared:6300,{id}:12000"))
+                .header("tokens", "18300,50")
+                .header("time-left", "1000")
+                .body(http::empty())
+                .expect("a request")
+        };
+        deployment.set_behaviors("/once/hang", &[Behavior::Hang]);
+        let round = AtomicU32::new(0);
+        let copied = async || {
+            // The prefix owner has a long prompt to read, so the neighbor chooses another target.
+            let round = round.fetch_add(1, Ordering::Relaxed);
+            // A target that has been silent for seconds is no source of copies.
+            for target in &deployment.targets[..2] {
+                deployment.announce_again(target, u64::from(round) + 2).await;
+            }
+            let (first, second) = (format!("first-{round}"), format!("second-{round}"));
+            let neighbor_address = deployment.callers_address_of(5);
+            let hanging = deployment.send(request(&first, "/once/hang"));
+            let copy = async {
+                Timer::after(Duration::from_millis(500)).await;
+                deployment.send_to(neighbor_address, request(&second, "/safe/c")).await
+            };
+            futures_util::future::join(hanging, copy).await;
+            let mut received =
+                deployment.targets.iter().flat_map(|target| target.requests_with_id(&second));
+            received.any(|received| received.headers.contains_key("fetch"))
+        };
+        eventually("the prefix is copied", copied).await;
+    });
+}
+
 #[test]
 fn connection_to_target_closes_when_the_caller_leaves_or_the_deadline_passes() {
     smol::block_on(async {
