--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -134,6 +134,43 @@
     assert!(!cluster.reads(leader), "no read is confirmed without a quorum");
 }
 
+/// A disk that answers nothing for seconds blocks the whole replica, which waits for its write.
+#[test]
+fn a_leader_whose_disk_stalls_is_deposed_and_the_others_go_on() {
+    let mut cluster = Cluster::new(14, 3, true);
+    assert!(cluster.settles());
+    let leader = cluster.leader().expect("a leader");
+    let others = cluster.others(leader);
+    cluster.stall_disk(leader);
+    cluster.propose(leader).expect("it leads");
+    cluster.run(400);
+    let next = cluster.leader_among(&others).expect("the others elect a leader within 4 s");
+    let accepted = cluster.propose(next).expect("it leads");
+    cluster.run(200);
+    assert!(cluster.accepted.contains_key(&accepted), "two replicas of three are enough");
+    assert!(!cluster.holds_lease(leader), "its lease ended while it waited");
+    cluster.resume_disk(leader);
+    assert!(cluster.settles(), "{}", cluster.describe());
+    assert_eq!(cluster.applied_by(leader), cluster.applied_by(next));
+}
+
+#[test]
+fn a_follower_whose_disk_stalls_delays_no_change() {
+    let mut cluster = Cluster::new(17, 3, true);
+    assert!(cluster.settles());
+    let leader = cluster.leader().expect("a leader");
+    let [stalled, _] = cluster.others(leader);
+    cluster.stall_disk(stalled);
+    for _ in 0..20 {
+        let command = cluster.propose(leader).expect("it leads");
+        cluster.run(20);
+        assert!(cluster.accepted.contains_key(&command), "within 200 ms");
+    }
+    assert_eq!(cluster.role(leader), Role::Leader);
+    cluster.resume_disk(stalled);
+    assert!(cluster.settles(), "{}", cluster.describe());
+}
+
 #[test]
 fn an_isolated_leader_confirms_no_read_even_before_it_steps_down() {
     let mut cluster = Cluster::new(15, 3, true);
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -7,8 +7,8 @@
 
 use pomelogate::{
     consensus::{
-        EntryKind, Membership, MembershipChange, Outgoing, Peer, ProposeError, Raft, Record, Role,
-        Settings, StartParameters,
+        EntryKind, Membership, MembershipChange, Outgoing, Output, Peer, ProposeError, Raft,
+        Record, Role, Settings, StartParameters,
     },
     id,
 };
@@ -26,6 +26,9 @@
     durable: Record,
     disk: u64,
     frozen: bool,
+    disk_stalled: bool,
+    /// What the replica waits to write to its stalled disk. It does nothing else meanwhile.
+    unwritten: Option<Output>,
     applied: Vec<u64>,
     applied_index: u64,
     confirmed: BTreeMap<u64, u64>,
@@ -82,6 +85,8 @@
                 durable: Record::default(),
                 disk,
                 frozen: false,
+                disk_stalled: false,
+                unwritten: None,
                 applied: Vec::new(),
                 applied_index: 0,
                 confirmed: BTreeMap::new(),
@@ -123,6 +128,7 @@
 
     pub fn crash(&mut self, node: usize) {
         self.nodes[node].core = None;
+        self.nodes[node].unwritten = None;
         self.nodes[node].frozen = false;
     }
 
@@ -141,6 +147,20 @@
         self.nodes[node].frozen = false;
     }
 
+    /// Lets writes to the disk of `node` wait until [`Self::resume_disk`].
+    pub fn stall_disk(&mut self, node: usize) {
+        self.nodes[node].disk_stalled = true;
+    }
+
+    pub fn resume_disk(&mut self, node: usize) {
+        self.nodes[node].disk_stalled = false;
+    }
+
+    fn is_blocked(&self, node: usize) -> bool {
+        let state = &self.nodes[node];
+        state.frozen || (state.disk_stalled && state.unwritten.is_some())
+    }
+
     pub fn clear_inbox(&mut self, node: usize) {
         self.network.retain(|(_, message)| message.to != Self::vm(node));
     }
@@ -285,9 +305,12 @@
             self.deliver(from, outgoing);
         }
         for node in 0..self.nodes.len() {
-            if self.nodes[node].frozen {
+            if self.is_blocked(node) {
                 continue;
             }
+            if let Some(output) = self.nodes[node].unwritten.take() {
+                self.finish_output(node, output, false);
+            }
             if let Some(core) = &mut self.nodes[node].core {
                 core.tick(self.now);
             }
@@ -308,52 +331,68 @@
             10..25 => return self.network.push((from, outgoing)),
             _ => {}
         }
-        if self.nodes[to].frozen {
+        if self.is_blocked(to) {
             self.network.push((from, outgoing));
         } else if let Some(core) = &mut self.nodes[to].core {
             core.receive(self.now, &Self::vm(from), outgoing.message);
         }
     }
 
-    /// Carries out what the core of `node` wants; a crash may come before or after the sync.
+    /// Carries out what the core of `node` wants.
     fn settle_node(&mut self, node: usize, whole: bool) {
         for _ in 0..4 {
             let Some(core) = &mut self.nodes[node].core else { return };
-            let output = core.take_output();
+            let mut output = core.take_output();
             if output.is_empty() {
                 return;
             }
-            self.network.extend(output.send_before_sync.into_iter().map(|message| (node, message)));
-            let crash = self.faulty && !whole && self.rng.random_range(0..3000) == 0;
-            if crash && self.rng.random_range(0..2) == 0 {
-                return self.crash(node);
-            }
-            self.nodes[node].durable.merge_later(output.record);
-            if crash {
-                return self.crash(node);
-            }
-            self.network.extend(output.send_after_sync.into_iter().map(|message| (node, message)));
-            let state = &mut self.nodes[node];
-            let core = state.core.as_mut().expect("it runs");
-            core.mark_synced(self.now);
-            if let Some(snapshot) = output.restore {
-                let chunks = snapshot.state.chunks_exact(8);
-                state.applied =
-                    chunks.map(|c| u64::from_le_bytes(c.try_into().expect("eight"))).collect();
-                state.applied_index = snapshot.index;
-            }
-            for (token, index) in output.confirmed_reads {
-                assert!(index >= token & 0xffff_ffff, "a read point below an accepted command");
-                state.confirmed.insert(token, index);
+            let send = std::mem::take(&mut output.send_before_sync);
+            self.network.extend(send.into_iter().map(|message| (node, message)));
+            if self.nodes[node].disk_stalled && !output.record.is_empty() {
+                self.nodes[node].unwritten = Some(output);
+                return;
             }
-            for entry in output.apply {
-                self.apply(node, entry.index, entry.term, entry.kind(), &entry.payload);
+            if !self.finish_output(node, output, whole) {
+                return;
             }
-            self.compact(node);
-            self.check_leader(node);
         }
     }
 
+    /// Writes a record and carries out what follows. A crash may come before or after the sync;
+    /// returns false then.
+    fn finish_output(&mut self, node: usize, output: Output, whole: bool) -> bool {
+        let crash = self.faulty && !whole && self.rng.random_range(0..3000) == 0;
+        if crash && self.rng.random_range(0..2) == 0 {
+            self.crash(node);
+            return false;
+        }
+        self.nodes[node].durable.merge_later(output.record);
+        if crash {
+            self.crash(node);
+            return false;
+        }
+        self.network.extend(output.send_after_sync.into_iter().map(|message| (node, message)));
+        let state = &mut self.nodes[node];
+        let core = state.core.as_mut().expect("it runs");
+        core.mark_synced(self.now);
+        if let Some(snapshot) = output.restore {
+            let chunks = snapshot.state.chunks_exact(8);
+            state.applied =
+                chunks.map(|c| u64::from_le_bytes(c.try_into().expect("eight"))).collect();
+            state.applied_index = snapshot.index;
+        }
+        for (token, index) in output.confirmed_reads {
+            assert!(index >= token & 0xffff_ffff, "a read point below an accepted command");
+            state.confirmed.insert(token, index);
+        }
+        for entry in output.apply {
+            self.apply(node, entry.index, entry.term, entry.kind(), &entry.payload);
+        }
+        self.compact(node);
+        self.check_leader(node);
+        true
+    }
+
     fn apply(&mut self, node: usize, index: u64, term: u64, kind: EntryKind, payload: &[u8]) {
         let state = &mut self.nodes[node];
         assert_eq!(index, state.applied_index + 1, "applied in order");
