--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -261,7 +261,7 @@
                         return self.fail(&cause);
                     }
                 }
-                None if stall_time_left < time_left => {
+                None if self.stall_detector.as_ref().is_some_and(StallDetector::has_stalled) => {
                     let cause = "its target sends no events";
                     if let Some(source) = self.source.take() {
                         source.record_stall(&self.gateway);
@@ -270,7 +270,10 @@
                         return self.fail(cause);
                     }
                 }
-                None => return self.fail("its time ran out"),
+                None if self.request.time_left(self.gateway.clock.now()).is_zero() => {
+                    return self.fail("its time ran out");
+                }
+                None => {}
             }
         }
         None
--- a/src/http/stall_detector.rs
+++ b/src/http/stall_detector.rs
@@ -2,6 +2,9 @@
 
 use super::EventProgress;
 
+/// A wait that ends later than it could by this much shows that the process was paused.
+const PAUSE_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// Detects that a stream has stalled: that its reader has waited for `timeout` since the last
 /// complete event. Time in which nobody reads the stream does not count.
 ///
@@ -35,9 +38,17 @@
         self.timeout.saturating_sub(self.waited)
     }
 
-    /// Records that the reader waited for bytes.
+    /// Whether the stream has stalled.
+    pub fn has_stalled(&self) -> bool {
+        self.time_left().is_zero()
+    }
+
+    /// Records that the reader waited for bytes, for at most [`Self::time_left`]. A longer wait
+    /// does not count, as this process was paused and the target may have sent all along.
     pub fn record_wait(&mut self, waited: Duration) {
-        self.waited += waited;
+        if waited <= self.time_left() + PAUSE_TOLERANCE {
+            self.waited += waited;
+        }
     }
 
     /// Records bytes of the stream.
--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -97,11 +97,13 @@
                 stall_detector.record_wait(waited);
             }
             let Some(frame) = frame else {
-                let cause = match self.stall_detector {
-                    Some(_) => "the target sends no events",
-                    None => "the target fell silent in its answer",
-                };
-                return Err(cause.to_owned());
+                match &self.stall_detector {
+                    Some(stall_detector) if stall_detector.has_stalled() => {
+                        return Err("the target sends no events".to_owned());
+                    }
+                    Some(_) => continue,
+                    None => return Err("the target fell silent in its answer".to_owned()),
+                }
             };
             match frame {
                 Some(Ok(frame)) => {
