--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -336,8 +336,10 @@
         event::path::STOPPING.emit(&gateway.logger, &[]);
         gateway.is_stopping.store(true, Ordering::Relaxed);
         drop(lock(&gateway.stop_sender).take());
-        // At least half of the grace is left for requests in flight.
-        Timer::after(DRAIN_ACCEPT_PERIOD.min(grace / 2)).await;
+        // At least half of the grace is left for requests in flight. The server accepts requests
+        // for some time after it is stopped.
+        let accept_period = DRAIN_ACCEPT_PERIOD.min(grace / 2);
+        Timer::after(accept_period.saturating_sub(http::STOP_LINGER)).await;
         stop_callers_server.stop();
         let time_left = || deadline.saturating_duration_since(gateway.clock.now());
         let _ = within(time_left(), callers_server).await;
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,4 +20,5 @@
 pub(crate) use self::{
     client::connect,
     head_guard::{HeadGuard, HeadState},
+    server::STOP_LINGER,
 };
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,7 +22,7 @@
 
 /// How long a stopping server still accepts connections and keeps idle ones open. A request that
 /// crosses the stop is answered, and its response closes the connection.
-const STOP_LINGER: Duration = Duration::from_millis(500);
+pub(crate) const STOP_LINGER: Duration = Duration::from_millis(500);
 /// How long a connection with unread bytes is given to read them before it is looked at again.
 const UNREAD_BYTES_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -35,6 +35,8 @@
 const LINKS_PORT: u16 = 27_660;
 const CALLERS_PORT: u16 = 28_080;
 const CONTROL_PORT: u16 = 28_090;
+/// The time that a stopping gateway has.
+const GRACE: Duration = Duration::from_secs(2);
 
 /// What a fake target does with a request.
 #[derive(Clone, Debug)]
@@ -334,7 +336,7 @@
         "name": ip.to_string(), "address": ip, "region": region, "zone": format!("{region}-a"),
         "regions": { "jakarta-a": "jakarta", "surabaya-a": "surabaya" },
         "links_port": LINKS_PORT, "seeds": [SocketAddr::from((seed, CONTROL_PORT))],
-        "first_start": true, "bounds": { "grace_s": 2.0 },
+        "first_start": true, "bounds": { "grace_s": GRACE.as_secs_f64() },
     });
     serde_json::from_value(text).expect("settings")
 }
@@ -758,6 +760,21 @@
     });
 }
 
+/// A request that is taken late in the grace is cut off at its end.
+#[test]
+fn stopping_gateway_takes_no_requests_in_the_second_half_of_its_grace() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let callers = deployment.callers_address();
+        let Deployment { jakarta_gateway, surabaya_gateway, .. } = deployment;
+        let drain = smol::spawn(jakarta_gateway.drain());
+        Timer::after(GRACE / 2).await;
+        assert!(TcpStream::connect(callers).await.is_err(), "it accepts no connection");
+        drain.await;
+        drop(surabaya_gateway);
+    });
+}
+
 #[test]
 fn request_head_above_the_size_limit_is_refused() {
     smol::block_on(async {
