Log what ends a response passed on in pieces, and whether it ends inside an event

`request ended` gets `ended_by` (length, chunks, connection, link) and `in_event`. `http::Delimiter` names the delimiter for both request paths; `http::EventProgress` tells whether a stream is inside an event, and takes a lone carriage return for the end of a line, as the format does. What callers get is unchanged.

Tests: stalls `the_end_of_an_event_is_told_whatever_the_line_ends_and_chunks`.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     clock::within,
-    http::{self, RequestError},
+    http::{self, Delimiter, RequestError},
     registry::Target,
 };
 
@@ -41,6 +41,7 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
+    pub(super) delimiter: Delimiter,
     pub(super) lease: ConnectionLease,
     pub(super) keep_alive: KeepAlive,
     pub(super) attempt: ActiveAttempt,
@@ -275,10 +276,16 @@
         }
         self.balancer().record_response(target, head.status.is_server_error(), now);
         self.balancer().record_activity(target, now);
-        let headers = self.header_names.filter_response_headers(head.headers);
-        let response =
-            OpenResponse { status: head.status, headers, body, lease, keep_alive, attempt };
-        AttemptOutcome::Responded(Box::new(response))
+        let delimiter = Delimiter::of(&head.headers, &body);
+        AttemptOutcome::Responded(Box::new(OpenResponse {
+            status: head.status,
+            headers: self.header_names.filter_response_headers(head.headers),
+            body,
+            delimiter,
+            lease,
+            keep_alive,
+            attempt,
+        }))
     }
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -342,12 +342,12 @@
     async fn start_target_response(
         self: &Arc<Self>,
         request: &Arc<RoutedRequest>,
-        response: OpenResponse,
+        mut response: OpenResponse,
         state: &mut DispatchState,
     ) -> Option<Outcome> {
-        let OpenResponse { status, headers, body, lease, keep_alive, attempt } = response;
-        let source = attempt.target.target.to_string();
-        let target_body = Box::new(TargetBody { body, lease: Some(lease), keep_alive, attempt });
+        let (status, headers) = (response.status, std::mem::take(&mut response.headers));
+        let source = response.attempt.target.target.to_string();
+        let target_body = Box::new(TargetBody::from(response));
         let response =
             TargetResponse { status, headers, body: ResponseBody::Complete(Bytes::new()), source };
         self.start_response(request, response, BodySource::Target(target_body), state).await
@@ -456,11 +456,9 @@
                 match self.send_to_target(request, &pick, last_event_id, time_left).await {
                     AttemptOutcome::Responded(response) => {
                         attempts.record_run(&pick.target.target);
-                        let OpenResponse { status, body, lease, keep_alive, attempt, .. } =
-                            *response;
-                        let target_body =
-                            TargetBody { body, lease: Some(lease), keep_alive, attempt };
-                        status.is_success().then(|| BodySource::Target(Box::new(target_body)))
+                        let is_success = response.status.is_success();
+                        let target_body = Box::new(TargetBody::from(*response));
+                        is_success.then_some(BodySource::Target(target_body))
                     }
                     AttemptOutcome::Unknown(_) => {
                         attempts.record_run(&pick.target.target);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -7,7 +7,7 @@
     routed_request::RoutedRequest,
     server::Gateway,
 };
-use crate::{event, figure::Page, id, registry::VmInfo};
+use crate::{event, figure::Page, http::Delimiter, id, registry::VmInfo};
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
 /// unusual events are not limited.
@@ -157,6 +157,7 @@
         if label == "answered" && !self.sampler().passes(now) {
             return;
         }
+        let ended_by = end.delimiter.map_or_else(|| "link".to_owned(), |it| it.to_string());
         event::path::REQUEST.emit(
             &self.logger,
             &[
@@ -168,6 +169,8 @@
                 ("first_ms", &head_ms),
                 ("pieces", &end.chunks_sent),
                 ("runs", &end.target_count),
+                ("ended_by", &ended_by),
+                ("in_event", &end.is_inside_event),
                 ("took_ms", &elapsed.as_millis()),
             ],
         );
@@ -210,6 +213,10 @@
     pub(super) target_count: u32,
     /// Whether the body ended; false if the caller left first.
     pub(super) ended: bool,
+    /// What marks the end of the body at its source; none if that is a VM.
+    pub(super) delimiter: Option<Delimiter>,
+    /// Whether the last bytes of a stream are an incomplete event.
+    pub(super) is_inside_event: bool,
     /// Why the body ended early.
     pub(super) break_cause: Option<&'a str>,
 }
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Attempts, EventSplitter,
-    attempt::ActiveAttempt,
+    attempt::{ActiveAttempt, OpenResponse},
     connection_pool::{ConnectionLease, KeepAlive},
     record::StreamEnd,
     routed_request::RoutedRequest,
@@ -18,7 +18,7 @@
 use crate::{
     clock::within,
     event,
-    http::{self, Body, IncompleteBody, StallDetector},
+    http::{self, Body, Delimiter, IncompleteBody, StallDetector},
     id,
     link::Exchange,
     route::Route,
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 pub(super) struct TargetBody {
     pub(super) body: Incoming,
+    pub(super) delimiter: Delimiter,
     /// The connection, until the body ends.
     pub(super) lease: Option<ConnectionLease>,
     pub(super) keep_alive: KeepAlive,
@@ -80,6 +81,8 @@
     deadline: Instant,
     /// Whether the body has ended, complete or not.
     ended: bool,
+    /// What marks the end of the body at its source; none if that is a VM.
+    delimiter: Option<Delimiter>,
     origin: ResponseOrigin,
     chunks_sent: u32,
     /// Why the body ended early.
@@ -107,6 +110,11 @@
             chunks_sent: self.chunks_sent,
             target_count: self.attempts.target_count(),
             ended: self.ended,
+            delimiter: self.delimiter,
+            is_inside_event: self
+                .stall_detector
+                .as_ref()
+                .is_some_and(StallDetector::is_inside_event),
             break_cause: self.break_cause.as_deref(),
         };
         self.gateway.record_stream_end(&self.request, &end);
@@ -121,6 +129,13 @@
 }
 
 impl BodySource {
+    fn delimiter(&self) -> Option<Delimiter> {
+        match self {
+            Self::Target(target_body) => Some(target_body.delimiter),
+            Self::Link(_) => None,
+        }
+    }
+
     /// Waits for the next chunk.
     pub(super) async fn next(&mut self, gateway: &Gateway) -> BodyChunk {
         match self {
@@ -145,6 +160,13 @@
     }
 }
 
+impl From<OpenResponse> for TargetBody {
+    fn from(response: OpenResponse) -> Self {
+        let OpenResponse { body, delimiter, lease, keep_alive, attempt, .. } = response;
+        Self { body, delimiter, lease: Some(lease), keep_alive, attempt }
+    }
+}
+
 impl TargetBody {
     async fn next(&mut self, gateway: &Gateway) -> BodyChunk {
         loop {
@@ -196,6 +218,7 @@
         Self {
             gateway: Arc::clone(gateway),
             request: Arc::clone(request),
+            delimiter: source.delimiter(),
             source: Some(source),
             event_splitter,
             stall_detector,
@@ -314,6 +337,7 @@
                 ],
             );
             if let Some(source) = resumed {
+                self.delimiter = source.delimiter();
                 self.source = Some(source);
                 self.stall_detector = stall_detector(&self.request.route);
                 return true;
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 mod body;
 mod client;
 mod deadline_body;
+mod delimiter;
 mod event_progress;
 mod head_guard;
 mod server;
@@ -13,6 +14,7 @@
     body::{Body, CollectError, IncompleteBody, channel, collect, empty, full, read_failure},
     client::{RequestError, send_request},
     deadline_body::full_before_deadline,
+    delimiter::Delimiter,
     event_progress::EventProgress,
     server::{Limits, Stop, Stopped, serve},
     stall_detector::StallDetector,
--- a/src/http/event_progress.rs
+++ b/src/http/event_progress.rs
@@ -11,12 +11,18 @@
 ///
 /// let mut progress = EventProgress::default();
 /// assert!(!progress.push(b": still here\n\ndata:\n\ndata: hel"));
+/// assert!(progress.is_inside_event());
 /// assert!(progress.push(b"lo\n\n"));
+/// assert!(!progress.is_inside_event());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EventProgress {
     /// The beginning of the current line.
     line: Vec<u8>,
+    /// Whether the last line ended with a carriage return, to which a line feed may belong.
+    ended_by_return: bool,
+    /// Whether the current event has a line.
+    has_lines: bool,
     /// Whether the current event has a line with content.
     has_content: bool,
 }
@@ -26,16 +32,27 @@
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         let mut progressed = false;
         let mut rest = bytes;
-        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+        while let Some(end) = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r')) {
             self.extend_line(&rest[..end]);
-            progressed |= self.end_line();
+            let is_second_half = end == 0 && rest[0] == b'\n' && self.ended_by_return;
+            if !is_second_half {
+                progressed |= self.end_line();
+            }
+            self.ended_by_return = rest[end] == b'\r';
             rest = &rest[end + 1..];
         }
         self.extend_line(rest);
         progressed
     }
 
+    /// Whether bytes have come since the last complete event that are not complete comments. A
+    /// stream that ends then has been broken off.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_lines || !self.line.is_empty()
+    }
+
     fn extend_line(&mut self, bytes: &[u8]) {
+        self.ended_by_return &= bytes.is_empty();
         let room = MAX_LINE_BYTES - self.line.len();
         self.line.extend_from_slice(&bytes[..bytes.len().min(room)]);
     }
@@ -46,6 +63,7 @@
         let value = line.strip_prefix(b"data:").or_else(|| line.strip_prefix(b"id:"));
         let ends_event = line.is_empty();
         self.has_content |= value.is_some_and(|value| !value.is_empty());
+        self.has_lines = !ends_event && (self.has_lines || !line.starts_with(b":"));
         self.line.clear();
         ends_event && std::mem::take(&mut self.has_content)
     }
--- a/src/http/stall_detector.rs
+++ b/src/http/stall_detector.rs
@@ -43,6 +43,11 @@
         self.time_left().is_zero()
     }
 
+    /// Whether the last bytes of the stream are an incomplete event.
+    pub fn is_inside_event(&self) -> bool {
+        self.progress.is_inside_event()
+    }
+
     /// Records that the reader waited for bytes, for at most [`Self::time_left`]. A longer wait
     /// does not count, as this process was paused and the target may have sent all along.
     pub fn record_wait(&mut self, waited: Duration) {
--- a/src/path/framing.rs
+++ b/src/path/framing.rs
@@ -1,8 +1,6 @@
-use hyper::{
-    HeaderMap,
-    body::{Body as _, Incoming},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
-};
+use hyper::{HeaderMap, body::Incoming, header::CONTENT_TYPE};
+
+use crate::http::Delimiter;
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 const LAST_EVENT: &[u8] = b"data: [DONE]";
@@ -21,14 +19,12 @@
 impl Framing {
     pub(super) fn of(headers: &HeaderMap, body: &Incoming) -> Self {
         let content_type = headers.get(CONTENT_TYPE);
-        let has_http_end = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || body.is_end_stream();
-        match (content_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM)), has_http_end)
-        {
-            (true, _) => Self::EventStream,
-            (false, true) => Self::Http,
-            (false, false) => Self::ConnectionClose,
+        if content_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM)) {
+            return Self::EventStream;
+        }
+        match Delimiter::of(headers, body) {
+            Delimiter::Length | Delimiter::Chunks => Self::Http,
+            Delimiter::Connection => Self::ConnectionClose,
         }
     }
 }
--- a/tests/stalls.rs
+++ b/tests/stalls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pomelogate::http::StallDetector;
+use pomelogate::http::{EventProgress, StallDetector};
 use proptest::prelude::*;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -74,3 +74,26 @@
         prop_assert_eq!(whole.push(&bytes), in_parts.contains(&true));
     }
 }
+
+/// A stream whose end nothing else marks has been broken off if it ends inside an event.
+#[test]
+fn the_end_of_an_event_is_told_whatever_the_line_ends_and_chunks() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let whole = "id: 4\ndata: word\n\n: more\n".replace('\n', line_end);
+        let cut = [&whole[..1], &whole[..10], whole.split_once("word").expect("a word").0];
+        for size in 1..whole.len() {
+            let is_inside_event = |text: &str| {
+                let mut progress = EventProgress::default();
+                text.as_bytes().chunks(size).for_each(|chunk| drop(progress.push(chunk)));
+                progress.is_inside_event()
+            };
+            assert!(!is_inside_event(&whole), "{line_end:?} in chunks of {size}");
+            for text in cut {
+                assert!(is_inside_event(text), "{text:?} in chunks of {size}");
+            }
+            let without_blank_line = format!("id: 4{line_end}data: word{line_end}");
+            assert!(is_inside_event(&without_blank_line), "{line_end:?} in chunks of {size}");
+        }
+    }
+    assert!(!EventProgress::default().is_inside_event(), "an empty stream");
+}
