Reproduce streams cut short that callers take for complete

On routes: a target streams with neither length nor chunks and its connection ends inside an event. The caller gets every byte and the last chunk: `assertion left == right failed: left: (200, true) right: (200, false)`. On the path of models: a cut event whose text ends in `data: [DONE]` counts as the last event: `left: true right: false`.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -3,13 +3,20 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use pomelogate::{
     http::RequestError,
     standin::{Caller, Engine, Fault, Pace, Reporter},
 };
-use smol::{Timer, future};
+use smol::{
+    Timer, future,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 use support::{
     fleet::{Fleet, eventually},
     targets,
@@ -75,6 +82,55 @@
     });
 }
 
+/// Guards against a piece of the text being taken for the last event, where the target fails in the
+/// middle of an event and nothing but its connection marks the end of the stream.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_complete_whatever_its_last_bytes() {
+    const FIRST_EVENT: &str = "data: {\"choices\":[]}\n\n";
+    let quoted = format!("{FIRST_EVENT}data: {{\"content\":\"it ends with data: [DONE]");
+    smol::block_on(async {
+        for (events, whole) in [
+            (quoted, false),
+            (format!("{FIRST_EVENT}data: [DONE]"), false),
+            (format!("{FIRST_EVENT}data: [DONE]\n"), false),
+            (format!("{FIRST_EVENT}data: [DONE]\n\n"), true),
+            (format!("{FIRST_EVENT}data: [DONE]\r\n\r\n"), true),
+        ] {
+            let fleet = Fleet::start(&[("jakarta", 1)]).await;
+            let address = serve_unframed_stream(events.clone()).await;
+            let offer = targets::model("planner");
+            let announcement = targets::announcement("raw", "jakarta", address, offer);
+            let announce = move || announcement.clone();
+            let _reporter = Reporter::start(vec![fleet.callers(0)], targets::RENEWAL, announce);
+            let caller = Caller::new(LEADS_KEY);
+            let mut reply = None;
+            eventually("the target answers", async || {
+                reply = caller.chat(fleet.callers(0), "planner", TEXT, true).await.ok();
+                reply.as_ref().is_some_and(|reply| reply.status == 200)
+            })
+            .await;
+            let reply = reply.expect("a reply");
+            assert_eq!(reply.whole, whole, "{events:?}: {}", reply.body_text());
+        }
+    });
+}
+
+/// Starts a target that answers each request with `events` and then closes the connection.
+async fn serve_unframed_stream(events: String) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    smol::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(format!("{head}{events}").as_bytes()).await;
+        }
+    })
+    .detach();
+    address
+}
+
 #[test]
 fn a_truncated_answer_is_retried_on_another_target_or_has_an_unknown_outcome() {
     smol::block_on(async {
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -59,6 +59,15 @@
     EventsThenClose(u32),
     /// Streams all events.
     AllEvents,
+    /// Streams events up to this ID with neither a length nor chunks and ends them with the
+    /// connection, all but the last ID in the middle of another event.
+    EventsToConnectionEnd(u32),
+    /// Sends the head of a stream with neither a length nor chunks, then closes the connection.
+    NoEventsToConnectionEnd,
+    /// Sends a response with neither a length nor chunks, which ends with the connection.
+    RespondToConnectionEnd,
+    /// Sends half a response with neither a length nor chunks, then resets the connection.
+    ResetWithoutLength,
     /// Streams events up to this ID, then comments until the connection is closed.
     EventsThenComments(u32),
     /// Sends interim responses until the connection is closed.
@@ -201,6 +210,22 @@
         ),
         Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
         Behavior::AllEvents => events(id, last_event_id, LAST_EVENT_ID, true),
+        Behavior::EventsToConnectionEnd(last) => {
+            let numbers = last_event_id + 1..=*last;
+            let events: String =
+                numbers.map(|number| format!("id: {number}\ndata: {number}\n\n")).collect();
+            let remainder = if *last == LAST_EVENT_ID { "" } else { "id: 99\nd" };
+            unframed(id, "text/event-stream", &(events + remainder))
+        }
+        Behavior::NoEventsToConnectionEnd => unframed(id, "text/event-stream", ""),
+        Behavior::RespondToConnectionEnd => unframed(id, "text/plain", "whole"),
+        Behavior::ResetWithoutLength => {
+            let _ = stream.write_all(unframed(id, "text/plain", "half").as_bytes()).await;
+            // The gateway reads the response before the reset discards what it has not read.
+            Timer::after(Duration::from_millis(100)).await;
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            return false;
+        }
         Behavior::EventsThenComments(last) => {
             let events = events(id, last_event_id, *last, true);
             let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
@@ -222,6 +247,9 @@
         behavior,
         Behavior::TruncatedBody
             | Behavior::EventsThenClose(_)
+            | Behavior::EventsToConnectionEnd(_)
+            | Behavior::NoEventsToConnectionEnd
+            | Behavior::RespondToConnectionEnd
             | Behavior::CloseConnection
             | Behavior::Hang
     )
@@ -242,6 +270,14 @@
     text + remainder
 }
 
+/// A response with neither a length nor chunks.
+fn unframed(id: &str, content_type: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-type: {content_type}\r\n\
+         connection: close\r\n\r\n{body}"
+    )
+}
+
 fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
@@ -318,7 +354,8 @@
 resumable /resumable/ 2 8000 -
 resumable /brisk/ 2 8000 -
 once /short/ 1 700 -
-safe /far/ 1 8000 surabaya";
+safe /far/ 1 8000 surabaya
+stream /far-stream/ 1 8000 surabaya";
 
 struct Deployment {
     /// The second, third and most of the fourth byte of all IP addresses.
@@ -606,6 +643,53 @@
     });
 }
 
+/// Guards against the end of a target's connection being forwarded as the end of its response,
+/// which a target that fails in the middle of an event also causes.
+#[test]
+fn stream_that_ends_with_its_connection_inside_an_event_is_broken_off() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let cut = Behavior::EventsToConnectionEnd(4);
+        let whole = Behavior::EventsToConnectionEnd(LAST_EVENT_ID);
+        for path in ["/stream/c", "/far-stream/c"] {
+            deployment.set_behaviors(path, &[cut.clone()]);
+            let (status, text, complete) = deployment.send_with_id(path, Method::POST, path).await;
+            assert_eq!((status, complete), (200, false), "{path}: {text}");
+            assert_eq!(deployment.arrival_count(path), 1, "{path}");
+        }
+        deployment.set_behaviors("/resumable/c", &[cut, whole.clone()]);
+        let (status, text, complete) =
+            deployment.send_with_id("c", Method::POST, "/resumable/c").await;
+        assert_eq!((status, text, complete), (200, all_events(), true));
+        deployment.set_behaviors("/stream/n", &[Behavior::NoEventsToConnectionEnd]);
+        let (status, ..) = deployment.send_with_id("n", Method::POST, "/stream/n").await;
+        assert_eq!(status, 502, "it may have run, and no event came");
+        for path in ["/stream/w", "/far-stream/w", "/resumable/w"] {
+            deployment.set_behaviors(path, &[whole.clone()]);
+            let (status, text, complete) = deployment.send_with_id(path, Method::POST, path).await;
+            assert_eq!((status, text, complete), (200, all_events(), true), "{path}");
+        }
+    });
+}
+
+/// A response without a length ends with its connection; a reset is no such end.
+#[test]
+fn response_without_a_length_is_complete_unless_its_connection_is_reset() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/once/u", &[Behavior::RespondToConnectionEnd]);
+        let (status, text, complete) = deployment.send_with_id("u", Method::POST, "/once/u").await;
+        assert_eq!((status, text.as_str(), complete), (200, "whole", true));
+        deployment.set_behaviors("/once/r", &[Behavior::ResetWithoutLength]);
+        let (status, text, _) = deployment.send_with_id("r", Method::POST, "/once/r").await;
+        assert_eq!(status, 502, "{text}");
+        let behaviors = [Behavior::ResetWithoutLength, Behavior::RespondToConnectionEnd];
+        deployment.set_behaviors("/safe/r", &behaviors);
+        let (status, text, complete) = deployment.send_with_id("s", Method::GET, "/safe/r").await;
+        assert_eq!((status, text.as_str(), complete), (200, "whole", true));
+    });
+}
+
 /// A target that is stuck may send comments now and then, so that its connection is never idle.
 #[test]
 fn stream_without_further_events_is_continued_by_another_target() {
