Treat a stream that ends inside an event as broken off

Cause: the target's response had neither a length nor chunks, so it ended with its connection, and the gateway took every orderly end of input for the end of the response (`TargetBody::next`). The end of a connection is also what a target that fails leaves behind. On resumable routes the half event that was held back was sent as the last piece.

Hypothesis 2 (a lost reset) is ruled out by `response_without_a_length_is_complete_unless_its_connection_is_reset`, which passed before; 4 (a dropped connection task) by reading: `ConnectionLease` is held until the body ends.

Change: `TargetBody` follows the events of a stream. If the body ends inside one, or with its connection before the first, the exchange is recorded as broken like a reset is: the target is blamed, a resumable stream goes on elsewhere, any other is cut visibly, and a VM that was handed the request sends an abort instead of an end. This holds for any delimiter. A body whose type isn't an event stream is untouched.

Failed before, passes now: gateway_requests `stream_that_ends_with_its_connection_inside_an_event_is_broken_off` (here, handed over, resumable, no event at all, and whole streams as the counterpart).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{HeaderName, HeaderValue},
+    header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
 
 use super::{
@@ -47,11 +47,24 @@
     pub(super) attempt: ActiveAttempt,
 }
 
+impl OpenResponse {
+    /// Whether the body is a series of events. A target of a streaming route may also answer with
+    /// an error or a body of another type.
+    pub(super) fn is_event_stream(&self) -> bool {
+        let content_type = self.headers.get(CONTENT_TYPE);
+        self.attempt.request.route.delivery_mode.is_stream()
+            && self.status.is_success()
+            && content_type.is_none_or(|it| http::is_event_stream(it.as_bytes()))
+    }
+}
+
 /// A request that is in flight at a target, and counts as load there until this is dropped.
 pub(super) struct ActiveAttempt {
     gateway: Arc<Gateway>,
     pub(super) target: Target,
     request: Arc<RoutedRequest>,
+    /// Whether the target was asked for the events that are missing of an earlier stream.
+    pub(super) resumes_stream: bool,
     sent: SentRequest,
     prompt_unread: bool,
     last_chunk_at: Option<Instant>,
@@ -65,12 +78,25 @@
 }
 
 impl ActiveAttempt {
-    fn new(gateway: &Arc<Gateway>, pick: &Pick, request: &Arc<RoutedRequest>) -> Self {
+    fn new(
+        gateway: &Arc<Gateway>,
+        pick: &Pick,
+        request: &Arc<RoutedRequest>,
+        resumes_stream: bool,
+    ) -> Self {
         let now = gateway.clock.now();
         let target = pick.target.clone();
         let sent = gateway.balancer().record_sent(pick, &request.prompt, now);
         let (gateway, request) = (Arc::clone(gateway), Arc::clone(request));
-        Self { gateway, target, request, sent, prompt_unread: true, last_chunk_at: None }
+        Self {
+            gateway,
+            target,
+            request,
+            resumes_stream,
+            sent,
+            prompt_unread: true,
+            last_chunk_at: None,
+        }
     }
 
     /// Records that a chunk of the body was received.
@@ -130,7 +156,7 @@
         timeout: Duration,
     ) -> AttemptOutcome {
         let target = &pick.target;
-        let attempt = ActiveAttempt::new(self, pick, request);
+        let attempt = ActiveAttempt::new(self, pick, request, last_event_id.is_some());
         let mut new_connection = false;
         loop {
             let now = self.clock.now();
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::within,
     event,
-    http::{self, Body, Delimiter, IncompleteBody, StallDetector},
+    http::{self, Body, Delimiter, EventProgress, IncompleteBody, StallDetector},
     id,
     link::Exchange,
     route::Route,
@@ -44,12 +44,16 @@
 /// The body of a response on a connection to a target.
 #[derive(Debug)]
 pub(super) struct TargetBody {
-    pub(super) body: Incoming,
-    pub(super) delimiter: Delimiter,
+    body: Incoming,
+    delimiter: Delimiter,
+    /// Set if the body is an event stream.
+    events: Option<EventProgress>,
+    /// Whether any event of the stream came.
+    has_events: bool,
     /// The connection, until the body ends.
-    pub(super) lease: Option<ConnectionLease>,
-    pub(super) keep_alive: KeepAlive,
-    pub(super) attempt: ActiveAttempt,
+    lease: Option<ConnectionLease>,
+    keep_alive: KeepAlive,
+    attempt: ActiveAttempt,
 }
 
 /// What a [`BodySource`] yields next.
@@ -162,8 +166,10 @@
 
 impl From<OpenResponse> for TargetBody {
     fn from(response: OpenResponse) -> Self {
+        let events = response.is_event_stream().then(EventProgress::default);
         let OpenResponse { body, delimiter, lease, keep_alive, attempt, .. } = response;
-        Self { body, delimiter, lease: Some(lease), keep_alive, attempt }
+        let lease = Some(lease);
+        Self { body, delimiter, events, has_events: false, lease, keep_alive, attempt }
     }
 }
 
@@ -174,13 +180,15 @@
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     self.attempt.record_chunk();
+                    if let Some(events) = &mut self.events {
+                        self.has_events |= events.push(&bytes);
+                    }
                     return BodyChunk::Data(bytes);
                 }
-                Some(Err(cause)) => {
-                    self.lease = None;
-                    self.attempt.record_broken_exchange();
-                    gateway.balancer().record_failure(&self.attempt.target, gateway.clock.now());
-                    return BodyChunk::Broken(http::read_failure(&cause));
+                Some(Err(cause)) => return self.record_break(gateway, http::read_failure(&cause)),
+                None if self.ends_early() => {
+                    let cause = "the target's stream ended inside an event";
+                    return self.record_break(gateway, cause.to_owned());
                 }
                 None => {
                     self.attempt.record_success();
@@ -192,6 +200,23 @@
             }
         }
     }
+
+    /// Whether a body that ends now is a stream that was broken off: inside an event, or with its
+    /// connection before the first event. Only a stream that resumes another may have no events.
+    fn ends_early(&self) -> bool {
+        let Some(events) = &self.events else { return false };
+        let is_cut_at_start = self.delimiter == Delimiter::Connection
+            && !self.has_events
+            && !self.attempt.resumes_stream;
+        events.is_inside_event() || is_cut_at_start
+    }
+
+    fn record_break(&mut self, gateway: &Gateway, cause: String) -> BodyChunk {
+        self.lease = None;
+        self.attempt.record_broken_exchange();
+        gateway.balancer().record_failure(&self.attempt.target, gateway.clock.now());
+        BodyChunk::Broken(cause)
+    }
 }
 
 impl StreamingBody {
--- a/src/http.rs
+++ b/src/http.rs
@@ -15,7 +15,7 @@
     client::{RequestError, send_request},
     deadline_body::full_before_deadline,
     delimiter::Delimiter,
-    event_progress::EventProgress,
+    event_progress::{EventProgress, is_event_stream},
     server::{Limits, Stop, Stopped, serve},
     stall_detector::StallDetector,
 };
--- a/src/http/event_progress.rs
+++ b/src/http/event_progress.rs
@@ -1,6 +1,19 @@
+const MEDIA_TYPE: &[u8] = b"text/event-stream";
 /// The bytes of a line that are kept to tell what it is.
 const MAX_LINE_BYTES: usize = 64;
 
+/// Whether the value of a `Content-Type` header is that of server-sent events.
+///
+/// ```
+/// assert!(pomelogate::http::is_event_stream(b"Text/Event-Stream; charset=utf-8"));
+/// assert!(!pomelogate::http::is_event_stream(b"application/json"));
+/// ```
+pub fn is_event_stream(content_type: &[u8]) -> bool {
+    content_type
+        .get(..MEDIA_TYPE.len())
+        .is_some_and(|media_type| media_type.eq_ignore_ascii_case(MEDIA_TYPE))
+}
+
 /// Tells progress in a stream of server-sent events from bytes that carry none.
 ///
 /// A target that is stuck may go on to send comments, events without content, or an event that
--- a/src/path/framing.rs
+++ b/src/path/framing.rs
@@ -1,8 +1,7 @@
 use hyper::{HeaderMap, body::Incoming, header::CONTENT_TYPE};
 
-use crate::http::Delimiter;
+use crate::http::{self, Delimiter};
 
-const EVENT_STREAM: &[u8] = b"text/event-stream";
 const LAST_EVENT: &[u8] = b"data: [DONE]";
 
 /// How a complete body is told from one that was cut short.
@@ -19,7 +18,7 @@
 impl Framing {
     pub(super) fn of(headers: &HeaderMap, body: &Incoming) -> Self {
         let content_type = headers.get(CONTENT_TYPE);
-        if content_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM)) {
+        if content_type.is_some_and(|it| http::is_event_stream(it.as_bytes())) {
             return Self::EventStream;
         }
         match Delimiter::of(headers, body) {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -147,9 +147,11 @@
 }
 
 fn is_event_stream(target_response: &TargetResponse) -> bool {
-    target_response.head.headers.iter().any(|pair| {
-        pair.name == CONTENT_TYPE.as_str() && pair.value.starts_with(b"text/event-stream")
-    })
+    target_response
+        .head
+        .headers
+        .iter()
+        .any(|pair| pair.name == CONTENT_TYPE.as_str() && http::is_event_stream(&pair.value))
 }
 
 fn status_code(number: u32) -> StatusCode {
