--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -652,7 +652,7 @@
         let cut = Behavior::EventsToConnectionEnd(4);
         let whole = Behavior::EventsToConnectionEnd(LAST_EVENT_ID);
         for path in ["/stream/c", "/far-stream/c"] {
-            deployment.set_behaviors(path, &[cut.clone()]);
+            deployment.set_behaviors(path, std::slice::from_ref(&cut));
             let (status, text, complete) = deployment.send_with_id(path, Method::POST, path).await;
             assert_eq!((status, complete), (200, false), "{path}: {text}");
             assert_eq!(deployment.arrival_count(path), 1, "{path}");
@@ -665,7 +665,7 @@
         let (status, ..) = deployment.send_with_id("n", Method::POST, "/stream/n").await;
         assert_eq!(status, 502, "it may have run, and no event came");
         for path in ["/stream/w", "/far-stream/w", "/resumable/w"] {
-            deployment.set_behaviors(path, &[whole.clone()]);
+            deployment.set_behaviors(path, std::slice::from_ref(&whole));
             let (status, text, complete) = deployment.send_with_id(path, Method::POST, path).await;
             assert_eq!((status, text, complete), (200, all_events(), true), "{path}");
         }
