Take `data: [DONE]` for the end of a stream only as a whole event

Cause: `StreamTail::has_last_event` compared the last bytes with `data: [DONE]` wherever in a line they stood, and without the blank line that ends an event. A target that fails right after a text that quotes these bytes left a stream that counted as complete.

Change: the bytes must be a line of their own, followed by a blank line.

Failed before, passes now: answers `a_stream_that_ends_inside_an_event_is_not_complete_whatever_its_last_bytes`.

--- a/src/path/framing.rs
+++ b/src/path/framing.rs
@@ -2,7 +2,8 @@
 
 use crate::http::{self, Delimiter};
 
-const LAST_EVENT: &[u8] = b"data: [DONE]";
+/// The line of the last event.
+const LAST_LINE: &[u8] = b"data: [DONE]";
 
 /// How a complete body is told from one that was cut short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +34,8 @@
 pub(super) struct StreamTail(Vec<u8>);
 
 impl StreamTail {
-    /// The last event with up to 4 bytes of line ends after it.
-    const MAX_BYTES: usize = LAST_EVENT.len() + 4;
+    /// The end of the line before, the last line, its end and a blank line.
+    const MAX_BYTES: usize = 1 + LAST_LINE.len() + 4;
 
     pub(super) fn push(&mut self, bytes: &[u8]) {
         self.0.extend_from_slice(&bytes[bytes.len().saturating_sub(Self::MAX_BYTES)..]);
@@ -43,6 +44,12 @@
     }
 
     pub(super) fn has_last_event(&self) -> bool {
-        self.0.trim_ascii_end().ends_with(LAST_EVENT)
+        let text = self.0.trim_ascii_end();
+        let count =
+            |line_end: u8| self.0[text.len()..].iter().filter(|it| **it == line_end).count();
+        let has_blank_line = count(b'\n').max(count(b'\r')) >= 2;
+        // The text of an event may quote the last line.
+        let is_line = |before: &[u8]| matches!(before.last(), None | Some(b'\n' | b'\r'));
+        has_blank_line && text.strip_suffix(LAST_LINE).is_some_and(is_line)
     }
 }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -95,6 +95,7 @@
             (format!("{FIRST_EVENT}data: [DONE]\n"), false),
             (format!("{FIRST_EVENT}data: [DONE]\n\n"), true),
             (format!("{FIRST_EVENT}data: [DONE]\r\n\r\n"), true),
+            (format!("{FIRST_EVENT}data: [DONE]\n\n\n\n"), true),
         ] {
             let fleet = Fleet::start(&[("jakarta", 1)]).await;
             let address = serve_unframed_stream(events.clone()).await;
