--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -951,3 +951,53 @@
         assert_eq!(status, 200, "other requests are served");
     });
 }
+
+/// Guards against evidence that is kept by the whole request: where one part of a prompt crashes
+/// targets and no two requests with it are alike, each of them was a new suspect.
+#[test]
+fn part_of_prompts_that_crashes_targets_is_refused_by_every_gateway_and_sound_parts_are_served() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/once/crash", &[Behavior::CloseConnection]);
+        let send = async |vm: u8, path: &str, id: &str, shared_part: &str| {
+            let request = Request::post(path)
+                .header("host", "a.example")
+                .header("request", id)
+                .header("parts", format!("system:300,{shared_part}:200,{id}:100"))
+                .header("tokens", "600,50")
+                .body(http::full(id.to_owned()))
+                .expect("a request");
+            let (status, _, text, _) =
+                deployment.send_to(deployment.callers_address_of(vm), request).await;
+            (status, text.contains("crashing"))
+        };
+        for vm in [2, 3] {
+            assert_eq!(send(vm, "/once/sound", &format!("before-{vm}"), "sound").await.0, 200);
+        }
+        for (round, vm) in [(1, 2), (2, 3), (3, 2), (4, 3), (5, 2)] {
+            let id = format!("crash-{round}");
+            if send(vm, "/once/crash", &id, "bad").await == (503, true) {
+                break;
+            }
+            let ran_request = |target: &&FakeTarget| !target.requests_with_id(&id).is_empty();
+            let target = deployment.targets.iter().find(ran_request).expect("one target ran it");
+            deployment.announce(target, 1 + round).await;
+        }
+        for vm in [2, 3] {
+            let mut attempt = 0;
+            eventually("requests with the part are refused", async || {
+                attempt += 1;
+                let id = format!("refused-{vm}-{attempt}");
+                send(vm, "/once/crash", &id, "bad").await == (503, true)
+                    && deployment.arrival_count(&id) == 0
+            })
+            .await;
+            for attempt in 0..5 {
+                let id = format!("sound-{vm}-{attempt}");
+                assert_eq!(send(vm, "/once/sound", &id, "sound").await, (200, false), "{id}");
+                let id = format!("new-{vm}-{attempt}");
+                assert_eq!(send(vm, "/once/sound", &id, &id).await, (200, false), "{id}");
+            }
+        }
+    });
+}
