Refuse requests by the part of their prompts that crashes targets

Cause: the records of requests that were in flight at a target's death were kept by the digest of the whole request (`RoutedRequest::digest`). Where one part of the prompt crashes targets and no two requests are alike, each request is a new suspect and none reaches three deaths. Besides, a death was known only when heartbeats failed, 2 to 4 s after it, and a block reached VMs at their next poll.

Change: `crash::PartTracker`, a state machine without I/O, finds the part that is in flight at each death and never in a request that finishes; the part with most deaths explains them, so that those in flight by chance go free. Only the replicas decide, on what all VMs report: a VM alone would convict the victims of other VMs' requests. VMs report what finished with suspected parts. `Gateway::check_for_crash` learns of a death within a round trip, from refused connections; records interrupt the poll that waits, and replicas pass blocks on at once.

Failed before, passes now: gateway_requests `part_of_prompts_that_crashes_targets_is_refused_by_every_gateway_and_sound_parts_are_served`.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -171,8 +171,12 @@
             let timer = async {
                 Timer::after(REPORT_INTERVAL).await;
             };
-            or(timer, self.vms_changed.listen()).await;
+            let news = or(self.vms_changed.listen(), self.crashes_reported.listen());
+            or(timer, news).await;
             Timer::after(REPORT_DELAY).await;
+            if lock(&self.blocked_requests).digest != 0 {
+                self.update_blocked_requests();
+            }
             let Some(group) = self.group() else { continue };
             let now = self.clock.now();
             let polling_vms = lock(&self.polling_vms).clone();
@@ -199,7 +203,13 @@
 
     fn take_unsent_crashes(&self) -> Option<crash::RecordSet> {
         let unsent = self.has_unsent_crashes.swap(false, Ordering::Relaxed);
-        unsent.then(|| lock(&self.crashes).export_newest(self.clock.now(), MAX_CRASH_RECORDS))
+        if !unsent {
+            return None;
+        }
+        let now = self.clock.now();
+        let parts = Some(lock(&self.crash_parts).export(now, &[]));
+        let records = lock(&self.crashes).export_newest(now, MAX_CRASH_RECORDS);
+        Some(crash::RecordSet { parts, ..records })
     }
 
     /// The info of this VM, which accepts no callers.
@@ -220,7 +230,7 @@
             Ok(report) => {
                 let now = self.clock.now();
                 if let Some(crashes) = &report.crashes {
-                    lock(&self.crashes).merge(now, crashes);
+                    self.merge_crashes(crashes);
                 }
                 let mut heartbeats = self.heartbeats();
                 let known = heartbeats.vm_set().digest();
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -10,11 +10,11 @@
 use super::updates::ReadyTargetCounts;
 use crate::{
     clock::Clock,
-    crash::{self, CrashTracker},
+    crash::{self, CrashTracker, PartSettings, PartTracker},
     event,
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
-    registry::{HeartbeatTable, StateMachine},
+    registry::{BlockedRequests, HeartbeatTable, StateMachine},
     replica::{Group, change_notifier::ChangeNotifier},
     route::{Table, TableError},
     wire::Topic,
@@ -42,6 +42,14 @@
     pub(super) ready_target_counts: Mutex<ReadyTargetCounts>,
     /// Requests that were in flight at targets that crashed, as all VMs reported.
     pub(super) crashes: Mutex<CrashTracker>,
+    /// The parts of prompts that were in flight at targets that crashed, as all VMs reported.
+    pub(super) crash_parts: Mutex<PartTracker>,
+    /// What VMs refuse because it crashes targets.
+    pub(super) blocked_requests: Mutex<BlockedRequests>,
+    /// Notifies tasks when `blocked_requests` changes.
+    pub(super) blocks_changed: ChangeNotifier,
+    /// Notifies the sender of reports when a VM reported a crash.
+    pub(super) crashes_reported: ChangeNotifier,
     /// Whether `crashes` holds reports of VMs that were not sent to the other replicas.
     pub(super) has_unsent_crashes: AtomicBool,
     pub(super) parse_routes: ParseRoutes,
@@ -86,6 +94,10 @@
             records_seen_at: Mutex::default(),
             ready_target_counts: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(crash::Settings::for_routes())),
+            crash_parts: Mutex::new(PartTracker::new(PartSettings::default())),
+            blocked_requests: Mutex::default(),
+            blocks_changed: ChangeNotifier::default(),
+            crashes_reported: ChangeNotifier::default(),
             has_unsent_crashes: AtomicBool::new(false),
             parse_routes,
             incarnation,
--- a/src/control/updates.rs
+++ b/src/control/updates.rs
@@ -10,7 +10,7 @@
 
 use super::{Control, server::lock};
 use crate::{
-    event, id,
+    crash, event, id,
     registry::{
         BlockedRequests, ColdTarget, ColdTargets, RegionLoad, RegionLoads, SilentTargets, State,
         StateMachine, TargetRecord, Update, UpdateRequest, VmChanges, VmInfo,
@@ -29,6 +29,8 @@
 const UPDATE_DELAY: Duration = Duration::from_millis(60);
 /// Age at which a VM's region loads are sent again.
 const LOADS_MAX_AGE_MS: u64 = 500;
+/// The most parts of prompts that VMs are asked about.
+const MAX_SUSPECT_PARTS: usize = 256;
 /// Longest time for which a replica waits for a change before it answers.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -52,8 +54,9 @@
         lock(&self.polling_vms).insert(request.sender.vm.clone());
         self.record_vm(&request.sender);
         if let Some(crashes) = &request.crashes {
-            lock(&self.crashes).merge(self.clock.now(), crashes);
+            self.merge_crashes(crashes);
             self.has_unsent_crashes.store(true, Ordering::Relaxed);
+            self.crashes_reported.notify();
         }
         let wait = Duration::from_millis(request.max_wait_ms).min(MAX_WAIT);
         let update = match self.group() {
@@ -80,15 +83,18 @@
             loop {
                 let registry_change = group.read(StateMachine::listen);
                 let vm_change = self.vms_changed.listen();
+                let blocks_change = self.blocks_changed.listen();
                 let vms_differ = self.heartbeats().vm_set().digest() != request.vms_digest;
+                let blocks_differ = lock(&self.blocked_requests).digest != request.blocked_digest;
                 if vms_differ
+                    || blocks_differ
                     || group.read(|registry| {
                         Update::has_changes(registry, request.since_index, is_relevant)
                     })
                 {
                     return;
                 }
-                or(registry_change, vm_change).await;
+                or(registry_change, or(vm_change, blocks_change)).await;
             }
         };
         or(change, timer).await;
@@ -134,7 +140,7 @@
         update.silent_targets = Some(self.silent_targets(&ready, now))
             .filter(|silent| silent.digest != request.silent_digest);
         update.vm_changes = self.vm_changes(request.vms_digest);
-        update.blocked_requests = Some(self.blocked_requests(now))
+        update.blocked_requests = Some(lock(&self.blocked_requests).clone())
             .filter(|blocked| blocked.digest != request.blocked_digest);
         if request.loads_age_ms.is_none_or(|age| age >= LOADS_MAX_AGE_MS) {
             update.loads = Some(self.region_loads(group, now));
@@ -161,16 +167,37 @@
         ColdTargets { digest, targets }
     }
 
-    fn blocked_requests(&self, now: Instant) -> BlockedRequests {
-        let mut crashes = lock(&self.crashes);
-        if crashes.is_empty() {
-            return BlockedRequests::default();
+    /// Merges what a VM or another replica knows of crashes.
+    pub(super) fn merge_crashes(&self, record_set: &crash::RecordSet) {
+        let now = self.clock.now();
+        lock(&self.crashes).merge(now, record_set);
+        if let Some(parts) = &record_set.parts {
+            lock(&self.crash_parts).merge(now, parts);
         }
+        self.update_blocked_requests();
+    }
+
+    /// Determines anew what VMs refuse, and notifies waiting tasks of a change.
+    pub(super) fn update_blocked_requests(&self) {
+        let now = self.clock.now();
+        let (mut crashes, mut crash_parts) = (lock(&self.crashes), lock(&self.crash_parts));
         crashes.remove_expired(now);
+        crash_parts.remove_expired(now);
         let requests = crashes.blocked_requests(now);
+        let parts = crash_parts.blocked_parts(now);
+        let mut suspect_parts = crash_parts.suspect_parts(now);
+        drop((crashes, crash_parts));
+        suspect_parts.truncate(MAX_SUSPECT_PARTS);
         let names = requests.iter().map(|request| format!("{:?}", request.digest));
-        let digest = if requests.is_empty() { 0 } else { digest(names) };
-        BlockedRequests { digest, requests }
+        let names = names.chain(parts.iter().map(|blocked| format!("{:?}", blocked.parts)));
+        let names = names.chain(suspect_parts.iter().map(|part| format!("suspect {part}")));
+        let is_empty = requests.is_empty() && parts.is_empty() && suspect_parts.is_empty();
+        let digest = if is_empty { 0 } else { digest(names) };
+        let blocked = BlockedRequests { digest, requests, parts, suspect_parts };
+        let known = std::mem::replace(&mut *lock(&self.blocked_requests), blocked);
+        if known.digest != digest {
+            self.blocks_changed.notify();
+        }
     }
 
     fn silent_targets(&self, ready: &[TargetRecord], now: Instant) -> SilentTargets {
--- a/src/crash/record_set.rs
+++ b/src/crash/record_set.rs
@@ -1,11 +1,16 @@
 use prost::Message;
 
+use super::PartRecordSet;
+
 /// The records of one VM, as it sends them to the other VMs of its region and to replicas.
 #[derive(Clone, PartialEq, Message)]
 pub struct RecordSet {
     /// The records, one for each request.
     #[prost(message, repeated, tag = "1")]
     pub records: Vec<Record>,
+    /// The parts of prompts in flight at deaths.
+    #[prost(message, optional, tag = "2")]
+    pub parts: Option<PartRecordSet>,
 }
 
 /// The target deaths at which one request was in flight.
--- a/src/crash/tracker.rs
+++ b/src/crash/tracker.rs
@@ -152,7 +152,7 @@
                 })
                 .collect(),
         });
-        RecordSet { records: records.collect() }
+        RecordSet { records: records.collect(), parts: None }
     }
 
     /// Like [`export`](Self::export), but at most `limit` records: those with the latest deaths.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 mod attempts;
 mod balancer;
 mod connection_pool;
+mod crash_check;
 mod crash_suspects;
 mod decaying_rate;
 mod dispatch;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,13 +120,20 @@
             &self.target.target,
             self.target.incarnation,
             digest,
+            &self.request.shared_parts(),
             now,
         );
+        self.gateway.check_for_crash(&self.target);
     }
 
     /// Records that the response is complete.
     pub(super) fn record_success(&self) {
-        self.gateway.crash_suspects().record_success(&self.target.target, || self.request.digest());
+        self.gateway.crash_suspects().record_success(
+            &self.target.target,
+            || self.request.digest(),
+            &self.request.shared_parts(),
+            self.gateway.clock.now(),
+        );
     }
 
     /// Records once that the target has read the prompt or never will.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -70,6 +70,8 @@
     /// The explanation of the latest rejection.
     pub(super) rejection_detail: Option<String>,
     objective_miss: Option<ObjectiveMiss>,
+    /// Set if the request has been found to crash targets.
+    crash_refusal: Option<Refusal>,
     /// The latest server error of a target, which the caller gets if no other attempt succeeds.
     error_response: Option<TargetResponse>,
 }
@@ -79,12 +81,13 @@
     pub(super) async fn dispatch(self: &Arc<Self>, request: Arc<RoutedRequest>) -> Outcome {
         let attempts = Attempts::new(request.route.max_targets);
         let mut state = DispatchState { attempts, ..DispatchState::default() };
-        if let Some(refusal) = self.crash_refusal(&request) {
-            return Outcome::Refused(refusal);
-        }
         let wait_deadline =
             self.clock.now() + request.route.latency_objective / TARGET_WAIT_DIVISOR;
         while state.may_continue() && !request.time_left(self.clock.now()).is_zero() {
+            if let Some(refusal) = self.crash_refusal(&request) {
+                state.crash_refusal = Some(refusal);
+                break;
+            }
             let destination = self.choose_destination(&request, &state);
             let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_));
             if can_send && state.sent && !self.may_retry(&request) {
@@ -116,9 +119,13 @@
 
     /// The refusal of a request that has crashed the targets that ran it.
     fn crash_refusal(&self, request: &RoutedRequest) -> Option<Refusal> {
-        let blocked_for =
-            self.crash_suspects().refused_for(|| request.digest(), self.clock.now())?;
-        let detail = "targets crashed while they ran this same request; do not send it unchanged";
+        let blocked_for = self.crash_suspects().refused_for(
+            || request.digest(),
+            &request.shared_parts(),
+            self.clock.now(),
+        )?;
+        let detail = "targets crashed while they ran this same request, or others with the same part \
+                      in their prompts; do not send it unchanged";
         Some(Refusal::new(Reason::CrashesTargets, detail, blocked_for))
     }
 
@@ -130,6 +137,9 @@
         if let Some(cause) = state.unknown_cause {
             return Outcome::Unknown(cause);
         }
+        if let Some(refusal) = state.crash_refusal {
+            return Outcome::Refused(refusal);
+        }
         let random_delay =
             Duration::from_secs_f64(self.random().random_range(RETRY_AFTER_RANGE_SECS));
         let estimated_delay =
@@ -443,7 +453,8 @@
             ..DispatchState::default()
         };
         let destination = self.choose_destination(request, &state);
-        let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_));
+        let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_))
+            && self.crash_refusal(request).is_none();
         if !can_send || !self.may_retry(request) {
             attempts.exhaust();
             return None;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -46,6 +46,12 @@
         Self { parts, tokens, max_output_tokens: number().unwrap_or(0) }
     }
 
+    /// The keys of the parts that other requests may share.
+    pub fn shared_keys(&self) -> impl Iterator<Item = u64> {
+        let shared_parts = self.parts.split_last().map_or(&[][..], |(_, parts)| parts);
+        shared_parts.iter().map(|part| part.key)
+    }
+
     /// The number of tokens in the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         let shared_parts = self.parts.split_last().map_or(&[][..], |(_, parts)| parts);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -7,7 +7,13 @@
     routed_request::RoutedRequest,
     server::Gateway,
 };
-use crate::{event, figure::Page, http::Delimiter, id, registry::VmInfo};
+use crate::{
+    event,
+    figure::Page,
+    http::Delimiter,
+    id,
+    registry::{BlockedRequests, VmInfo},
+};
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
 /// unusual events are not limited.
@@ -176,6 +182,21 @@
         );
     }
 
+    /// Logs the requests and the parts of prompts that all VMs refuse from now on.
+    pub(super) fn record_blocks(&self, blocked: &BlockedRequests) {
+        let parts = blocked.parts.iter().map(|blocked| {
+            let keys: Vec<String> = blocked.parts.iter().map(|key| format!("{key:016x}")).collect();
+            keys.join("+")
+        });
+        let parts = parts.collect::<Vec<_>>().join(" ");
+        let fields: [event::Field<'_>; 3] = [
+            ("requests", &blocked.requests.len()),
+            ("parts", &parts),
+            ("suspects", &blocked.suspect_parts.len()),
+        ];
+        event::placement::CRASHING.emit(&self.logger, &fields);
+    }
+
     /// Logs how many routine lines were dropped since the last call.
     pub(super) fn record_dropped_lines(&self) {
         let dropped_lines = self.sampler().take_left_out();
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -78,25 +78,28 @@
     async fn poll_replica(&self, vm: &id::Vm, wait: Duration) -> Option<bool> {
         let address = self.settings.links_address_of(vm)?;
         let was_stopping = self.is_stopping();
+        let records_change = self.crash_records_changed.listen();
         let update_request = self.update_request(wait);
         let sends_crash_records = update_request.crashes.is_some();
         let payload = Bytes::from(update_request.encode_to_vec());
         let call = self.hub.call(address, Topic::Registry, payload, wait + REPLY_ALLOWANCE);
-        // A VM that begins to stop reports it at once, not after the end of this poll.
+        // A VM that begins to stop, or that learns of a crash, reports it at once, not after the end
+        // of this poll.
         let stop_begins = async {
             if was_stopping {
                 std::future::pending::<()>().await;
             }
             self.wait_until_stopping().await;
-            Err(crate::link::Error::Closed)
         };
-        let reply = or(call, stop_begins).await;
-        if sends_crash_records && reply.is_err() {
+        let interruption = async {
+            or(stop_begins, records_change).await;
+            None
+        };
+        let reply = or(async { Some(call.await) }, interruption).await;
+        if sends_crash_records && !matches!(reply, Some(Ok(_))) {
             self.crash_suspects().mark_records_unsent();
         }
-        if !was_stopping && self.is_stopping() {
-            return Some(true);
-        }
+        let Some(reply) = reply else { return Some(true) };
         let update = Update::decode(reply.ok()?).ok()?;
         let is_fresh = update.fresh;
         self.apply_update(update);
@@ -131,17 +134,15 @@
         let now = self.clock.now();
         let routes = update.routes.clone();
         if let Some(blocked) = &update.blocked_requests {
-            self.crash_suspects().set_blocked_requests(blocked.digest, &blocked.requests, now);
-            event::placement::CRASHING.emit(&self.logger, &[("requests", &blocked.requests.len())]);
+            let mut suspects = self.crash_suspects();
+            suspects.set_blocked_requests(blocked.digest, &blocked.requests, now);
+            suspects.set_blocked_parts(&blocked.parts, &blocked.suspect_parts, now);
+            drop(suspects);
+            self.record_blocks(blocked);
         }
         let applied = self.mirror().apply(update, now);
         for TargetIncarnation { target, incarnation } in self.mirror().take_ended_incarnations() {
-            let suspect_count =
-                self.crash_suspects().record_incarnation_end(&target, incarnation, now);
-            if suspect_count > 0 {
-                event::placement::SUSPECT
-                    .emit(&self.logger, &[("target", &target), ("requests", &suspect_count)]);
-            }
+            self.record_crash(&target, incarnation);
         }
         if let Some(routes) = routes.filter(|_| applied) {
             self.apply_routes(routes.version, &routes.text);
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -41,6 +41,11 @@
         Digest::of(&[method, host.as_bytes(), self.path_and_query.as_bytes(), &self.body])
     }
 
+    /// The keys of the parts of the prompt that other requests may share.
+    pub(super) fn shared_parts(&self) -> Vec<u64> {
+        self.prompt.shared_keys().collect()
+    }
+
     /// The time until the deadline.
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::HashSet,
     convert::Infallible,
     path::PathBuf,
     sync::{
@@ -31,6 +32,7 @@
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
     registry::Mirror,
+    replica::change_notifier::ChangeNotifier,
     route::{self, Table},
     wire::Topic,
 };
@@ -61,6 +63,10 @@
     admission: Mutex<Admission>,
     retry_budget: Mutex<RetryBudget>,
     crash_suspects: Mutex<CrashSuspects>,
+    /// The incarnations of targets that are being checked for a crash.
+    pub(super) crash_checks: Mutex<HashSet<(id::Target, u64)>>,
+    /// Notifies the synchronization when there are records for the replicas.
+    pub(super) crash_records_changed: ChangeNotifier,
     random: Mutex<StdRng>,
     metrics: Mutex<Metrics>,
     sampler: Mutex<Sampler>,
@@ -139,6 +145,8 @@
                 bounds.retry_window,
             )),
             crash_suspects: Mutex::default(),
+            crash_checks: Mutex::default(),
+            crash_records_changed: ChangeNotifier::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
             metrics: Mutex::default(),
             sampler: Mutex::new(Sampler::new(ROUTINE_LINES_PER_SEC, started_at)),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,4 +1,4 @@
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use smol::{Task, net::TcpStream};
@@ -14,6 +14,8 @@
 /// The connection is considered lost if sent bytes or keepalive probes stay unacknowledged for this
 /// long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// A program that ended refuses a connection within a round trip.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The error of an HTTP request that received no response head.
@@ -73,6 +75,12 @@
     }
 }
 
+/// Whether `address` refuses connections, as the address of a program that ended does.
+pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
+    let connected = within(REFUSAL_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Some(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection that the operating system closes when the other side stops acknowledging.
 pub(crate) async fn connect(
     address: SocketAddr,
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -172,6 +172,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether an incarnation of a target in this VM's region is ready, which one that leaves is not.
+    pub fn is_ready(&self, target: &id::Target, incarnation: u64) -> bool {
+        let record = self.records.get(target.as_str()).map(|(record, _)| record);
+        record.is_some_and(|it| it.incarnation == incarnation && it.state() == State::Ready)
+    }
+
     /// The services that have a ready target in this VM's region, with those targets.
     pub fn services(&self) -> impl Iterator<Item = (&id::Service, &[Target])> {
         self.services.iter().map(|(service, targets)| (service, targets.as_slice()))
--- a/src/registry/update.rs
+++ b/src/registry/update.rs
@@ -84,6 +84,12 @@
     /// The requests.
     #[prost(message, repeated, tag = "2")]
     pub requests: Vec<crash::BlockedRequest>,
+    /// The parts of prompts for which requests are refused.
+    #[prost(message, repeated, tag = "3")]
+    pub parts: Vec<crash::BlockedParts>,
+    /// Parts in flight at several deaths. VMs report when requests with them finish.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub suspect_parts: Vec<u64>,
 }
 
 /// The VMs that accept callers and the replicas, or the changes to them.
--- a/src/vm/target_deaths.rs
+++ b/src/vm/target_deaths.rs
@@ -6,17 +6,15 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use hyper::body::Bytes;
 use prost::Message;
-use smol::{Timer, net::TcpStream};
+use smol::Timer;
 
 use super::{Vm, target_attempt::TargetAttempt};
 use crate::{
-    clock::within,
     crash::{RecordSet, Verdict},
-    event,
+    event, http,
     wire::Topic,
 };
 
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// If a new incarnation of the target appears within this time after an exchange broke off, the
 /// target is taken to have died during the exchange.
 const RESTART_WINDOW: Duration = Duration::from_secs(5);
@@ -38,7 +36,7 @@
         let (sender, done) = smol::channel::bounded::<()>(1);
         let vm = Arc::clone(self);
         smol::spawn(async move {
-            if vm.refuses_connections(&attempt).await {
+            if http::refuses_connections(attempt.target.address).await {
                 vm.record_target_death(&attempt).await;
             } else {
                 drop(sender);
@@ -49,11 +47,6 @@
         let _ = done.recv().await;
     }
 
-    async fn refuses_connections(&self, attempt: &TargetAttempt) -> bool {
-        let refused = within(PROBE_TIMEOUT, TcpStream::connect(attempt.target.address)).await;
-        matches!(refused, Some(Err(cause)) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
-    }
-
     /// Records the death of a target that restarts soon: a target that accepts connections may
     /// already have died and restarted.
     async fn watch_for_restart(self: &Arc<Self>, attempt: &TargetAttempt) {
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -15,7 +15,9 @@
 
 fn crash(suspects: &mut CrashSuspects, target: &str, digests: &[Digest], now: Instant) {
     let target = id::Target::from(target);
-    digests.iter().for_each(|digest| suspects.record_broken_exchange(&target, 1, *digest, now));
+    digests
+        .iter()
+        .for_each(|digest| suspects.record_broken_exchange(&target, 1, *digest, &[], now));
     suspects.record_incarnation_end(&target, 1, now);
 }
 
@@ -31,7 +33,7 @@
         CrashTracker::new(crash::Settings::for_routes()),
     ];
     for (index, target) in ["one", "two", "three"].into_iter().enumerate() {
-        assert!(vms[index].refused_for(|| bad, now).is_none());
+        assert!(vms[index].refused_for(|| bad, &[], now).is_none());
         crash(&mut vms[index], target, &[bad], now);
         let records = vms[index].take_unsent_records(now).expect("unsent records");
         assert!(vms[index].take_unsent_records(now).is_none(), "records are sent once");
@@ -44,10 +46,10 @@
     assert_eq!(blocked.len(), 1);
     for vm in &mut vms {
         vm.set_blocked_requests(1, &blocked, now);
-        assert!(vm.refused_for(|| bad, now).is_some());
-        assert!(vm.refused_for(|| innocent, now).is_none());
+        assert!(vm.refused_for(|| bad, &[], now).is_some());
+        assert!(vm.refused_for(|| innocent, &[], now).is_none());
         assert!(
-            vm.refused_for(|| bad, now + Duration::from_secs(200)).is_none(),
+            vm.refused_for(|| bad, &[], now + Duration::from_secs(200)).is_none(),
             "the block expires"
         );
     }
@@ -58,7 +60,7 @@
     let now = Instant::now();
     let mut suspects = CrashSuspects::default();
     for _ in 0..9 {
-        suspects.record_broken_exchange(&"one".into(), 1, digest("job"), now);
+        suspects.record_broken_exchange(&"one".into(), 1, digest("job"), &[], now);
     }
     // The incarnation ends long after, and that of another target ends at once.
     suspects.record_incarnation_end(&"one".into(), 1, now + Duration::from_secs(60));
@@ -74,9 +76,9 @@
     for target in ["one", "two"] {
         crash(&mut suspects, target, &[popular], now);
     }
-    suspects.record_success(&"three".into(), || popular);
+    suspects.record_success(&"three".into(), || popular, &[], now);
     crash(&mut suspects, "four", &[popular], now);
-    assert!(suspects.refused_for(|| popular, now).is_none());
+    assert!(suspects.refused_for(|| popular, &[], now).is_none());
     let mut replica = CrashTracker::new(crash::Settings::for_routes());
     replica.merge(now, &suspects.take_unsent_records(now).expect("changed"));
     assert!(replica.blocked_requests(now).is_empty());
