Refuse chats with a message that crashes engines, whatever follows it

Change: the messages before the last one are the shared parts of a chat (`PlacementInput::shared_parts`); `crash::PartTracker` judges them on each VM, on the records that all VMs of the region exchange at a death.

Failed before (`left: 2 right: 3` engines alive), passes now: crash_path `a_message_that_crashed_three_engines_is_refused_by_every_vm_whatever_follows_it`. The stand-in engine dies of a marker in any message; it looked at the last one only.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -185,7 +185,7 @@
             Fault::Overloaded => {
                 return problem(StatusCode::SERVICE_UNAVAILABLE, "the batch is full");
             }
-            Fault::CrashOn(marker) if text.contains(marker.as_str()) => {
+            Fault::CrashOn(marker) if json["messages"].to_string().contains(marker) => {
                 self.crash.close();
                 std::future::pending().await
             }
--- a/src/standin/fault.rs
+++ b/src/standin/fault.rs
@@ -20,6 +20,6 @@
     Silent,
     /// It answers that it is overloaded.
     Overloaded,
-    /// It dies, with all its connections, of a request that contains this text.
+    /// It dies, with all its connections, of a request with this text in any of its messages.
     CrashOn(String),
 }
--- a/src/vm/routing_decision.rs
+++ b/src/vm/routing_decision.rs
@@ -53,7 +53,7 @@
         let peers = self.remote_peers(request, attempts);
         let targets = self.targets();
         let mut routing = self.routing();
-        if let Some(refusal) = routing.crash_refusal(now, placement_input.digest) {
+        if let Some(refusal) = routing.crash_refusal(now, placement_input) {
             return RoutingDecision::Refuse(refusal);
         }
         let tried_targets: Vec<id::Target> = attempts.tried_targets().iter().cloned().collect();
--- a/src/vm/routing_state.rs
+++ b/src/vm/routing_state.rs
@@ -3,11 +3,15 @@
     time::{Duration, Instant},
 };
 
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::{
-    crash::{CrashTracker, Digest, Verdict},
+    crash::{CrashTracker, Digest, PartSettings, PartTracker, Verdict},
     id,
     limit::RetryBudget,
-    outcome::Refusal,
+    outcome::{Reason, Refusal},
     path::{Admitted, Request},
     placement::{Candidate, Decision, Policy, Prompt, Query},
     settings::Settings,
@@ -27,6 +31,9 @@
     model_policy: Policy,
     service_policy: Policy,
     pub(super) crash_tracker: CrashTracker,
+    pub(super) part_tracker: PartTracker,
+    /// The shared parts of the requests in flight.
+    parts_in_flight: BTreeMap<(id::Target, Digest), Vec<u64>>,
     pub(super) retry_budget: RetryBudget,
     avoided_targets: BTreeMap<id::Target, AvoidedTarget>,
     /// The last incarnation of each target for which this VM has counted a death.
@@ -53,6 +60,15 @@
     pub(super) need: Need,
     pub(super) prompt: Prompt,
     pub(super) digest: Digest,
+    /// The keys of the messages before the last one, which other requests may share.
+    pub(super) shared_parts: Vec<u64>,
+}
+
+/// The messages of a chat completion as the caller wrote them.
+#[derive(Deserialize)]
+struct Messages<'a> {
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
 }
 
 impl PlacementInput {
@@ -66,10 +82,22 @@
             Need::Service { .. } => Prompt::default(),
         };
         let digest = Digest::new(customer, &resolved.need, &resolved.body);
-        Self { need: resolved.need.clone(), prompt, digest }
+        let shared_parts = match &resolved.need {
+            Need::Model { .. } => shared_parts(&resolved.need, &resolved.body),
+            Need::Service { .. } => Vec::new(),
+        };
+        Self { need: resolved.need.clone(), prompt, digest, shared_parts }
     }
 }
 
+fn shared_parts(need: &Need, body: &[u8]) -> Vec<u64> {
+    let messages = serde_json::from_slice::<Messages<'_>>(body).map(|it| it.messages);
+    let seed = xxh3_64(need.to_string().as_bytes());
+    let messages = messages.unwrap_or_default();
+    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|message| xxh3_64_with_seed(message.get().as_bytes(), seed)).collect()
+}
+
 impl RoutingState {
     pub(super) fn new(settings: &Settings, seed: u64) -> Self {
         let policy = settings.placement.policy();
@@ -77,6 +105,11 @@
             model_policy: Policy::new(policy, seed),
             service_policy: Policy::new(policy, seed.wrapping_add(1)),
             crash_tracker: CrashTracker::new(settings.crashes),
+            part_tracker: PartTracker::new(PartSettings {
+                death_retention: settings.crashes.death_retention,
+                ..PartSettings::default()
+            }),
+            parts_in_flight: BTreeMap::new(),
             retry_budget: RetryBudget::default(),
             avoided_targets: BTreeMap::new(),
             counted_deaths: BTreeMap::new(),
@@ -96,16 +129,29 @@
         self.model_policy.set_vm_count(vm_count);
         self.service_policy.set_vm_count(vm_count);
         self.crash_tracker.remove_expired(now);
+        self.part_tracker.remove_expired(now);
         self.avoided_targets.retain(|_, avoided| avoided.expires_at > now);
         self.counted_deaths.retain(|_, death| death.expires_at > now);
     }
 
-    /// The refusal of a request that was in flight at too many target deaths.
-    pub(super) fn crash_refusal(&self, now: Instant, digest: Digest) -> Option<Refusal> {
-        match self.crash_tracker.check(now, digest) {
-            Verdict::Refuse(refusal) => Some(refusal),
-            Verdict::Allow | Verdict::Isolate => None,
+    /// The refusal of a request that was in flight at too many target deaths, or whose prompt has a
+    /// part that was.
+    pub(super) fn crash_refusal(&self, now: Instant, input: &PlacementInput) -> Option<Refusal> {
+        if let Verdict::Refuse(refusal) = self.crash_tracker.check(now, input.digest) {
+            return Some(refusal);
+        }
+        if self.part_tracker.is_empty() || input.shared_parts.is_empty() {
+            return None;
         }
+        let mut blocked = self.part_tracker.blocked_parts(now).into_iter();
+        let blocked =
+            blocked.find(|it| it.parts.iter().all(|it| input.shared_parts.contains(it)))?;
+        let refusal = Refusal::new(
+            Reason::CrashesTargets,
+            "targets died while they ran requests with one of its earlier messages",
+            "leave that message out; tell the operator which request it is",
+        );
+        Some(refusal.retry_after(Duration::from_millis(blocked.remaining_ms)))
     }
 
     /// Whether the request was in flight when a target died, so that it may run only on targets
@@ -153,6 +199,10 @@
     ) {
         self.policy_for(&placement_input.need).record_sent(now, target, &placement_input.prompt);
         self.crash_tracker.record_started(target, placement_input.digest);
+        if !placement_input.shared_parts.is_empty() {
+            let key = (target.clone(), placement_input.digest);
+            self.parts_in_flight.insert(key, placement_input.shared_parts.clone());
+        }
     }
 
     pub(super) fn record_handover(&mut self, now: Instant, region: &id::Region, need: &Need) {
@@ -169,6 +219,10 @@
         service_time: Option<Duration>,
     ) {
         self.policy_for(&placement_input.need).record_finished(now, target, service_time);
+        self.parts_in_flight.remove(&(target.clone(), placement_input.digest));
+        if service_time.is_some() {
+            self.part_tracker.record_finished(now, placement_input.shared_parts.iter().copied());
+        }
         match service_time {
             Some(_) => self.crash_tracker.record_finished(target, placement_input.digest),
             None => self.crash_tracker.record_stopped(target, placement_input.digest),
@@ -196,6 +250,13 @@
         self.counted_deaths
             .insert(target.clone(), CountedDeath { incarnation, expires_at: now + retention });
         let in_flight = self.crash_tracker.in_flight(target);
+        let parts = in_flight.iter().filter_map(|digest| {
+            self.parts_in_flight.get(&(target.clone(), *digest)).map(Vec::as_slice)
+        });
+        let parts: Vec<u64> = parts.flatten().copied().collect();
+        if !parts.is_empty() {
+            self.part_tracker.record_target_death(now, target, incarnation, parts);
+        }
         self.crash_tracker.record_target_death(now, target, incarnation, &in_flight)
     }
 
--- a/src/vm/target_deaths.rs
+++ b/src/vm/target_deaths.rs
@@ -92,7 +92,12 @@
 
     async fn send_crash_records(&self) {
         let now = self.clock.now();
-        let record_set = self.routing().crash_tracker.export_newest(now, MAX_RECORDS_PER_CALL);
+        let record_set = {
+            let routing = self.routing();
+            let parts = Some(routing.part_tracker.export(now, &[]));
+            RecordSet { parts, ..routing.crash_tracker.export_newest(now, MAX_RECORDS_PER_CALL) }
+        };
+        // A death with parts in flight is one with requests in flight.
         if record_set.records.is_empty() {
             return;
         }
@@ -108,7 +113,11 @@
     pub(super) fn merge_crash_records(&self, payload: Bytes) -> Bytes {
         if let Ok(record_set) = RecordSet::decode(payload) {
             let now = self.clock.now();
-            self.routing().crash_tracker.merge(now, &record_set);
+            let mut routing = self.routing();
+            routing.crash_tracker.merge(now, &record_set);
+            if let Some(parts) = &record_set.parts {
+                routing.part_tracker.merge(now, parts);
+            }
         }
         Bytes::new()
     }
--- a/tests/crash_path.rs
+++ b/tests/crash_path.rs
@@ -4,6 +4,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use hyper::Method;
 use pomelogate::standin::{Caller, Engine, Fault, Pace, Reporter};
 use smol::future;
 use support::{
@@ -14,6 +15,7 @@
 const CREW_LEADS_KEY: &str = "sample-key-crew-leads";
 const SHIFT_PLANNERS_KEY: &str = "sample-key-shift-planners";
 const CRASHING_PROMPT: &str = "poison";
+const CHAT_PATH: &str = "/v1/chat/completions";
 const SLOW_PACE: Pace =
     Pace { first: Duration::from_millis(400), between: Duration::from_millis(2), tokens: 8 };
 
@@ -99,6 +101,42 @@
     });
 }
 
+/// Guards against evidence that is kept by the whole request: where one message crashes engines and
+/// no two requests with it are alike, each of them crashed two more.
+#[test]
+fn a_message_that_crashed_three_engines_is_refused_by_every_vm_whatever_follows_it() {
+    smol::block_on(async {
+        let fleet = Fleet::start(&[("surabaya", 3)]).await;
+        let vms: Vec<_> = (0..3).map(|index| fleet.callers(index)).collect();
+        let names = ["one", "two", "three", "four", "five", "six"];
+        let engines = start_engines(&names, "surabaya", &vms[..1]).await;
+        wait_until_all_engines_are_used(&vms, &engines).await;
+        let caller = Caller::new(CREW_LEADS_KEY);
+        let chat = async |vm: SocketAddr, context: &str, question: &str| {
+            let messages = ["You plan shifts.", context, question]
+                .map(|content| serde_json::json!({ "role": "user", "content": content }));
+            let body = serde_json::json!({ "model": "planner", "messages": messages });
+            caller.send(vm, Method::POST, CHAT_PATH, body.to_string()).await.expect("a reply")
+        };
+        let sound = chat(vms[2], "The crew is small.", "Who is free?").await;
+        assert_eq!(sound.status, 200, "{}", sound.body_text());
+        for (vm, question) in [(vms[0], "Who is free?"), (vms[1], "Who is late?")] {
+            let reply = chat(vm, CRASHING_PROMPT, question).await;
+            assert_eq!(reply.outcome(), "unknown", "it ran: {}", reply.body_text());
+        }
+        assert_eq!(count_alive(&engines).await, 3, "two engines by the first, one by the second");
+        for vm in &vms {
+            for number in 0..2 {
+                let reply = chat(*vm, CRASHING_PROMPT, &format!("Who is {number} of {vm}?")).await;
+                assert_eq!((reply.status, reply.outcome()), (422, "refused"));
+                let reply = chat(*vm, "The crew is big.", &format!("Who is {number}?")).await;
+                assert_eq!(reply.status, 200, "{}", reply.body_text());
+            }
+        }
+        assert_eq!(count_alive(&engines).await, 3);
+    });
+}
+
 #[test]
 fn requests_in_flight_at_an_engine_crash_are_answered() {
     smol::block_on(async {
