Give VMs time to clear a part of prompts before it is refused

Cause: eight targets died at once, so the third death came before the replicas had asked any VM about the part.

Change: a part is refused 500 ms after its first death that counts (`PartSettings::report_timeout`). On the path of models, VMs report finished requests only with the next death, so nothing would be gained by waiting there.

--- a/src/crash/part_settings.rs
+++ b/src/crash/part_settings.rs
@@ -15,7 +15,10 @@
     /// The same for a part that requests finished with before the deaths, as only its content at
     /// the targets can have changed.
     pub max_deaths_after_finish: usize,
-    /// The time that such a part has, from its first death that counts, to finish again.
+    /// The time from a part's first death that counts until it may be refused, in which other VMs
+    /// report whether requests with it finished.
+    pub report_timeout: Duration,
+    /// The same for a part that requests finished with before the deaths, which they may again.
     pub finish_timeout: Duration,
     /// How long a death counts, and so how long a part is refused after the last death.
     pub death_retention: Duration,
@@ -32,6 +35,7 @@
         Self {
             max_deaths: 3,
             max_deaths_after_finish: 5,
+            report_timeout: Duration::from_millis(500),
             finish_timeout: Duration::from_secs(3),
             death_retention: Duration::from_secs(120),
             max_deaths_kept: 64,
--- a/src/crash/part_tracker.rs
+++ b/src/crash/part_tracker.rs
@@ -25,11 +25,12 @@
 /// use std::time::Instant;
 /// use pomelogate::crash::{PartSettings, PartTracker};
 ///
-/// let (system, subject, bad, now) = (1, 2, 3, Instant::now());
+/// let (system, subject, bad, start) = (1, 2, 3, Instant::now());
 /// let mut tracker = PartTracker::new(PartSettings::default());
 /// for target in ["one", "two", "three"] {
-///     tracker.record_target_death(now, &target.into(), 1, [system, subject, bad]);
+///     tracker.record_target_death(start, &target.into(), 1, [system, subject, bad]);
 /// }
+/// let now = start + PartSettings::default().report_timeout;
 /// tracker.record_finished(now, [system, subject]);
 /// assert_eq!(tracker.blocked_parts(now)[0].parts, [bad]);
 /// ```
@@ -91,7 +92,7 @@
         // finish again.
         let settings = &self.settings;
         for (finished, max_deaths, min_age) in [
-            (false, settings.max_deaths, Duration::ZERO),
+            (false, settings.max_deaths, settings.report_timeout),
             (true, settings.max_deaths_after_finish, settings.finish_timeout),
         ] {
             loop {
--- a/src/vm/routing_state.rs
+++ b/src/vm/routing_state.rs
@@ -107,6 +107,8 @@
             crash_tracker: CrashTracker::new(settings.crashes),
             part_tracker: PartTracker::new(PartSettings {
                 death_retention: settings.crashes.death_retention,
+                // VMs report finished requests only with the next death.
+                report_timeout: Duration::ZERO,
                 ..PartSettings::default()
             }),
             parts_in_flight: BTreeMap::new(),
--- a/tests/crash_parts.rs
+++ b/tests/crash_parts.rs
@@ -267,6 +267,8 @@
         replica.record_target_death(now, &target_id(index), 1, [companion, BAD]);
     }
     let mut vm = CrashSuspects::default();
+    assert!(replica.blocked_parts(now).is_empty(), "VMs may report finished requests");
+    let now = now + PartSettings::default().report_timeout;
     vm.set_blocked_parts(&replica.blocked_parts(now), &replica.suspect_parts(now), now);
     let digest = Digest::of(&[b"new"]);
     assert!(vm.refused_for(|| digest, &[SYSTEM, companion, BAD], now).is_some());
