Count the time to clear a part from when its deaths are known

Silence is noticed 3 s after a death, so the time for reports was over when the replicas learned of the deaths.

Change: `PartTracker` takes the time from when it learned of a death.

--- a/src/crash/part_settings.rs
+++ b/src/crash/part_settings.rs
@@ -15,8 +15,8 @@
     /// The same for a part that requests finished with before the deaths, as only its content at
     /// the targets can have changed.
     pub max_deaths_after_finish: usize,
-    /// The time from a part's first death that counts until it may be refused, in which other VMs
-    /// report whether requests with it finished.
+    /// The time from the record of a part's first death that counts until it may be refused, in
+    /// which other VMs report whether requests with it finished.
     pub report_timeout: Duration,
     /// The same for a part that requests finished with before the deaths, which they may again.
     pub finish_timeout: Duration,
--- a/src/crash/part_tracker.rs
+++ b/src/crash/part_tracker.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug)]
 struct Death {
     died_at: Instant,
+    /// When this VM or replica learned of it.
+    recorded_at: Instant,
     parts: BTreeSet<u64>,
 }
 
@@ -67,7 +69,7 @@
         parts: impl IntoIterator<Item = u64>,
     ) {
         let id = DeathId { target: target.clone(), incarnation };
-        self.add_death(id, now, parts);
+        self.add_death(now, id, now, parts);
         self.enforce_limits();
     }
 
@@ -97,10 +99,10 @@
         ] {
             loop {
                 let is_candidate = |(part, counted): &&Suspect| {
-                    let first_death = counted.iter().map(|index| deaths[*index].died_at).min();
+                    let first_record = counted.iter().map(|index| deaths[*index].recorded_at).min();
                     self.finished_at.contains_key(part) == finished
                         && counted.len() >= max_deaths
-                        && first_death.is_some_and(|at| at + min_age <= now)
+                        && first_record.is_some_and(|at| at + min_age <= now)
                 };
                 let worst = suspects.iter().filter(is_candidate).max_by_key(|(_, it)| it.len());
                 let Some(explained) = worst.map(|(_, counted)| counted.clone()) else { break };
@@ -149,7 +151,7 @@
         for death in &record_set.deaths {
             let target = id::Target::from(death.target.as_str());
             let id = DeathId { target, incarnation: death.incarnation };
-            self.add_death(id, at(death.age_ms), death.parts.iter().copied());
+            self.add_death(now, id, at(death.age_ms), death.parts.iter().copied());
         }
         for FinishedPart { part, age_ms } in &record_set.finished {
             let finished_at = at(*age_ms);
@@ -200,8 +202,14 @@
         suspects.into_iter().collect()
     }
 
-    fn add_death(&mut self, id: DeathId, died_at: Instant, parts: impl IntoIterator<Item = u64>) {
-        let new = Death { died_at, parts: BTreeSet::new() };
+    fn add_death(
+        &mut self,
+        now: Instant,
+        id: DeathId,
+        died_at: Instant,
+        parts: impl IntoIterator<Item = u64>,
+    ) {
+        let new = Death { died_at, recorded_at: now, parts: BTreeSet::new() };
         let death = self.deaths.entry(id).or_insert(new);
         death.died_at = death.died_at.min(died_at);
         death.parts.extend(parts);
