--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -236,13 +236,16 @@
         self.blocked_digest
     }
 
-    /// Sets the parts that the replicas block, and those that they ask about as suspects.
+    /// Sets the parts that the replicas block, and those that they ask about as suspects. Returns
+    /// whether other parts are blocked than before.
     pub fn set_blocked_parts(
         &mut self,
         blocked: &[BlockedParts],
         suspect_parts: &[u64],
         now: Instant,
-    ) {
+    ) -> bool {
+        let known_parts = self.blocked_parts.iter().map(|block| &block.parts);
+        let has_changed = !known_parts.eq(blocked.iter().map(|blocked| &blocked.parts));
         self.blocked_parts = blocked.iter().map(|blocked| PartBlock::new(blocked, now)).collect();
         let reported: HashMap<u64, Option<Instant>> = self.suspect_parts.drain(..).collect();
         let suspects =
@@ -252,6 +255,7 @@
             reported_at.is_none() && self.part_tracker.finished_at(*part).is_some()
         };
         self.has_unsent_records |= self.suspect_parts.iter().any(is_unreported);
+        has_changed
     }
 
     /// Sets the requests that the replicas block.
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -135,10 +135,14 @@
         let routes = update.routes.clone();
         if let Some(blocked) = &update.blocked_requests {
             let mut suspects = self.crash_suspects();
-            suspects.set_blocked_requests(blocked.digest, &blocked.requests, now);
-            suspects.set_blocked_parts(&blocked.parts, &blocked.suspect_parts, now);
+            let requests_changed =
+                suspects.set_blocked_requests(blocked.digest, &blocked.requests, now);
+            let parts_changed =
+                suspects.set_blocked_parts(&blocked.parts, &blocked.suspect_parts, now);
             drop(suspects);
-            self.record_blocks(blocked);
+            if requests_changed || parts_changed {
+                self.record_blocks(blocked);
+            }
         }
         let applied = self.mirror().apply(update, now);
         for TargetIncarnation { target, incarnation } in self.mirror().take_ended_incarnations() {
