Name the part in refusals, log blocks only when they change, bound reports

`CrashBlock` carries the parts to the refusal's text; the event is written when the blocked requests or parts change. Replicas wait 250 ms before they pass crashes on, so that a storm of reports from many VMs costs at most three messages a second.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -35,6 +35,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(900);
 /// Delay before a report is sent, so that it holds several changes that occur together.
 const REPORT_DELAY: Duration = Duration::from_millis(80);
+/// Delay before crashes are reported, which bounds the reports while many VMs tell of many crashes.
+const CRASH_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of crash records in one report; the newest are sent.
 const MAX_CRASH_RECORDS: usize = 1024;
 const OUTGOING_QUEUE_MESSAGES: usize = 1024;
@@ -171,8 +173,11 @@
             let timer = async {
                 Timer::after(REPORT_INTERVAL).await;
             };
-            let news = or(self.vms_changed.listen(), self.crashes_reported.listen());
-            or(timer, news).await;
+            let crashes = async {
+                self.crashes_reported.listen().await;
+                Timer::after(CRASH_REPORT_DELAY).await;
+            };
+            or(timer, or(self.vms_changed.listen(), crashes)).await;
             Timer::after(REPORT_DELAY).await;
             if lock(&self.blocked_requests).digest != 0 {
                 self.update_blocked_requests();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -40,7 +40,7 @@
     admission::{Admission, AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
     attempts::Attempts,
     balancer::{Balancer, LocalLoad, Pick, SentPrompt, TargetQuery},
-    crash_suspects::CrashSuspects,
+    crash_suspects::{CrashBlock, CrashSuspects},
     event_splitter::EventSplitter,
     header_names::HeaderNames,
     peers::Peers,
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -55,6 +55,15 @@
     has_unsent_records: bool,
 }
 
+/// Why a request is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashBlock {
+    /// How long requests like it are still refused.
+    pub time_left: Duration,
+    /// The keys of the parts of its prompt that crash targets; none if the request itself does.
+    pub parts: Vec<u64>,
+}
+
 /// Parts that a prompt must not hold together.
 #[derive(Debug)]
 struct PartBlock {
@@ -95,31 +104,31 @@
 }
 
 impl CrashSuspects {
-    /// How long the request with the shared `parts` in its prompt is still refused, if it is. Its
+    /// Whether the request with the shared `parts` in its prompt is refused, and for how long. Its
     /// digest is computed only if there are any suspects.
     pub fn refused_for(
         &self,
         digest: impl FnOnce() -> Digest,
         parts: &[u64],
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<CrashBlock> {
         let is_blocked = |block: &&PartBlock| {
             block.until > now && block.parts.iter().all(|part| parts.contains(part))
         };
-        if let Some(until) =
-            self.blocked_parts.iter().filter(is_blocked).map(|block| block.until).max()
-        {
-            return Some(until - now);
+        if let Some(block) = self.blocked_parts.iter().find(is_blocked) {
+            return Some(CrashBlock { time_left: block.until - now, parts: block.parts.clone() });
         }
         if self.crash_tracker.is_empty() && self.blocked_until.is_empty() {
             return None;
         }
         let digest = digest();
         if let Some(until) = self.blocked_until.get(&digest).filter(|until| **until > now) {
-            return Some(*until - now);
+            return Some(CrashBlock { time_left: *until - now, parts: Vec::new() });
         }
         match self.crash_tracker.check(now, digest) {
-            Verdict::Refuse(refusal) => refusal.retry_after,
+            Verdict::Refuse(refusal) => {
+                Some(CrashBlock { time_left: refusal.retry_after?, parts: Vec::new() })
+            }
             Verdict::Allow | Verdict::Isolate => None,
         }
     }
@@ -258,13 +267,23 @@
         has_changed
     }
 
-    /// Sets the requests that the replicas block.
-    pub fn set_blocked_requests(&mut self, digest: u64, blocked: &[BlockedRequest], now: Instant) {
+    /// Sets the requests that the replicas block. Returns whether they are others than before.
+    pub fn set_blocked_requests(
+        &mut self,
+        digest: u64,
+        blocked: &[BlockedRequest],
+        now: Instant,
+    ) -> bool {
         self.blocked_digest = digest;
         let entry = |blocked: &BlockedRequest| {
             let time_left = Duration::from_millis(blocked.remaining_ms);
             Some((Digest::from_bytes(&blocked.digest)?, now + time_left))
         };
-        self.blocked_until = blocked.iter().filter_map(entry).collect();
+        let blocked_until: HashMap<Digest, Instant> = blocked.iter().filter_map(entry).collect();
+        let is_known = |digest: &Digest| self.blocked_until.contains_key(digest);
+        let has_changed =
+            blocked_until.len() != self.blocked_until.len() || !blocked_until.keys().all(is_known);
+        self.blocked_until = blocked_until;
+        has_changed
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -11,6 +11,7 @@
     balancer::{Pick, TargetQuery},
     handover::HandoverOutcome,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
+    record::part_keys,
     registry_sync::pair_hash,
     routed_request::RoutedRequest,
     server::Gateway,
@@ -119,14 +120,17 @@
 
     /// The refusal of a request that has crashed the targets that ran it.
     fn crash_refusal(&self, request: &RoutedRequest) -> Option<Refusal> {
-        let blocked_for = self.crash_suspects().refused_for(
+        let block = self.crash_suspects().refused_for(
             || request.digest(),
             &request.shared_parts(),
             self.clock.now(),
         )?;
-        let detail = "targets crashed while they ran this same request, or others with the same part \
-                      in their prompts; do not send it unchanged";
-        Some(Refusal::new(Reason::CrashesTargets, detail, blocked_for))
+        let cause = match block.parts.as_slice() {
+            [] => "this same request".to_owned(),
+            parts => format!("requests with the same part {} in their prompts", part_keys(parts)),
+        };
+        let detail = format!("targets crashed while they ran {cause}; do not send it unchanged");
+        Some(Refusal::new(Reason::CrashesTargets, detail, block.time_left))
     }
 
     /// The outcome of a request that no further attempt is made for.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -184,10 +184,7 @@
 
     /// Logs the requests and the parts of prompts that all VMs refuse from now on.
     pub(super) fn record_blocks(&self, blocked: &BlockedRequests) {
-        let parts = blocked.parts.iter().map(|blocked| {
-            let keys: Vec<String> = blocked.parts.iter().map(|key| format!("{key:016x}")).collect();
-            keys.join("+")
-        });
+        let parts = blocked.parts.iter().map(|blocked| part_keys(&blocked.parts));
         let parts = parts.collect::<Vec<_>>().join(" ");
         let fields: [event::Field<'_>; 3] = [
             ("requests", &blocked.requests.len()),
@@ -222,6 +219,11 @@
     }
 }
 
+/// The keys of parts of prompts, as they are written to logs and refusals.
+pub(super) fn part_keys(parts: &[u64]) -> String {
+    parts.iter().map(|key| format!("{key:016x}")).collect::<Vec<_>>().join("+")
+}
+
 /// How a streamed response ended.
 #[derive(Debug)]
 pub(super) struct StreamEnd<'a> {
