Judge only streams of events by their events, and parts by successes

Callers would have seen: a whole answer of another type on a streaming route broken off; and a part of prompts that crashes targets refused late or never where a target also answers errors.

Causes: the headers were taken out of the response before its type was looked at, so any successful answer on a streaming route counted as a stream of events. And a complete error counted as a finished request, which clears its parts, though an error may come before the run that crashes the target.

Both failed first: `response_without_a_length_is_complete_unless_its_connection_is_reset` with `left: (200, "whole", false)`, and the test of the crashing part, with errors between the deaths, with "never came: requests with the part are refused". A death is dated by the last exchange that broke off at the target, not the first.

`stream_that_ends_with_its_connection_inside_an_event_is_broken_off` failed once with status 0: the stand-in sent the events and the cut in one write, and `hyper` discards what it has not written, the head too, when a body breaks off. The stand-in now waits 100 ms before the cut.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -42,22 +42,14 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
     pub(super) delimiter: Delimiter,
+    /// Whether the body is a series of events. A target of a streaming route may also answer with
+    /// an error or a body of another type.
+    pub(super) is_event_stream: bool,
     pub(super) lease: ConnectionLease,
     pub(super) keep_alive: KeepAlive,
     pub(super) attempt: ActiveAttempt,
 }
 
-impl OpenResponse {
-    /// Whether the body is a series of events. A target of a streaming route may also answer with
-    /// an error or a body of another type.
-    pub(super) fn is_event_stream(&self) -> bool {
-        let content_type = self.headers.get(CONTENT_TYPE);
-        self.attempt.request.route.delivery_mode.is_stream()
-            && self.status.is_success()
-            && content_type.is_none_or(|it| http::is_event_stream(it.as_bytes()))
-    }
-}
-
 /// A request that is in flight at a target, and counts as load there until this is dropped.
 pub(super) struct ActiveAttempt {
     gateway: Arc<Gateway>,
@@ -310,11 +302,16 @@
         self.balancer().record_response(target, head.status.is_server_error(), now);
         self.balancer().record_activity(target, now);
         let delimiter = Delimiter::of(&head.headers, &body);
+        let content_type = head.headers.get(CONTENT_TYPE);
+        let is_event_stream = request.route.delivery_mode.is_stream()
+            && head.status.is_success()
+            && content_type.is_none_or(|it| http::is_event_stream(it.as_bytes()));
         AttemptOutcome::Responded(Box::new(OpenResponse {
             status: head.status,
             headers: self.header_names.filter_response_headers(head.headers),
             body,
             delimiter,
+            is_event_stream,
             lease,
             keep_alive,
             attempt,
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -180,7 +180,7 @@
         let parts: BTreeSet<u64> =
             in_flight.iter().flat_map(|exchange| exchange.parts.iter().copied()).collect();
         if !parts.is_empty() {
-            let broken_at = in_flight.iter().map(|exchange| exchange.broken_at).min();
+            let broken_at = in_flight.iter().map(|exchange| exchange.broken_at).max();
             let died_at = broken_at.unwrap_or(now);
             self.part_tracker.remove_expired(now);
             self.part_tracker.record_target_death(died_at, target, incarnation, parts);
@@ -230,11 +230,6 @@
         Some(RecordSet { parts, ..self.crash_tracker.export_newest(now, MAX_SENT_RECORDS) })
     }
 
-    /// Whether there are records that the replicas don't have.
-    pub fn has_unsent_records(&self) -> bool {
-        self.has_unsent_records
-    }
-
     /// Records that the replica did not receive the records, so that they are sent again.
     pub fn mark_records_unsent(&mut self) {
         self.has_unsent_records = true;
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -45,6 +45,8 @@
 #[derive(Debug)]
 pub(super) struct TargetBody {
     body: Incoming,
+    /// Whether the status is one of success. An error may precede the run that crashes a target.
+    is_success: bool,
     delimiter: Delimiter,
     /// Set if the body is an event stream.
     events: Option<EventProgress>,
@@ -166,10 +168,11 @@
 
 impl From<OpenResponse> for TargetBody {
     fn from(response: OpenResponse) -> Self {
-        let events = response.is_event_stream().then(EventProgress::default);
+        let events = response.is_event_stream.then(EventProgress::default);
+        let is_success = response.status.is_success();
         let OpenResponse { body, delimiter, lease, keep_alive, attempt, .. } = response;
         let lease = Some(lease);
-        Self { body, delimiter, events, has_events: false, lease, keep_alive, attempt }
+        Self { body, is_success, delimiter, events, has_events: false, lease, keep_alive, attempt }
     }
 }
 
@@ -191,7 +194,9 @@
                     return self.record_break(gateway, cause.to_owned());
                 }
                 None => {
-                    self.attempt.record_success();
+                    if self.is_success {
+                        self.attempt.record_success();
+                    }
                     if let Some(lease) = self.lease.take() {
                         lease.release(&self.keep_alive, gateway.clock.now());
                     }
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -214,8 +214,10 @@
             let numbers = last_event_id + 1..=*last;
             let events: String =
                 numbers.map(|number| format!("id: {number}\ndata: {number}\n\n")).collect();
-            let remainder = if *last == LAST_EVENT_ID { "" } else { "id: 99\nd" };
-            unframed(id, "text/event-stream", &(events + remainder))
+            let _ = stream.write_all(unframed(id, "text/event-stream", &events).as_bytes()).await;
+            // `hyper` discards what it has not written, the head too, when a body breaks off.
+            Timer::after(Duration::from_millis(100)).await;
+            if *last == LAST_EVENT_ID { String::new() } else { "id: 99\nd".to_owned() }
         }
         Behavior::NoEventsToConnectionEnd => unframed(id, "text/event-stream", ""),
         Behavior::RespondToConnectionEnd => unframed(id, "text/plain", "whole"),
@@ -680,6 +682,11 @@
         deployment.set_behaviors("/once/u", &[Behavior::RespondToConnectionEnd]);
         let (status, text, complete) = deployment.send_with_id("u", Method::POST, "/once/u").await;
         assert_eq!((status, text.as_str(), complete), (200, "whole", true));
+        // A target of a streaming route may answer with something else than events.
+        deployment.set_behaviors("/stream/u", &[Behavior::RespondToConnectionEnd]);
+        let (status, text, complete) =
+            deployment.send_with_id("v", Method::POST, "/stream/u").await;
+        assert_eq!((status, text.as_str(), complete), (200, "whole", true));
         deployment.set_behaviors("/once/r", &[Behavior::ResetWithoutLength]);
         let (status, text, _) = deployment.send_with_id("r", Method::POST, "/once/r").await;
         assert_eq!(status, 502, "{text}");
@@ -971,6 +978,7 @@
                 deployment.send_to(deployment.callers_address_of(vm), request).await;
             (status, text.contains("crashing"))
         };
+        deployment.set_behaviors("/once/error", &[Behavior::ServerError]);
         for vm in [2, 3] {
             assert_eq!(send(vm, "/once/sound", &format!("before-{vm}"), "sound").await.0, 200);
         }
@@ -982,6 +990,9 @@
             let ran_request = |target: &&FakeTarget| !target.requests_with_id(&id).is_empty();
             let target = deployment.targets.iter().find(ran_request).expect("one target ran it");
             deployment.announce(target, 1 + round).await;
+            // An error says nothing of what a run would do.
+            let id = format!("error-{round}");
+            assert!(matches!(send(vm, "/once/error", &id, "bad").await.0, 500 | 503));
         }
         for vm in [2, 3] {
             let mut attempt = 0;
