--- a/src/vm/routing_state.rs
+++ b/src/vm/routing_state.rs
@@ -222,9 +222,6 @@
     ) {
         self.policy_for(&placement_input.need).record_finished(now, target, service_time);
         self.parts_in_flight.remove(&(target.clone(), placement_input.digest));
-        if service_time.is_some() {
-            self.part_tracker.record_finished(now, placement_input.shared_parts.iter().copied());
-        }
         match service_time {
             Some(_) => self.crash_tracker.record_finished(target, placement_input.digest),
             None => self.crash_tracker.record_stopped(target, placement_input.digest),
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -266,9 +266,10 @@
 /// Returns `answer` with a callback at its end, which completes the attempt, or checks whether the
 /// target died if the answer broke off.
 fn watch_completion(answer: TargetResponse, attempt: TargetAttempt) -> TargetResponse {
+    let is_success = (200..300).contains(&answer.head.status);
     answer.on_end(move |complete| {
         if complete {
-            attempt.complete();
+            attempt.complete(is_success);
         } else {
             let vm = Arc::clone(&attempt.vm);
             smol::spawn(async move { vm.check_for_target_death(attempt).await }).detach();
--- a/src/vm/target_attempt.rs
+++ b/src/vm/target_attempt.rs
@@ -33,8 +33,12 @@
         }
     }
 
-    /// Records that the target answered completely.
-    pub(super) fn complete(mut self) {
+    /// Records that the target answered completely, with success or an error.
+    pub(super) fn complete(mut self, is_success: bool) {
+        if is_success {
+            let (now, parts) = (self.vm.clock.now(), self.placement_input.shared_parts.iter());
+            self.vm.routing().part_tracker.record_finished(now, parts.copied());
+        }
         self.end(true);
     }
 
