--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -113,7 +113,9 @@
         now: Instant,
     ) -> Option<CrashBlock> {
         let is_blocked = |block: &&PartBlock| {
-            block.until > now && block.parts.iter().all(|part| parts.contains(part))
+            block.until > now
+                && !block.parts.is_empty()
+                && block.parts.iter().all(|part| parts.contains(part))
         };
         if let Some(block) = self.blocked_parts.iter().find(is_blocked) {
             return Some(CrashBlock { time_left: block.until - now, parts: block.parts.clone() });
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -189,11 +189,10 @@
                     return BodyChunk::Data(bytes);
                 }
                 Some(Err(cause)) => return self.record_break(gateway, http::read_failure(&cause)),
-                None if self.ends_early() => {
-                    let cause = "the target's stream ended inside an event";
-                    return self.record_break(gateway, cause.to_owned());
-                }
                 None => {
+                    if let Some(cause) = self.early_end() {
+                        return self.record_break(gateway, cause.to_owned());
+                    }
                     if self.is_success {
                         self.attempt.record_success();
                     }
@@ -206,14 +205,19 @@
         }
     }
 
-    /// Whether a body that ends now is a stream that was broken off: inside an event, or with its
-    /// connection before the first event. Only a stream that resumes another may have no events.
-    fn ends_early(&self) -> bool {
-        let Some(events) = &self.events else { return false };
-        let is_cut_at_start = self.delimiter == Delimiter::Connection
-            && !self.has_events
-            && !self.attempt.resumes_stream;
-        events.is_inside_event() || is_cut_at_start
+    /// Why a body that ends now is a stream that was broken off, if it is. Only a stream that resumes
+    /// another may have no events.
+    fn early_end(&self) -> Option<&'static str> {
+        let may_be_empty = self.has_events
+            || self.attempt.resumes_stream
+            || self.delimiter != Delimiter::Connection;
+        if self.events.as_ref()?.is_inside_event() {
+            Some("the target's stream ended inside an event")
+        } else if may_be_empty {
+            None
+        } else {
+            Some("the target's connection ended before the first event")
+        }
     }
 
     fn record_break(&mut self, gateway: &Gateway, cause: String) -> BodyChunk {
