Log the limits that targets name in their answers

The gateway reads the header, logs each change (events 340 and 341) and counts the targets with a limit (`limited_targets`). Nothing decides by it yet.

--- a/src/event/placement.rs
+++ b/src/event/placement.rs
@@ -40,6 +40,13 @@
     text: "VM left alone, as it was not reached",
 };
 
+/// A target named another limit than before, or none any more.
+pub const LIMIT_CHANGED: Event =
+    Event { number: 340, severity: Severity::Info, text: "limit of a target changed" };
+/// A target named a limit that is no number.
+pub const LIMIT_UNREADABLE: Event =
+    Event { number: 341, severity: Severity::Warning, text: "limit of a target not readable" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     NAMES_INVALID,
@@ -53,4 +60,6 @@
     UNREACHED,
     SUSPECT,
     CRASHING,
+    LIMIT_CHANGED,
+    LIMIT_UNREADABLE,
 ];
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -9,7 +9,11 @@
     load_sharing::share_interval,
     target_tracker::{InFlight, LoadReport, PREFILL_TOKENS_PER_SEC, SentRequest, TargetTracker},
 };
-use crate::{id, registry::Target};
+use crate::{
+    id,
+    registry::Target,
+    throttle::{self, Change, Limit},
+};
 
 /// Above this number of trackers, those of targets without requests of this VM are dropped.
 const MAX_TRACKERS: usize = 4096;
@@ -109,6 +113,7 @@
     send_rate: DecayingRate,
     /// The prompts that the other VMs of the region have not been told of.
     unreported_prompts: Vec<SentPrompt>,
+    throttle: throttle::Tracker,
 }
 
 impl Balancer {
@@ -120,6 +125,7 @@
             default_slowdown: 1.0,
             send_rate: DecayingRate::default(),
             unreported_prompts: Vec::new(),
+            throttle: throttle::Tracker::default(),
         }
     }
 
@@ -264,6 +270,16 @@
         self.tracker(target, now).record_end();
     }
 
+    /// Records the limit that an answer of a target names. Returns what changed.
+    pub fn record_limit(&mut self, target: &Target, limit: Option<Limit>) -> Option<Change> {
+        self.throttle.record_answer(&target.target, target.incarnation, limit)
+    }
+
+    /// The number of targets with a limit.
+    pub fn limited_target_count(&self) -> usize {
+        self.throttle.limited_count()
+    }
+
     /// Records the load that a target reported.
     pub fn record_load_report(&mut self, target: &Target, report: LoadReport, now: Instant) {
         self.tracker(target, now).record_load_report(report, now);
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -11,6 +11,8 @@
     pub expected_target: HeaderName,
     /// The load of a target: running requests, waiting requests, slots.
     pub load: HeaderName,
+    /// The requests a second that a target takes from all VMs together.
+    pub limit: HeaderName,
     /// Marks the response to a request that the target did not run.
     pub not_executed: HeaderName,
     /// A target's proof that it wrote the response.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -12,7 +12,8 @@
     figure::Page,
     http::Delimiter,
     id,
-    registry::{BlockedRequests, VmInfo},
+    registry::{BlockedRequests, Target, VmInfo},
+    throttle::Limit,
 };
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
@@ -182,6 +183,25 @@
         );
     }
 
+    /// Records the limit that an answer of a target names, and logs it if it has changed.
+    pub(super) fn record_limit(&self, target: &Target, text: Option<&str>) {
+        let limit = match text.map(str::parse::<Limit>).transpose() {
+            Ok(limit) => limit,
+            Err(cause) => {
+                if self.sampler().passes(self.clock.now()) {
+                    event::placement::LIMIT_UNREADABLE
+                        .emit(&self.logger, &[("target", &target.target), ("cause", &cause)]);
+                }
+                return;
+            }
+        };
+        let change = self.balancer().record_limit(target, limit);
+        if let Some(change) = change {
+            event::placement::LIMIT_CHANGED
+                .emit(&self.logger, &[("target", &target.target), ("limit", &change)]);
+        }
+    }
+
     /// Logs the requests and the parts of prompts that all VMs refuse from now on.
     pub(super) fn record_blocks(&self, blocked: &BlockedRequests) {
         let parts = blocked.parts.iter().map(|blocked| part_keys(&blocked.parts));
@@ -206,6 +226,7 @@
     pub fn metrics_page(&self) -> Page {
         let mut page = Page::default();
         self.metrics().write_to(&mut page);
+        page.gauge("limited_targets", &[], self.balancer().limited_target_count() as f64);
         let mirror = self.mirror();
         for (service, targets) in mirror.services() {
             page.gauge("targets", &[("service", service)], targets.len() as f64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 //! Decisions are state machines without I/O: input and time in, actions out. Shells carry them
 //! over sockets and disk.
 //!
-//! - The request path: [`path`], [`name`], [`limit`], [`placement`], [`crash`], [`outcome`].
+//! - The request path: [`path`], [`name`], [`limit`], [`placement`], [`throttle`], [`crash`],
+//!   [`outcome`].
 //! - What VMs know of each other and of targets: [`member`], [`target`], [`link`], [`wire`].
 //! - What replicas agree on: [`consensus`], [`disk`], [`replica`], [`list_state`], [`list`],
 //!   [`stop`], [`claim`], [`order`].
@@ -42,6 +43,7 @@
 pub mod standin;
 pub mod stop;
 pub mod target;
+pub mod throttle;
 pub mod tool;
 pub mod trace;
 pub mod vm;
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -287,6 +287,7 @@
         timeout_ms: name("time-left"),
         expected_target: name("expect-target"),
         load: name("load"),
+        limit: name("limit"),
         not_executed: name("not-run"),
         signature: name("proof"),
         prompt_parts: name("parts"),
