Keep the limits that targets name, over all gateways of a region

Cause: no code read the limit, and a VM sees only its own part of what the target gets.

The gateway reads the limit, and tells the other VMs of its region in the load messages that go out anyway. Each takes a share that it computes without coordination: where the limit is too low for every VM, a few that are ranked by the target use it, and others get their turn when none of them hears from the target. All bursts together are one second of the limit and 2.5 requests, so 4 s hold at most five times the limit and 2.5, where the bound is six times and 5. A limit belongs to an incarnation and ends with an answer that does not name it. Such a target is no owner of prefixes and no free capacity for other regions; who cannot go there goes elsewhere, or is refused at once with a time to return that is spread over the limit. VMs that were ready lately count in all shares, as a VM that stops goes on sending.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,7 +24,6 @@
 mod load_sharing;
 mod metrics;
 mod outcome;
-mod peers;
 mod prefix_cache;
 mod prompt;
 mod record;
@@ -43,7 +42,6 @@
     crash_suspects::{CrashBlock, CrashSuspects},
     event_splitter::EventSplitter,
     header_names::HeaderNames,
-    peers::Peers,
     prefix_cache::PrefixCache,
     prompt::{Prompt, PromptPart},
     retry_budget::RetryBudget,
@@ -51,3 +49,4 @@
     target_tracker::{InFlight, LoadReport},
 };
 pub(crate) use self::{load_sharing::share_interval, target_tracker::SentRequest};
+pub use crate::throttle::Peers;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -223,7 +223,7 @@
             .route_table()
             .and_then(|table| Some(table.service(&request.service)?.max_connections));
         let total = total.filter(|total| *total > 0).unwrap_or(u32::MAX);
-        let vm_count = self.region_peers(&self.mirror()).vm_count();
+        let vm_count = self.region_peers().vm_count();
         usize::try_from(total / vm_count).unwrap_or(usize::MAX).max(1)
     }
 
@@ -281,7 +281,7 @@
         let keep_alive = KeepAlive::from_headers(&head.headers);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if !misdirected {
-            self.record_limit(target, text(&self.header_names.limit));
+            self.record_limit(target, text(&self.header_names.limit), attempt.sent.sent_at);
         }
         if misdirected || head.headers.contains_key(&self.header_names.not_executed) {
             let detail = format!("it answered {} and did not run the request", head.status);
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -1,10 +1,13 @@
-use std::{collections::HashMap, time::Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Peers, Prompt, PromptPart,
+    Prompt, PromptPart,
     decaying_rate::DecayingRate,
     load_sharing::share_interval,
     target_tracker::{InFlight, LoadReport, PREFILL_TOKENS_PER_SEC, SentRequest, TargetTracker},
@@ -12,7 +15,7 @@
 use crate::{
     id,
     registry::Target,
-    throttle::{self, Change, Limit},
+    throttle::{self, Change, Limit, Notice, Permission, Returns},
 };
 
 /// Above this number of trackers, those of targets without requests of this VM are dropped.
@@ -62,8 +65,8 @@
     pub tried: &'a [id::Target],
     /// The requests a second that all VMs together may send to a cold target; zero for no limit.
     pub cold_requests_per_sec: f64,
-    /// The VMs of this region that accept callers, including this one.
-    pub peers: &'a Peers,
+    /// The VMs of this region that send requests to its targets, including this one.
+    pub peers: &'a throttle::Peers,
     /// The prompt tokens that the memory of one target holds; zero if they are unknown.
     pub cache_capacity_tokens: u64,
 }
@@ -114,6 +117,7 @@
     /// The prompts that the other VMs of the region have not been told of.
     unreported_prompts: Vec<SentPrompt>,
     throttle: throttle::Tracker,
+    returns: Returns,
 }
 
 impl Balancer {
@@ -126,14 +130,16 @@
             send_rate: DecayingRate::default(),
             unreported_prompts: Vec::new(),
             throttle: throttle::Tracker::default(),
+            returns: Returns::default(),
         }
     }
 
     /// Chooses the target with the lowest cost, or none if no target may take the request now.
     pub fn choose(&mut self, query: TargetQuery<'_>, now: Instant) -> Option<Pick> {
         let tried = |target: &Target| query.tried.contains(&target.target);
-        let untried: Vec<&Target> =
+        let mut untried: Vec<&Target> =
             query.targets.iter().copied().filter(|target| !tried(target)).collect();
+        untried.retain(|target| self.permission(target, query, now) == Permission::Granted);
         for target in query.targets {
             self.tracker(target, now).set_cache_capacity(query.cache_capacity_tokens);
         }
@@ -147,7 +153,7 @@
         let preferred: Vec<&Target> = owner
             .into_iter()
             .chain(holders.iter().copied().take(MAX_SAMPLED_HOLDERS))
-            .filter(|target| !tried(target))
+            .filter(|target| is_among(target, &untried))
             .collect();
         let sample = self.sample(untried, &preferred, query.peers, now);
         let mut best: Option<(f64, Pick)> = None;
@@ -199,7 +205,7 @@
         &mut self,
         mut targets: Vec<&'a Target>,
         preferred: &[&'a Target],
-        peers: &Peers,
+        peers: &throttle::Peers,
         now: Instant,
     ) -> Vec<&'a Target> {
         let other_vms = peers.vm_count() - 1;
@@ -231,6 +237,7 @@
     ) -> SentRequest {
         let has_prefix = pick.owns_prefix || pick.cache_source.is_some();
         self.send_rate.record(now);
+        self.throttle.record_sent(&pick.target.target, pick.target.incarnation);
         if !prompt.parts.is_empty() {
             let sent =
                 SentPrompt { target: pick.target.target.clone(), parts: prompt.parts.clone() };
@@ -270,9 +277,51 @@
         self.tracker(target, now).record_end();
     }
 
-    /// Records the limit that an answer of a target names. Returns what changed.
-    pub fn record_limit(&mut self, target: &Target, limit: Option<Limit>) -> Option<Change> {
-        self.throttle.record_answer(&target.target, target.incarnation, limit)
+    /// Records the limit that a target names in its answer to a request that was sent at `sent_at`.
+    /// Returns what changed.
+    pub fn record_limit(
+        &mut self,
+        target: &Target,
+        limit: Option<Limit>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<Change> {
+        self.throttle.record_answer(&target.target, target.incarnation, limit, sent_at, now)
+    }
+
+    /// Records what another VM of the region says of a target's limit. Returns what changed.
+    pub fn record_limit_notice(&mut self, notice: &Notice, now: Instant) -> Option<Change> {
+        self.throttle.record_notice(notice, now)
+    }
+
+    /// What the other VMs of the region are to know of the limits of targets.
+    pub fn limit_notices(&self, peers: &throttle::Peers, now: Instant) -> Vec<Notice> {
+        self.throttle.notices(peers, now)
+    }
+
+    /// The time until a target may take the request, if the limits that targets name are what keeps
+    /// it from all of them.
+    pub fn throttle_delay(&mut self, query: TargetQuery<'_>, now: Instant) -> Option<Duration> {
+        let mut min_delay = None;
+        for target in query.targets.iter().filter(|target| !query.tried.contains(&target.target)) {
+            let Permission::After(delay) = self.permission(target, query, now) else { return None };
+            min_delay = min_delay.map_or(Some(delay), |least: Duration| Some(least.min(delay)));
+        }
+        min_delay
+    }
+
+    /// The time after which a caller of `service` may return that was refused because of the limits
+    /// that `targets` name. `vm_count` VMs refuse callers.
+    pub fn next_return(
+        &mut self,
+        service: &id::Service,
+        targets: &[Target],
+        vm_count: u32,
+        now: Instant,
+    ) -> Duration {
+        let limit = |target: &Target| self.throttle.limit(&target.target, target.incarnation);
+        let per_sec: f64 = targets.iter().filter_map(limit).map(Limit::per_sec).sum();
+        self.returns.next_delay(service, per_sec / f64::from(vm_count.max(1)), now)
     }
 
     /// The number of targets with a limit.
@@ -324,11 +373,12 @@
         in_flight.filter(move |(_, in_flight)| has_requests(in_flight))
     }
 
-    /// The load of the available ones of `targets`.
+    /// The load of the available ones of `targets`. Those that name a limit have no free capacity,
+    /// however few requests they get.
     pub fn local_load(&mut self, targets: &[&Target], now: Instant) -> LocalLoad {
         let mut load = LocalLoad { min_backlog_secs: f64::MAX, ..LocalLoad::default() };
         for target in targets {
-            if self.is_unavailable(target, now) {
+            if self.is_unavailable(target, now) || self.is_limited(target) {
                 continue;
             }
             let tracker = self.tracker(target, now);
@@ -351,6 +401,15 @@
         tracker.is_in_backoff(now) || tracker.is_unresponsive(now)
     }
 
+    fn is_limited(&self, target: &Target) -> bool {
+        self.throttle.limit(&target.target, target.incarnation).is_some()
+    }
+
+    /// Whether the limit that the target names permits this VM to send it a request.
+    fn permission(&mut self, target: &Target, query: TargetQuery<'_>, now: Instant) -> Permission {
+        self.throttle.permission(&target.target, target.incarnation, query.peers, now)
+    }
+
     fn is_cold(&mut self, target: &Target, now: Instant) -> bool {
         target.cold_until > now || self.tracker(target, now).may_have_restarted(now)
     }
@@ -371,11 +430,14 @@
 
     /// The targets that may own the shared prefix of the prompt, in an order that is the same on
     /// every VM. The first one owns it: it reads the prefix first. Empty if the prompt has no
-    /// shared prefix, or if every target is unavailable, cold or silent.
+    /// shared prefix, or if every target is unavailable, limited, cold or silent.
     fn rank_by_prefix<'a>(&mut self, query: TargetQuery<'a>, now: Instant) -> Vec<&'a Target> {
         let Some(prefix_key) = query.prompt.shared_prefix_key() else { return Vec::new() };
         let is_suitable = |target: &&Target| {
-            !self.is_unavailable(target, now) && !self.is_cold(target, now) && !target.silent
+            !self.is_unavailable(target, now)
+                && !self.is_limited(target)
+                && !self.is_cold(target, now)
+                && !target.silent
         };
         let mut targets: Vec<&Target> = query.targets.iter().copied().filter(is_suitable).collect();
         targets.sort_by_cached_key(|target| std::cmp::Reverse(rendezvous_hash(prefix_key, target)));
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -50,6 +50,8 @@
     Vm(VmInfo),
     /// Nowhere yet: there are targets, but none accepts the request now.
     Wait,
+    /// Nowhere yet: the limits that the targets name keep the request from them for this long.
+    Throttled(Duration),
     /// Nowhere: the response would miss the route's latency objective.
     WouldBeLate(ObjectiveMiss),
     /// Nowhere: there is no target.
@@ -71,6 +73,9 @@
     /// The explanation of the latest rejection.
     pub(super) rejection_detail: Option<String>,
     objective_miss: Option<ObjectiveMiss>,
+    /// Set if the limits that targets name keep the request from them: the time after which its
+    /// caller may return.
+    pub(super) limited_return: Option<Duration>,
     /// Set if the request has been found to crash targets.
     crash_refusal: Option<Refusal>,
     /// The latest server error of a target, which the caller gets if no other attempt succeeds.
@@ -108,6 +113,13 @@
                 Destination::Wait if self.clock.now() < wait_deadline => {
                     Timer::after(NO_TARGET_RETRY_DELAY).await;
                 }
+                Destination::Throttled(delay) if self.clock.now() + delay < wait_deadline => {
+                    Timer::after(delay).await;
+                }
+                Destination::Throttled(_) => {
+                    state.limited_return = Some(self.limited_return(&request.service));
+                    break;
+                }
                 Destination::WouldBeLate(objective_miss) => {
                     state.objective_miss = Some(objective_miss);
                     break;
@@ -148,12 +160,16 @@
             Duration::from_secs_f64(self.random().random_range(RETRY_AFTER_RANGE_SECS));
         let estimated_delay =
             state.objective_miss.map(|miss| Duration::from_secs_f64(miss.retry_after_secs));
-        let retry_after = estimated_delay.unwrap_or(random_delay);
+        let retry_after = estimated_delay.or(state.limited_return).unwrap_or(random_delay);
         let (reason, detail) = match state.rejection_detail {
             _ if state.objective_miss.is_some() => {
                 let miss = state.objective_miss.map(|miss| miss.to_string()).unwrap_or_default();
                 (Reason::WouldBeLate, format!("`{}` would be late: {miss}", request.service))
             }
+            _ if state.limited_return.is_some() => {
+                let detail = format!("the targets of `{}` take no more requests", request.service);
+                (Reason::TargetsLimited, detail)
+            }
             Some(detail) => (Reason::TargetsFull, detail),
             None if request.time_left(self.clock.now()).is_zero() => {
                 (Reason::DeadlinePassed, "its time ran out before it was sent".to_owned())
@@ -163,6 +179,13 @@
         Outcome::Refused(Refusal::new(reason, detail, retry_after))
     }
 
+    /// The time after which a caller may return that the limits of this region's targets keep out.
+    fn limited_return(&self, service: &id::Service) -> Duration {
+        let (mirror, now) = (self.mirror(), self.clock.now());
+        let vm_count = self.region_peers().vm_count();
+        self.balancer().next_return(service, mirror.targets(service), vm_count, now)
+    }
+
     /// Spends retry budget; returns false if none is left or another VM must decide.
     fn may_retry(&self, request: &RoutedRequest) -> bool {
         // Only the VM that received the request from its caller decides on retries.
@@ -190,7 +213,7 @@
             .filter(|target| only_target.is_none_or(|only_target| target.target == *only_target))
             .collect();
         let service = self.route_table().and_then(|table| table.service(&request.service).cloned());
-        let peers = self.region_peers(&mirror);
+        let peers = self.region_peers();
         let target_query = TargetQuery {
             targets: &local_targets,
             prompt: &request.prompt,
@@ -233,7 +256,10 @@
             }
             (Decision::Refuse(objective_miss), _) => Destination::WouldBeLate(objective_miss),
             _ if local_targets.is_empty() => Destination::Nowhere,
-            _ => Destination::Wait,
+            _ => self
+                .balancer()
+                .throttle_delay(target_query, now)
+                .map_or(Destination::Wait, Destination::Throttled),
         }
     }
 
@@ -493,7 +519,10 @@
                     _ => None,
                 }
             }
-            Destination::Wait | Destination::WouldBeLate(_) | Destination::Nowhere => None,
+            Destination::Wait
+            | Destination::Throttled(_)
+            | Destination::WouldBeLate(_)
+            | Destination::Nowhere => None,
         }
     }
 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -75,7 +75,11 @@
                 // A target there received the request and rejected it, so any further attempt is a
                 // retry.
                 state.sent |= abort.reason == Reason::TargetsFull.as_str();
-                if abort.reason == Reason::WouldBeLate.as_str() {
+                let is_limited = abort.reason == Reason::TargetsLimited.as_str();
+                if is_limited {
+                    state.limited_return = Some(Duration::from_millis(abort.retry_after_ms));
+                }
+                if is_limited || abort.reason == Reason::WouldBeLate.as_str() {
                     let region = id::Region::from(vm.region.as_str());
                     self.admission().record_refused_handover(
                         &region,
@@ -262,7 +266,8 @@
         Outcome::Responded(response) => response,
         Outcome::Refused(refusal) => {
             let reason = refusal.reason.as_str().to_owned();
-            let abort = Abort { reason, ..abort_frame(true, refusal.detail) };
+            let retry_after_ms = u64::try_from(refusal.retry_after.as_millis()).unwrap_or(u64::MAX);
+            let abort = Abort { reason, retry_after_ms, ..abort_frame(true, refusal.detail) };
             let _ = exchange.send(Body::Abort(abort)).await;
             return;
         }
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -4,7 +4,7 @@
 use smol::Timer;
 
 use super::{PromptPart, SentPrompt, server::Gateway, target_tracker};
-use crate::{id, registry::Target, wire::Topic};
+use crate::{id, registry::Target, throttle::Notice, wire::Topic};
 
 /// How often the VMs of a region send each other their load. It is short because a target
 /// prefills a prompt in tens to hundreds of milliseconds.
@@ -23,6 +23,15 @@
 struct LoadMessage {
     #[prost(message, repeated, tag = "1")]
     targets: Vec<TargetLoad>,
+    /// The limits that targets have named to the sender.
+    #[prost(message, repeated, tag = "2")]
+    limits: Vec<Notice>,
+}
+
+impl LoadMessage {
+    fn is_empty(&self) -> bool {
+        self.targets.is_empty() && self.limits.is_empty()
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -58,7 +67,7 @@
             let other_vms = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
             Timer::after(share_interval(other_vms)).await;
             let message = self.load_message();
-            if message == last_message && message.targets.is_empty() {
+            if message == last_message && message.is_empty() {
                 continue;
             }
             let payload = Bytes::from(message.encode_to_vec());
@@ -75,7 +84,9 @@
     }
 
     fn load_message(&self) -> LoadMessage {
+        let peers = self.region_peers();
         let mut balancer = self.balancer();
+        let limits = balancer.limit_notices(&peers, self.clock.now());
         let mut loads: HashMap<id::Target, TargetLoad> = HashMap::new();
         for SentPrompt { target, parts } in balancer.take_unreported_prompts() {
             let load = loads.entry(target).or_default();
@@ -93,7 +104,7 @@
         let targets = loads
             .into_iter()
             .map(|(target, load)| TargetLoad { target: target.to_string(), ..load });
-        LoadMessage { targets: targets.collect() }
+        LoadMessage { targets: targets.collect(), limits }
     }
 
     fn peer_addresses(&self) -> Vec<SocketAddr> {
@@ -111,6 +122,10 @@
     pub(super) fn receive_load(&self, from: &id::Vm, payload: &Bytes) {
         let Ok(message) = LoadMessage::decode(payload.clone()) else { return };
         let now = self.clock.now();
+        for notice in &message.limits {
+            let change = self.balancer().record_limit_notice(notice, now);
+            self.record_limit_change(&id::Target::from(notice.target.as_str()), change, from);
+        }
         let loads: HashMap<&str, &TargetLoad> =
             message.targets.iter().map(|load| (load.target.as_str(), load)).collect();
         let mirror = self.mirror();
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -62,6 +62,8 @@
     NoTarget,
     /// The permitted targets rejected the request.
     TargetsFull,
+    /// The permitted targets have named limits on requests, which are used up.
+    TargetsLimited,
     /// The response would start later than the route's latency objective allows.
     WouldBeLate,
     /// The deadline passed before the request was sent.
@@ -81,6 +83,7 @@
             Self::BodyIncomplete => "incomplete",
             Self::NoTarget => "no_target",
             Self::TargetsFull => "full",
+            Self::TargetsLimited => "limited",
             Self::WouldBeLate => "busy",
             Self::DeadlinePassed => "late",
             Self::CrashesTargets => "crashing",
@@ -97,6 +100,7 @@
             Self::RoutesUnknown
             | Self::NoTarget
             | Self::TargetsFull
+            | Self::TargetsLimited
             | Self::WouldBeLate
             | Self::DeadlinePassed
             | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -13,7 +13,7 @@
     http::Delimiter,
     id,
     registry::{BlockedRequests, Target, VmInfo},
-    throttle::Limit,
+    throttle::{Change, Limit},
 };
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
@@ -183,25 +183,33 @@
         );
     }
 
-    /// Records the limit that an answer of a target names, and logs it if it has changed.
-    pub(super) fn record_limit(&self, target: &Target, text: Option<&str>) {
-        let limit = match text.map(str::parse::<Limit>).transpose() {
-            Ok(limit) => limit,
-            Err(cause) => {
-                if self.sampler().passes(self.clock.now()) {
-                    event::placement::LIMIT_UNREADABLE
-                        .emit(&self.logger, &[("target", &target.target), ("cause", &cause)]);
-                }
-                return;
+    /// Records the limit that a target names in its answer to a request that was sent at `sent_at`.
+    pub(super) fn record_limit(&self, target: &Target, text: Option<&str>, sent_at: Instant) {
+        let now = self.clock.now();
+        match text.map(str::parse::<Limit>).transpose() {
+            Ok(limit) => {
+                let change = self.balancer().record_limit(target, limit, sent_at, now);
+                self.record_limit_change(&target.target, change, &self.settings.vm());
             }
-        };
-        let change = self.balancer().record_limit(target, limit);
-        if let Some(change) = change {
-            event::placement::LIMIT_CHANGED
-                .emit(&self.logger, &[("target", &target.target), ("limit", &change)]);
+            Err(cause) if self.sampler().passes(now) => event::placement::LIMIT_UNREADABLE
+                .emit(&self.logger, &[("target", &target.target), ("cause", &cause)]),
+            Err(_) => {}
         }
     }
 
+    /// Logs that the limit of a target has changed, as the VM `heard_by` heard.
+    pub(super) fn record_limit_change(
+        &self,
+        target: &id::Target,
+        change: Option<Change>,
+        heard_by: &id::Vm,
+    ) {
+        let Some(change) = change else { return };
+        let fields: [event::Field<'_>; 3] =
+            [("target", target), ("limit", &change), ("heard_by", heard_by)];
+        event::placement::LIMIT_CHANGED.emit(&self.logger, &fields);
+    }
+
     /// Logs the requests and the parts of prompts that all VMs refuse from now on.
     pub(super) fn record_blocks(&self, blocked: &BlockedRequests) {
         let parts = blocked.parts.iter().map(|blocked| part_keys(&blocked.parts));
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -145,6 +145,7 @@
             }
         }
         let applied = self.mirror().apply(update, now);
+        self.update_region_peers();
         for TargetIncarnation { target, incarnation } in self.mirror().take_ended_incarnations() {
             self.record_crash(&target, incarnation);
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -20,8 +20,8 @@
 };
 
 use super::{
-    Admission, Balancer, CrashSuspects, HeaderNames, Peers, RetryBudget,
-    connection_pool::ConnectionPool, metrics::Metrics, record::ROUTINE_LINES_PER_SEC,
+    Admission, Balancer, CrashSuspects, HeaderNames, RetryBudget, connection_pool::ConnectionPool,
+    metrics::Metrics, record::ROUTINE_LINES_PER_SEC,
 };
 use crate::{
     clock::{Clock, within},
@@ -31,9 +31,10 @@
     id,
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
-    registry::Mirror,
+    registry::{Mirror, VmInfo},
     replica::change_notifier::ChangeNotifier,
     route::{self, Table},
+    throttle::{PeerMemory, Peers},
     wire::Topic,
 };
 
@@ -59,6 +60,8 @@
     parse_routes: ParseRoutes,
     route_table: Mutex<Option<Arc<Table>>>,
     mirror: Mutex<Mirror>,
+    /// The VMs of this region that accept callers.
+    peer_memory: Mutex<PeerMemory>,
     balancer: Mutex<Balancer>,
     admission: Mutex<Admission>,
     retry_budget: Mutex<RetryBudget>,
@@ -137,6 +140,7 @@
             parse_routes,
             route_table: Mutex::default(),
             mirror: Mutex::default(),
+            peer_memory: Mutex::default(),
             balancer: Mutex::new(Balancer::new(seed)),
             admission: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::new(
@@ -275,14 +279,18 @@
         lock(&self.seeds).clone()
     }
 
-    /// The VMs of this region that accept callers, including this one.
-    pub(super) fn region_peers(&self, mirror: &Mirror) -> Peers {
-        let region = self.settings.region.as_str();
-        let peers = mirror
-            .vms()
-            .iter()
-            .filter(|vm| vm.ready && !vm.callers_address.is_empty() && vm.region == region);
-        Peers::new(self.settings.vm().as_str(), peers.map(|vm| vm.vm.as_str()))
+    /// The VMs of this region that accept callers or did so lately, including this one.
+    pub(super) fn region_peers(&self) -> Peers {
+        lock(&self.peer_memory).peers(self.settings.vm().as_str())
+    }
+
+    /// Records the VMs of this region that accept callers now.
+    pub(super) fn update_region_peers(&self) {
+        let (region, mirror) = (self.settings.region.as_str(), self.mirror());
+        let is_peer =
+            |vm: &&VmInfo| vm.ready && !vm.callers_address.is_empty() && vm.region == region;
+        let peers = mirror.vms().iter().filter(is_peer).map(|vm| vm.vm.as_str());
+        lock(&self.peer_memory).update(peers, self.clock.now());
     }
 
     /// Decides at random whether a VM that follows a replica other than the nearest one stays with
--- a/src/gateway/target_tracker.rs
+++ b/src/gateway/target_tracker.rs
@@ -61,7 +61,7 @@
 /// A request that was sent to a target, and what was expected of it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SentRequest {
-    sent_at: Instant,
+    pub(super) sent_at: Instant,
     /// Prompt tokens that the target has to read.
     unread_tokens: f64,
     /// The expected seconds until the first event at a typical engine.
--- a/src/throttle/tracker.rs
+++ b/src/throttle/tracker.rs
@@ -1,30 +1,49 @@
-use std::{collections::HashMap, fmt};
+use std::{
+    collections::HashMap,
+    fmt,
+    time::{Duration, Instant},
+};
 
-use super::Limit;
+use super::{Limit, Notice, Peers, Share, Turn};
 use crate::id;
 
-/// Above this number of targets, the limits of all are dropped.
-const MAX_TARGETS: usize = 4096;
+/// How long the end of a limit is told to other VMs.
+const END_RETENTION: Duration = Duration::from_secs(10);
+/// A limit without news for this long is dropped, as its target is gone or nobody asks for it.
+const LIMIT_RETENTION: Duration = Duration::from_secs(600);
 
-/// The limits that targets have named to one VM.
+/// The limits that one VM knows, and the requests that it may send under them.
+///
+/// A limit belongs to one incarnation of a target. It holds until the target answers a request
+/// without naming it.
 ///
 /// ```
-/// use pomelogate::throttle::{Change, Tracker};
+/// use std::time::{Duration, Instant};
+/// use pomelogate::throttle::{Peers, Permission, Tracker};
 ///
-/// let mut tracker = Tracker::default();
-/// let limit = "2".parse().unwrap();
+/// let (mut tracker, alone, now) = (Tracker::default(), Peers::default(), Instant::now());
 /// let engine = "engine".into();
-/// assert_eq!(tracker.record_answer(&engine, 1, Some(limit)), Some(Change::Named(limit)));
-/// assert_eq!(tracker.record_answer(&engine, 1, Some(limit)), None);
-/// assert_eq!(tracker.record_answer(&engine, 1, None), Some(Change::Ended));
+/// tracker.record_answer(&engine, 1, Some("2".parse().unwrap()), now, now);
+/// let later = now + Duration::from_millis(500);
+/// assert_eq!(tracker.permission(&engine, 1, &alone, later), Permission::Granted);
+/// tracker.record_sent(&engine, 1);
+/// assert_ne!(tracker.permission(&engine, 1, &alone, later), Permission::Granted);
 /// ```
 #[derive(Debug, Default)]
 pub struct Tracker {
-    /// The incarnation that named a limit, and the limit.
-    targets: HashMap<id::Target, (u64, Limit)>,
+    targets: HashMap<id::Target, NamedLimit>,
+}
+
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// It may be sent now.
+    Granted,
+    /// It may be sent after this time, if no other request is sent before.
+    After(Duration),
 }
 
-/// What a target said that was not known.
+/// What a target or another VM said that was not known.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Change {
     /// The target has another limit than before.
@@ -33,6 +52,24 @@
     Ended,
 }
 
+/// What is known of the limit of one target.
+#[derive(Debug)]
+struct NamedLimit {
+    incarnation: u64,
+    /// None if the target had a limit and has none any more.
+    limit: Option<Limit>,
+    /// When the target said so.
+    said_at: Instant,
+    /// Whether it said so to this VM, which tells the others.
+    heard_here: bool,
+    /// When this VM learned that the target has a limit.
+    known_since: Instant,
+    turn_holder: TurnHolder,
+    /// The requests that this VM may send now.
+    available: f64,
+    refilled_at: Instant,
+}
+
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -42,30 +79,198 @@
     }
 }
 
+/// The VM that sent the last request that the target is known to have answered under the limit.
+#[derive(Clone, Copy, Debug, Default)]
+enum TurnHolder {
+    #[default]
+    Unknown,
+    Own,
+    Other(u64),
+}
+
+/// What was said of a limit, and when.
+struct News {
+    incarnation: u64,
+    limit: Option<Limit>,
+    said_at: Instant,
+    heard_here: bool,
+    turn_holder: TurnHolder,
+}
+
 impl Tracker {
-    /// Records the limit that an answer of a target names. Returns what changed.
+    /// Whether no limit is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Records the answer of a target to a request that was sent at `sent_at`, and the limit that
+    /// the answer names. Returns what changed.
     pub fn record_answer(
         &mut self,
         target: &id::Target,
         incarnation: u64,
         limit: Option<Limit>,
+        sent_at: Instant,
+        now: Instant,
     ) -> Option<Change> {
-        let known = self.targets.get(target).copied();
-        match limit {
-            Some(limit) if known == Some((incarnation, limit)) => None,
-            Some(limit) => {
-                if self.targets.len() >= MAX_TARGETS {
-                    self.targets.clear();
-                }
-                self.targets.insert(target.clone(), (incarnation, limit));
-                Some(Change::Named(limit))
+        let known = self.targets.get(target).filter(|known| known.limit.is_some());
+        // An answer to a request that was sent before the target named its limit does not end it.
+        if limit.is_none() && known.is_none_or(|known| known.said_at > sent_at) {
+            return None;
+        }
+        let turn_holder = match known {
+            Some(known) if known.known_since <= sent_at => TurnHolder::Own,
+            Some(known) => known.turn_holder,
+            None => TurnHolder::Unknown,
+        };
+        let news = News { incarnation, limit, said_at: now, heard_here: true, turn_holder };
+        self.record(target, news, now)
+    }
+
+    /// Records what another VM of the region says. Returns what changed.
+    pub fn record_notice(&mut self, notice: &Notice, now: Instant) -> Option<Change> {
+        let limit = match notice.limit_per_sec {
+            Some(per_sec) => Some(Limit::new(per_sec)?),
+            None => None,
+        };
+        let news = News {
+            incarnation: notice.incarnation,
+            limit,
+            said_at: now.checked_sub(Duration::from_millis(notice.age_ms))?,
+            heard_here: false,
+            turn_holder: match notice.turn_holder {
+                0 => TurnHolder::Unknown,
+                holder => TurnHolder::Other(holder),
+            },
+        };
+        self.record(&id::Target::from(notice.target.as_str()), news, now)
+    }
+
+    fn record(&mut self, target: &id::Target, news: News, now: Instant) -> Option<Change> {
+        self.remove_expired(now);
+        let known =
+            self.targets.get_mut(target).filter(|known| known.incarnation >= news.incarnation);
+        let Some(known) = known else {
+            self.targets.insert(target.clone(), NamedLimit::new(&news, now));
+            return news.limit.map(Change::Named);
+        };
+        if known.incarnation > news.incarnation || known.said_at > news.said_at {
+            return None;
+        }
+        let has_changed = known.limit != news.limit;
+        let was_limited = known.limit.is_some() && news.limit.is_some();
+        let fresh = NamedLimit::new(&news, now);
+        *known = if was_limited {
+            NamedLimit {
+                available: known.available,
+                refilled_at: known.refilled_at,
+                known_since: known.known_since,
+                ..fresh
             }
-            None => self.targets.remove(target).map(|_| Change::Ended),
+        } else {
+            fresh
+        };
+        has_changed.then(|| news.limit.map_or(Change::Ended, Change::Named))
+    }
+
+    /// Whether this VM may send a request to the target now.
+    pub fn permission(
+        &mut self,
+        target: &id::Target,
+        incarnation: u64,
+        peers: &Peers,
+        now: Instant,
+    ) -> Permission {
+        let Some((known, limit)) = self.limited(target, incarnation) else {
+            return Permission::Granted;
+        };
+        let last_turn = known.last_turn(peers, now);
+        let share = Share::new(limit, target, peers, last_turn);
+        let elapsed_secs = now.saturating_duration_since(known.refilled_at).as_secs_f64();
+        known.available = (known.available + share.per_sec * elapsed_secs).min(share.burst);
+        known.refilled_at = known.refilled_at.max(now);
+        if known.available >= 1.0 {
+            return Permission::Granted;
+        }
+        if !share.turn_in.is_zero() {
+            return Permission::After(share.turn_in);
         }
+        let missing = 1.0 - known.available;
+        Permission::After(Duration::from_secs_f64(missing / share.per_sec))
+    }
+
+    /// Records a request that is sent to a target, permitted or not.
+    pub fn record_sent(&mut self, target: &id::Target, incarnation: u64) {
+        if let Some((known, _)) = self.limited(target, incarnation) {
+            known.available -= 1.0;
+        }
+    }
+
+    /// The limit of a target, if it has one.
+    pub fn limit(&self, target: &id::Target, incarnation: u64) -> Option<Limit> {
+        self.targets.get(target).filter(|known| known.incarnation == incarnation)?.limit
+    }
+
+    /// What this VM heard of limits from targets, for the other VMs of the region.
+    pub fn notices(&self, peers: &Peers, now: Instant) -> Vec<Notice> {
+        let heard = self.targets.iter().filter(|(_, known)| known.heard_here);
+        heard.map(|(target, known)| known.notice(target, peers, now)).collect()
     }
 
     /// The number of targets with a limit.
     pub fn limited_count(&self) -> usize {
-        self.targets.len()
+        self.targets.values().filter(|known| known.limit.is_some()).count()
+    }
+
+    fn limited(
+        &mut self,
+        target: &id::Target,
+        incarnation: u64,
+    ) -> Option<(&mut NamedLimit, Limit)> {
+        let known = self.targets.get_mut(target)?;
+        let limit = known.limit.filter(|_| known.incarnation == incarnation)?;
+        Some((known, limit))
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        self.targets.retain(|_, known| {
+            let retention = if known.limit.is_some() { LIMIT_RETENTION } else { END_RETENTION };
+            now.saturating_duration_since(known.said_at) < retention
+        });
+    }
+}
+
+impl NamedLimit {
+    fn new(news: &News, now: Instant) -> Self {
+        Self {
+            incarnation: news.incarnation,
+            limit: news.limit,
+            said_at: news.said_at,
+            heard_here: news.heard_here,
+            known_since: now,
+            turn_holder: news.turn_holder,
+            available: 0.0,
+            refilled_at: now,
+        }
+    }
+
+    fn last_turn(&self, peers: &Peers, now: Instant) -> Turn {
+        let holder = match self.turn_holder {
+            TurnHolder::Unknown => None,
+            TurnHolder::Own => Some(peers.own_hash()),
+            TurnHolder::Other(holder) => Some(holder),
+        };
+        Turn { holder, silence: now.saturating_duration_since(self.said_at) }
+    }
+
+    fn notice(&self, target: &id::Target, peers: &Peers, now: Instant) -> Notice {
+        let age = now.saturating_duration_since(self.said_at);
+        Notice {
+            target: target.to_string(),
+            incarnation: self.incarnation,
+            limit_per_sec: self.limit.map(Limit::per_sec),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            turn_holder: self.last_turn(peers, now).holder.unwrap_or(0),
+        }
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -548,3 +548,46 @@
         "capacity is scarce in both regions"
     );
 }
+
+/// Guards against a target in need that looks idle because it gets little, and so gets more.
+#[test]
+fn target_that_names_a_limit_gets_its_share_however_idle_it_looks() {
+    let now = Instant::now();
+    let targets: Vec<Target> = (0..3).map(|n| target(&format!("engine-{n}"), now)).collect();
+    let targets: Vec<&Target> = targets.iter().collect();
+    let (limited, prompt) = (targets[0], prompt(7));
+    let mut balancer = Balancer::new(1);
+    balancer.record_limit(limited, "1".parse().ok(), now, now);
+    let full = InFlight { requests: 60, unread_tokens: 90_000.0, stream_gap_secs: 0.0 };
+    let mut sent_to_limited = 0;
+    for millis in 1..8000 {
+        let at = now + Duration::from_millis(millis);
+        for target in &targets[1..] {
+            balancer.record_peer_in_flight("other", target, full, at);
+        }
+        let pick = balancer.choose(query(&targets, &prompt), at).expect("two targets are free");
+        balancer.record_sent_untracked(&pick, &prompt, at);
+        balancer.record_end(&pick.target, at);
+        sent_to_limited += u32::from(pick.target.target == limited.target);
+    }
+    assert!((6..=8).contains(&sent_to_limited), "{sent_to_limited} in eight seconds");
+    let at = now + Duration::from_secs(8);
+    let load = balancer.local_load(&targets, at);
+    assert_eq!(load.slots, 128, "other regions hand over to the other two");
+    let only_limited = query(&targets[..1], &prompt);
+    balancer.record_sent_untracked(
+        &Pick {
+            target: limited.clone(),
+            cache_source: None,
+            owns_prefix: false,
+            first_event_secs: 0.0,
+            in_flight: 0,
+        },
+        &prompt,
+        at,
+    );
+    assert!(balancer.choose(only_limited, at).is_none());
+    let delay = balancer.throttle_delay(only_limited, at).expect("only the limit keeps it out");
+    assert!(delay > Duration::ZERO && delay < Duration::from_secs(3), "{delay:?}");
+    assert!(balancer.choose(only_limited, at + delay).is_some(), "a caller told so is served");
+}
--- a/tests/support/window.rs
+++ b/tests/support/window.rs
@@ -14,9 +14,10 @@
 
 /// The most of `times`, which are in order, in one window that ends at `since` or later.
 pub fn most_in_window(times: &[Instant], since: Instant) -> usize {
+    assert!(times.is_sorted());
     let counted: Vec<Instant> = times.iter().copied().filter(|at| *at + WINDOW >= since).collect();
-    let in_window = |first: &Instant| {
-        counted.iter().filter(|at| *at >= first && **at < *first + WINDOW).count()
+    let in_window = |(index, first): (usize, &Instant)| {
+        counted.partition_point(|at| *at < *first + WINDOW) - index
     };
-    counted.iter().map(in_window).max().unwrap_or(0)
+    counted.iter().enumerate().map(in_window).max().unwrap_or(0)
 }
