Keep the limits that targets name on the path of models

Cause: as for routes, no code read the limit. The VMs read it from every response, also from those to calls and to requests that resume a stream, and tell their region at each change and once a second. Their shares are those of the gateway (`throttle::Tracker`), over the VMs that are not known to be gone. Requests that resume or discard a stream count; a resumption waits for its turn for as long as a silent target may take. Such a target has no free places in the summary for other regions. Where all targets are used up, requests are refused at once with 429 and the time to return, rounded up.

Measured: seven_vms_together_keep_the_limit_of_an_engine and vms_together_keep_the_limit_of_a_service_and_refuse_calls_at_once failed before with 417 and 343 and pass, as does the same at 95 processes. There, one plain request first took 2.47 s: its VM's log showed that it waited for the permit of a stream of the same customer that waited for its turn, and a share of one permit is what 95 VMs have. The test's streams have a customer of their own now.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -326,7 +326,7 @@
 
     /// The number of targets with a limit.
     pub fn limited_target_count(&self) -> usize {
-        self.throttle.limited_count()
+        self.throttle.limited_targets().len()
     }
 
     /// Records the load that a target reported.
--- a/src/path.rs
+++ b/src/path.rs
@@ -17,6 +17,7 @@
 mod resolve;
 mod resumable_body;
 mod target_response;
+mod target_watch;
 
 pub use self::{
     admit::Admitted,
@@ -33,4 +34,5 @@
     request::{Received, Request},
     resolve::Resolved,
     target_response::{BodyPart, TargetResponse},
+    target_watch::TargetWatch,
 };
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -5,9 +5,11 @@
     body::{Bytes, Incoming},
     header::HOST,
 };
-use smol::{Task, channel::Sender};
+use smol::channel::Sender;
 
-use super::{Admitted, BodyPart, Request, TargetResponse, header, resumable_body::ResumableBody};
+use super::{
+    Admitted, BodyPart, Request, TargetResponse, TargetWatch, header, resumable_body::ResumableBody,
+};
 use crate::{
     clock::{Clock, within},
     http::{self, RequestError},
@@ -54,7 +56,8 @@
 
 /// Sends an admitted request to `target`. Returns the response as soon as the first part of an
 /// event stream, the whole of another response, or more than `buffer_bytes` of it has arrived.
-/// `time_left` limits the wait for the first byte, and then the wait for what follows.
+/// `time_left` limits the wait for the first byte, and then the wait for what follows. `watch` is
+/// told what the target responds.
 ///
 /// Returns [`Outcome::Refused`] only if no byte of the request was written.
 pub async fn dispatch(
@@ -63,12 +66,14 @@
     limits: DispatchLimits,
     time_left: Duration,
     clock: &Arc<dyn Clock>,
+    watch: Arc<dyn TargetWatch>,
 ) -> Outcome<TargetResponse> {
     let target_request = match target_request(request, target, time_left) {
         Ok(target_request) => target_request,
         Err(cause) => return Outcome::Refused(malformed(&cause.to_string())),
     };
     let first_byte_timeout = limits.first_byte_timeout.min(time_left);
+    let sent_at = clock.now();
     match http::send_request(
         target.address,
         target_request,
@@ -78,8 +83,12 @@
     .await
     {
         Ok((response, connection_task)) => {
-            let response =
-                receive_response(request, target, response, connection_task, limits, clock);
+            watch.record_response(response.headers(), sent_at);
+            let new_body = |response| {
+                let clock = Arc::clone(clock);
+                ResumableBody::new(target.address, response, connection_task, limits, clock, watch)
+            };
+            let response = receive_response(request, target, response, new_body, limits);
             within(time_left, response)
                 .await
                 .unwrap_or_else(|| Outcome::Unknown(deadline_passed(target)))
@@ -117,9 +126,8 @@
     request: &Request<Admitted>,
     target: &Announcement,
     response: Response<Incoming>,
-    connection_task: Task<()>,
+    new_body: impl FnOnce(Response<Incoming>) -> ResumableBody,
     limits: DispatchLimits,
-    clock: &Arc<dyn Clock>,
 ) -> Outcome<TargetResponse> {
     let status = response.status();
     // An unknown outcome lets another target answer an idempotent request.
@@ -130,8 +138,7 @@
         status: u32::from(status.as_u16()),
         headers: end_to_end_headers(response.headers()),
     };
-    let mut response_body =
-        ResumableBody::new(target.address, response, connection_task, limits, Arc::clone(clock));
+    let mut response_body = new_body(response);
     let mut chunks = Vec::new();
     let mut received_bytes = 0;
     let is_complete = loop {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -88,7 +88,7 @@
         Problem::new(error_type.as_str().unwrap_or_default(), &refusal.detail, &refusal.remedy);
     let mut response = problem.response(refusal_status(refusal.reason), request, "refused");
     if let Some(retry_after) = refusal.retry_after {
-        let seconds = retry_after.as_secs().max(1).to_string();
+        let seconds = (retry_after.as_secs_f64().ceil() as u64).max(1).to_string();
         append_header(&mut response, RETRY_AFTER.as_str(), seconds.as_bytes());
     }
     if let Some(location) = &refusal.location {
--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -6,16 +6,17 @@
     body::{Bytes, Incoming},
     header::{HOST, RANGE},
 };
-use smol::Task;
+use smol::{Task, Timer};
 
 use super::{
-    BodyPart, DispatchLimits,
+    BodyPart, DispatchLimits, TargetWatch,
     framing::{Framing, StreamTail},
     header,
 };
 use crate::{
     clock::{Clock, within},
     http::{self, StallDetector},
+    throttle::Permission,
 };
 
 /// Reads the body of a target's response. A stream that breaks off is resumed at its byte offset
@@ -32,6 +33,7 @@
     /// Set if the response is an event stream.
     stall_detector: Option<StallDetector>,
     clock: Arc<dyn Clock>,
+    watch: Arc<dyn TargetWatch>,
     ended: bool,
     body: Incoming,
     connection_task: Task<()>,
@@ -44,6 +46,7 @@
         connection_task: Task<()>,
         limits: DispatchLimits,
         clock: Arc<dyn Clock>,
+        watch: Arc<dyn TargetWatch>,
     ) -> Self {
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, &body);
@@ -59,6 +62,7 @@
             stall_detector: (framing == Framing::EventStream)
                 .then(|| StallDetector::new(limits.idle_timeout)),
             clock,
+            watch,
             ended: false,
             body,
             connection_task,
@@ -141,7 +145,7 @@
     /// Asks the target for the rest of a broken stream. Returns whether the target sends it.
     async fn resume(&mut self) -> bool {
         let Some(path) = self.resume_path.clone() else { return false };
-        if self.resumptions >= self.limits.max_resumptions {
+        if self.resumptions >= self.limits.max_resumptions || !self.wait_for_permission().await {
             return false;
         }
         self.resumptions += 1;
@@ -149,10 +153,14 @@
         let request = Request::get(&path).header(RANGE, range).header(HOST, self.host_header());
         let Ok(request) = request.body(http::empty()) else { return false };
         let limits = self.limits;
-        match http::send_request(self.target, request, limits.connect_timeout, limits.idle_timeout)
-            .await
-        {
-            Ok((response, connection_task)) if response.status() == StatusCode::PARTIAL_CONTENT => {
+        self.watch.record_sent();
+        let sent_at = self.clock.now();
+        let sent =
+            http::send_request(self.target, request, limits.connect_timeout, limits.idle_timeout);
+        let Ok((response, connection_task)) = sent.await else { return false };
+        self.watch.record_response(response.headers(), sent_at);
+        match response.status() {
+            StatusCode::PARTIAL_CONTENT => {
                 self.body = response.into_body();
                 if let Some(stall_detector) = &mut self.stall_detector {
                     *stall_detector = StallDetector::new(limits.idle_timeout);
@@ -164,6 +172,20 @@
         }
     }
 
+    /// Waits until the target takes another request. Returns false if that would take too long.
+    async fn wait_for_permission(&self) -> bool {
+        let deadline = self.clock.now() + self.limits.idle_timeout;
+        loop {
+            match self.watch.permission() {
+                Permission::Granted => return true,
+                Permission::After(delay) if self.clock.now() + delay < deadline => {
+                    Timer::after(delay).await;
+                }
+                Permission::After(_) => return false,
+            }
+        }
+    }
+
     fn host_header(&self) -> String {
         self.target.to_string()
     }
@@ -177,6 +199,7 @@
             Request::builder().method(Method::DELETE).uri(path).header(HOST, self.host_header());
         let Ok(request) = request.body(http::empty()) else { return };
         let (target, limits) = (self.target, self.limits);
+        self.watch.record_sent();
         smol::spawn(async move {
             let _ =
                 http::send_request(target, request, limits.connect_timeout, limits.connect_timeout)
--- /dev/null
+++ b/src/path/target_watch.rs
@@ -0,0 +1,19 @@
+use std::{fmt::Debug, time::Instant};
+
+use hyper::HeaderMap;
+
+use crate::throttle::Permission;
+
+/// Follows the exchanges of one request with a target.
+///
+/// A stream that broke off is resumed by further requests to the target, which count as well.
+pub trait TargetWatch: Debug + Send + Sync {
+    /// Records the headers of the target's response to a request that was sent at `sent_at`.
+    fn record_response(&self, headers: &HeaderMap, sent_at: Instant);
+
+    /// Whether another request may be sent to the target now.
+    fn permission(&self) -> Permission;
+
+    /// Counts a request to the target beyond the first.
+    fn record_sent(&self);
+}
--- a/src/target/message.rs
+++ b/src/target/message.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 
 use super::{Announcement, Capacity, Load, Need, Offer, Renewals, Report};
-use crate::wire;
+use crate::{throttle::Notice, wire};
 
 /// What VMs tell each other of targets.
 #[derive(Clone, PartialEq, Message)]
@@ -26,6 +26,9 @@
     /// Digests in the receiver's renewals of which the sender does not know the targets.
     #[prost(fixed32, repeated, tag = "6")]
     pub wanted: Vec<u32>,
+    /// The limits that targets of the sender's region named to the sender.
+    #[prost(message, repeated, tag = "7")]
+    pub limits: Vec<Notice>,
 }
 
 /// A [`Report`] on its way.
--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -212,10 +212,21 @@
 
     /// This region's summary; only the targets that `permits` lets through count.
     pub fn summary(&self, now: Instant, permits: impl Fn(&Announcement) -> bool) -> Summary {
+        self.summary_with_room(now, permits, |_| true)
+    }
+
+    /// The same, where only the targets with `has_room` have free places, however little they run.
+    pub fn summary_with_room(
+        &self,
+        now: Instant,
+        permits: impl Fn(&Announcement) -> bool,
+        has_room: impl Fn(&Announcement) -> bool,
+    ) -> Summary {
         let mut lines: BTreeMap<Need, Capacity> = BTreeMap::new();
         for report in self.holding(now).filter(|report| permits(&report.announcement)) {
             let load = report.announcement.load;
             let free = load.slots.saturating_sub(load.running);
+            let free = if has_room(&report.announcement) { free } else { 0 };
             let adds = Capacity { targets: 1, free, waiting: load.waiting };
             let needs: BTreeSet<Need> = report.announcement.offers.iter().flat_map(needs).collect();
             for need in needs {
--- a/src/throttle/tracker.rs
+++ b/src/throttle/tracker.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt,
     time::{Duration, Instant},
 };
@@ -217,9 +217,10 @@
         heard.map(|(target, known)| known.notice(target, peers, now)).collect()
     }
 
-    /// The number of targets with a limit.
-    pub fn limited_count(&self) -> usize {
-        self.targets.values().filter(|known| known.limit.is_some()).count()
+    /// The targets with a limit, and their incarnations.
+    pub fn limited_targets(&self) -> HashSet<(id::Target, u64)> {
+        let limited = self.targets.iter().filter(|(_, known)| known.limit.is_some());
+        limited.map(|(target, known)| (target.clone(), known.incarnation)).collect()
     }
 
     fn limited(
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -22,6 +22,7 @@
 mod serve;
 mod target_attempt;
 mod target_deaths;
+mod target_limit;
 
 pub use self::{
     directory::{Directory, DirectoryEntry},
--- a/src/vm/at_most_once.rs
+++ b/src/vm/at_most_once.rs
@@ -12,6 +12,7 @@
 use super::{
     Vm,
     replica_groups::{LISTS_GROUP, ProposalError, claims_group_name},
+    target_limit::TargetLimit,
 };
 use crate::{
     claim::{
@@ -234,13 +235,14 @@
 
     async fn dispatch(
         &self,
-        vm: &Vm,
+        vm: &Arc<Vm>,
         request: &path::Request<Admitted>,
         target: &Announcement,
         time_left: Duration,
     ) -> Outcome<TargetResponse> {
-        let limits = vm.settings.dispatch();
-        let outcome = match path::dispatch(request, target, limits, time_left, &vm.clock).await {
+        let (limits, watch) = (vm.settings.dispatch(), TargetLimit::watch(vm, target));
+        let response = path::dispatch(request, target, limits, time_left, &vm.clock, watch);
+        let outcome = match response.await {
             Outcome::Answered(response) => {
                 read_complete_response(response, vm.settings.body_limit).await
             }
--- a/src/vm/gossip.rs
+++ b/src/vm/gossip.rs
@@ -73,7 +73,7 @@
         let targets = self.hub.call(peer.links, Topic::Targets, empty, JOIN_TIMEOUT).await;
         let (Ok(members), Ok(targets)) = (members, targets) else { return false };
         self.receive_members(members);
-        self.receive_targets(targets);
+        self.receive_targets(&peer.vm, targets);
         true
     }
 
@@ -219,12 +219,14 @@
 
     /// Merges the target state that another VM sent. An empty payload asks for all target state,
     /// which is returned.
-    pub(super) fn receive_targets(&self, payload: Bytes) -> Bytes {
+    pub(super) fn receive_targets(&self, from: &id::Vm, payload: Bytes) -> Bytes {
         let now = self.clock.now();
         if payload.is_empty() {
-            return encode(&self.targets().all(now));
+            let limits = self.limit_notices();
+            return encode(&Gossip { limits, ..self.targets().all(now) });
         }
         let Ok(gossip) = Gossip::decode(payload) else { return Bytes::new() };
+        self.receive_limits(from, &gossip.limits);
         let leaving = self.targets().merge(&gossip, now);
         self.forward_summaries(gossip.root);
         for target in leaving {
@@ -255,13 +257,15 @@
         }
     }
 
-    /// Sends the region the renewals that this VM received since the last batch, and asks other VMs
+    /// Sends the region the renewals that this VM received since the last batch and the limits that
+    /// it heard of, and asks other VMs
     /// for announcements that are missing here.
     fn send_target_renewals(&self) {
         let now = self.clock.now();
+        let limits = self.limit_notices();
         let (gossip, requests) = {
             let mut targets = self.targets();
-            (targets.unsent(now), targets.take_wanted())
+            (Gossip { limits, ..targets.unsent(now) }, targets.take_wanted())
         };
         if gossip != Gossip::default() {
             self.send_to_region(&gossip);
@@ -285,9 +289,13 @@
             members.relays_of_other_regions(now)
         };
         let stops = self.planned_stops();
-        let summary = self.targets().summary(now, |target| {
+        let limited = self.routing().throttle.limited_targets();
+        let is_permitted = |target: &Announcement| {
             !stops.covers_target(&target.target, &target.zone, &target.region)
-        });
+        };
+        let has_room =
+            |target: &Announcement| !limited.contains(&(target.target.clone(), target.incarnation));
+        let summary = self.targets().summary_with_room(now, is_permitted, has_room);
         let payload = encode(&Gossip { summaries: vec![summary], ..Gossip::default() });
         for peer in remote_relays {
             self.notify(&peer, Topic::Targets, payload.clone());
@@ -310,7 +318,7 @@
         }
     }
 
-    fn send_to_region(&self, gossip: &Gossip) {
+    pub(super) fn send_to_region(&self, gossip: &Gossip) {
         let now = self.clock.now();
         let bytes = encode(gossip);
         let region_peers = self.members().region_peers(now);
--- a/src/vm/inbound.rs
+++ b/src/vm/inbound.rs
@@ -10,14 +10,14 @@
     pub(super) async fn handle_inbound(self: Arc<Self>, inbound: Receiver<Inbound>) {
         while let Ok(message) = inbound.recv().await {
             match message {
-                Inbound::Notice { topic: Topic::Targets, payload, .. } => {
-                    self.receive_targets(payload);
+                Inbound::Notice { from, topic: Topic::Targets, payload } => {
+                    self.receive_targets(&from, payload);
                 }
                 Inbound::Notice { topic: Topic::Membership, payload, .. } => {
                     self.receive_members(payload);
                 }
-                Inbound::Call { topic: Topic::Targets, payload, reply, .. } => {
-                    let _ = reply.try_send(self.receive_targets(payload));
+                Inbound::Call { from, topic: Topic::Targets, payload, reply } => {
+                    let _ = reply.try_send(self.receive_targets(&from, payload));
                 }
                 Inbound::Call { topic: Topic::Membership, payload, reply, .. } => {
                     let _ = reply.try_send(self.receive_members(payload));
--- a/src/vm/routing_decision.rs
+++ b/src/vm/routing_decision.rs
@@ -64,6 +64,8 @@
             .collect();
         let mut candidates: Vec<_> =
             reports.iter().map(|report| self.candidate(report, now)).collect();
+        routing.exclude_throttled_targets(now, &mut candidates);
+        let all_throttled = candidates.is_empty() && !reports.is_empty();
         routing.exclude_avoided_targets(now, &mut candidates);
         let has_candidates = !candidates.is_empty();
         if routing.is_crash_suspect(now, placement_input.digest) {
@@ -89,6 +91,11 @@
         };
         let decision = routing.decide(now, &placement_input.need, query);
         self.log_decision(request, &decision);
+        if all_throttled && decision.choice == placement::Choice::None {
+            let targets = reports.iter().map(|report| &report.announcement);
+            let refusal = routing.throttle_refusal(now, &placement_input.need, targets);
+            return RoutingDecision::Refuse(refusal);
+        }
         let find_announcement = |target: &id::Target| {
             let found = reports.iter().find(|report| report.announcement.target == *target);
             found.map(|report| report.announcement.clone())
@@ -112,6 +119,7 @@
                     return RoutingDecision::NoTarget;
                 };
                 routing.record_sent(now, target, placement_input);
+                routing.throttle.record_sent(target, announcement.incarnation);
                 RoutingDecision::Target(TargetAttempt::new(
                     self,
                     announcement,
--- a/src/vm/routing_state.rs
+++ b/src/vm/routing_state.rs
@@ -15,7 +15,8 @@
     path::{Admitted, Request},
     placement::{Candidate, Decision, Policy, Prompt, Query},
     settings::Settings,
-    target::Need,
+    target::{Announcement, Need},
+    throttle::{self, Limit, Notice, Peers, Permission, Returns},
 };
 
 /// How long a target that failed a request gets no requests while other targets can take them.
@@ -35,6 +36,10 @@
     /// The shared parts of the requests in flight.
     parts_in_flight: BTreeMap<(id::Target, Digest), Vec<u64>>,
     pub(super) retry_budget: RetryBudget,
+    pub(super) throttle: throttle::Tracker,
+    returns: Returns,
+    /// The VMs of this region that may be alive.
+    peers: Peers,
     avoided_targets: BTreeMap<id::Target, AvoidedTarget>,
     /// The last incarnation of each target for which this VM has counted a death.
     counted_deaths: BTreeMap<id::Target, CountedDeath>,
@@ -113,6 +118,9 @@
             }),
             parts_in_flight: BTreeMap::new(),
             retry_budget: RetryBudget::default(),
+            throttle: throttle::Tracker::default(),
+            returns: Returns::default(),
+            peers: Peers::default(),
             avoided_targets: BTreeMap::new(),
             counted_deaths: BTreeMap::new(),
         }
@@ -125,9 +133,10 @@
         }
     }
 
-    /// Sets the number of VMs in this region that may be alive, this one included, and removes
-    /// expired entries.
-    pub(super) fn tick(&mut self, now: Instant, vm_count: u32) {
+    /// Sets the VMs of this region that may be alive, and removes expired entries.
+    pub(super) fn tick(&mut self, now: Instant, peers: Peers) {
+        let vm_count = peers.vm_count();
+        self.peers = peers;
         self.model_policy.set_vm_count(vm_count);
         self.service_policy.set_vm_count(vm_count);
         self.crash_tracker.remove_expired(now);
@@ -179,6 +188,51 @@
         }
     }
 
+    /// Whether the limit that a target names permits this VM to send it a request.
+    pub(super) fn permission(
+        &mut self,
+        target: &id::Target,
+        incarnation: u64,
+        now: Instant,
+    ) -> Permission {
+        self.throttle.permission(target, incarnation, &self.peers, now)
+    }
+
+    /// Removes targets that take no more requests under the limits that they name.
+    pub(super) fn exclude_throttled_targets(
+        &mut self,
+        now: Instant,
+        candidates: &mut Vec<Candidate<'_>>,
+    ) {
+        candidates.retain(|candidate| {
+            self.permission(candidate.target, candidate.incarnation, now) == Permission::Granted
+        });
+    }
+
+    /// The refusal of a request that the limits of `targets` keep from all of them.
+    pub(super) fn throttle_refusal<'a>(
+        &mut self,
+        now: Instant,
+        need: &Need,
+        targets: impl Iterator<Item = &'a Announcement>,
+    ) -> Refusal {
+        let limit = |it: &Announcement| self.throttle.limit(&it.target, it.incarnation);
+        let per_sec: f64 = targets.filter_map(limit).map(Limit::per_sec).sum();
+        let per_sec = per_sec / f64::from(self.peers.vm_count());
+        let service = id::Service::from(need.to_string());
+        let refusal = Refusal::new(
+            Reason::Overloaded,
+            format!("the targets of {need} take no more requests from all VMs together"),
+            "try again after the time in retry-after",
+        );
+        refusal.retry_after(self.returns.next_delay(&service, per_sec, now))
+    }
+
+    /// What this VM heard of the limits of targets, for the other VMs of the region.
+    pub(super) fn limit_notices(&self, now: Instant) -> Vec<Notice> {
+        self.throttle.notices(&self.peers, now)
+    }
+
     /// Removes targets where this VM has a crash suspect in flight.
     pub(super) fn exclude_targets_running_suspects(
         &self,
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Vm, routing_decision::RoutingDecision, routing_state::PlacementInput,
-    target_attempt::TargetAttempt,
+    target_attempt::TargetAttempt, target_limit::TargetLimit,
 };
 use crate::{
     clock::within,
@@ -239,7 +239,8 @@
     ) -> Outcome<TargetResponse> {
         let target = attempt.target.clone();
         let outcome = if request.stage.resolved.idempotent {
-            path::dispatch(request, &target, self.settings.dispatch(), time_left, &self.clock).await
+            let (limits, watch) = (self.settings.dispatch(), TargetLimit::watch(self, &target));
+            path::dispatch(request, &target, limits, time_left, &self.clock, watch).await
         } else {
             self.run_at_most_once(request, &target, time_left).await
         };
--- a/src/vm/target_deaths.rs
+++ b/src/vm/target_deaths.rs
@@ -12,6 +12,7 @@
 use crate::{
     crash::{RecordSet, Verdict},
     event, http,
+    throttle::Peers,
     wire::Topic,
 };
 
@@ -122,15 +123,16 @@
         Bytes::new()
     }
 
-    /// Tells placement and the limiter the number of VMs in the region, and repeats the crash
+    /// Tells placement and the limiter the VMs of the region, and repeats the crash
     /// records, as earlier calls with them may have been lost.
     pub(super) async fn maintain_routing(self: Arc<Self>) {
         for tick in 1_u64.. {
             let now = self.clock.now();
-            let others = self.members().region_peers(now).len();
-            let vm_count = u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
-            self.admission.set_vm_count(vm_count);
-            self.routing().tick(now, vm_count);
+            let others = self.members().region_peers(now);
+            let names = others.iter().map(|peer| peer.vm.as_str());
+            let peers = Peers::new(self.settings.vm.as_str(), names);
+            self.admission.set_vm_count(peers.vm_count());
+            self.routing().tick(now, peers);
             if tick.is_multiple_of(RECORDS_INTERVAL_TICKS) {
                 self.send_crash_records().await;
             }
--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -18,6 +18,9 @@
 };
 
 const KEY: &str = "sample-key-crew-leads";
+/// A stream that waits to be resumed counts in its customer's limit of concurrent requests, of which
+/// each of many VMs has a share of one. The streams have a customer of their own.
+const STREAMS_KEY: &str = "sample-key-shift-planners";
 const BOOK_PATH: &str = "/v1/services/jobs/book";
 const ONE_PER_SEC: HeaderValue = HeaderValue::from_static("1");
 /// How long callers send requests after a limit is named.
@@ -45,8 +48,12 @@
     replies
 }
 
-async fn chat(vm: SocketAddr, text: &str, stream: bool) -> Option<Reply> {
-    Caller::new(KEY).chat(vm, "planner", text, stream).await.ok()
+async fn chat(vm: SocketAddr, text: &str) -> Option<Reply> {
+    Caller::new(KEY).chat(vm, "planner", text, false).await.ok()
+}
+
+async fn stream(vm: SocketAddr, text: &str) -> Option<Reply> {
+    Caller::new(STREAMS_KEY).chat(vm, "planner", text, true).await.ok()
 }
 
 async fn start_engine(name: &str, vm: SocketAddr, fault: Fault) -> (Engine, Reporter) {
@@ -56,7 +63,7 @@
 async fn wait_until_served(vms: &[SocketAddr]) {
     for vm in vms {
         eventually("the VM answers", async || {
-            chat(*vm, "Ready?", false).await.is_some_and(|reply| reply.status == 200)
+            chat(*vm, "Ready?").await.is_some_and(|reply| reply.status == 200)
         })
         .await;
     }
@@ -74,12 +81,13 @@
     limited.name_limit(Some(ONE_PER_SEC));
     let named_at = Instant::now();
     let end = named_at + LOAD_TIME;
+    let pause = Duration::from_millis(6) * u32::try_from(vm_count).expect("a small number");
     let load = |vm: SocketAddr| {
-        let plain = send_until(end, Duration::from_millis(40), async move |number| {
-            chat(vm, &format!("plan {number} of {vm}"), false).await
+        let plain = send_until(end, pause, async move |number| {
+            chat(vm, &format!("plan {number} of {vm}")).await
         });
-        let streams = send_until(end, Duration::from_millis(80), async move |number| {
-            chat(vm, &format!("stream {number} of {vm} in four words"), true).await
+        let streams = send_until(end, pause * 2, async move |number| {
+            stream(vm, &format!("stream {number} of {vm} in four words")).await
         });
         join(plain, streams)
     };
@@ -88,6 +96,9 @@
         assert_eq!(reply.status, 200, "the other engine is free: {}", reply.body_text());
         assert!(*took < Duration::from_secs(2), "{took:?}");
     }
+    for (reply, _) in replies.iter().flat_map(|(_, streams)| streams) {
+        assert_eq!(reply.status, 200, "{}", reply.body_text());
+    }
     let settled_at = named_at + SETTLING_TIME;
     let arrivals = limited.arrivals();
     let most = most_in_window(&arrivals, settled_at);
@@ -102,6 +113,11 @@
     smol::block_on(check_engines(7));
 }
 
+#[test]
+fn ninety_five_vms_together_keep_the_limit_of_an_engine() {
+    smol::block_on(check_engines(95));
+}
+
 /// Calls that may run at most once take their claims first, on a way of their own.
 #[test]
 fn vms_together_keep_the_limit_of_a_service_and_refuse_calls_at_once() {
