End a stream that was cut inside an event without an error event

What callers saw, on the path of models: where a target's stream ended inside an event, they got its half event and, glued to it, `event: error` with our text.

Cause: the error event was written wherever the stream broke. Now it is written only between events; inside one the connection is cut, which shows that the answer is not whole. The relay is the last step of all ways: a failed resumption and a hand-over from another VM come through it. Routes have no error event.

error_event_never_continues_an_event_of_the_target failed before, on a stream cut inside an event through both VMs, and passes.

--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -10,7 +10,7 @@
 
 use super::{BodyPart, TargetResponse, header};
 use crate::{
-    http::{self, Body, IncompleteBody},
+    http::{self, Body, EventProgress, IncompleteBody},
     id,
     outcome::{Reason, Refusal, UnknownOutcome},
 };
@@ -21,7 +21,8 @@
 /// Passes a target's response on to the caller.
 ///
 /// If the body is cut short, the connection to the caller is closed before the end of the body. An
-/// event stream gets an error event before that.
+/// event stream gets an error event before that, unless it was cut inside an event of the target,
+/// which the error event would continue.
 pub fn relay(request: &id::Request, target_response: TargetResponse) -> Response<Body> {
     let (sender, chunks) = smol::channel::bounded(MAX_QUEUED_CHUNKS);
     let is_event_stream = is_event_stream(&target_response);
@@ -45,25 +46,30 @@
     is_event_stream: bool,
     chunks: Sender<Result<Bytes, IncompleteBody>>,
 ) {
+    let mut events = EventProgress::default();
     loop {
         match target_response.next().await {
             BodyPart::Chunk(bytes) => {
+                events.push(&bytes);
                 if chunks.send(Ok(bytes)).await.is_err() {
                     return;
                 }
             }
             BodyPart::End => return,
-            BodyPart::Abort(cause) => return abort_body(is_event_stream, &cause, &chunks).await,
+            BodyPart::Abort(cause) => {
+                let takes_event = is_event_stream && !events.is_inside_event();
+                return abort_body(takes_event, &cause, &chunks).await;
+            }
         }
     }
 }
 
 async fn abort_body(
-    is_event_stream: bool,
+    takes_event: bool,
     cause: &str,
     chunks: &Sender<Result<Bytes, IncompleteBody>>,
 ) {
-    if is_event_stream {
+    if takes_event {
         let problem = Problem::new("unknown", cause, "the answer is not whole; ask again");
         let event = format!("event: error\ndata: {}\n\n", problem.to_json());
         let _ = chunks.send(Ok(Bytes::from(event))).await;
--- /dev/null
+++ b/tests/broken_answers.rs
@@ -0,0 +1,228 @@
+//! Targets whose answers break off or have bytes that are no answer, before VMs that are processes
+//! of the real daemon. Callers connect to the target's region and to another one.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::Method;
+use pomelogate::standin::{Caller, Reply, Reporter};
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use support::{
+    fleet::{Fleet, eventually},
+    targets,
+};
+
+const KEY: &str = "sample-key-crew-leads";
+const BOOK_PATH: &str = "/v1/services/jobs/book";
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+const FIRST_EVENT: &str = "data: {\"n\":1,\"text\":\"whole\"}\n\n";
+const CUT_EVENT: &str = "data: {\"n\":2,\"text\":\"cut he";
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+                       content-type: text/plain\r\ncontent-length: 12\r\n\r\nnot run here";
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+
+/// A target that writes the text that the marker in a request stands for.
+struct RawTarget {
+    address: SocketAddr,
+    requests: Arc<AtomicU32>,
+}
+
+impl RawTarget {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let requests = Arc::<AtomicU32>::default();
+        let count = Arc::clone(&requests);
+        smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let count = Arc::clone(&count);
+                smol::spawn(async move {
+                    let _ = respond(stream, &count).await;
+                })
+                .detach();
+            }
+        })
+        .detach();
+        Self { address, requests }
+    }
+}
+
+async fn respond(mut stream: TcpStream, count: &AtomicU32) -> std::io::Result<()> {
+    let mut request = String::new();
+    while !is_whole(&request) {
+        let mut buffer = [0; 4096];
+        let length = stream.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        request.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    count.fetch_add(1, Ordering::Relaxed);
+    let has = |marker: &str| request.contains(marker);
+    let text = if has("GET /resume-refused") {
+        REFUSAL.to_owned()
+    } else if has("GET /resume-plain") {
+        REFUSAL.replace("503 Service Unavailable", "206 Partial Content")
+    } else if has("cut-event") {
+        format!("{STREAM_HEAD}\r\n{FIRST_EVENT}{CUT_EVENT}")
+    } else if has("cut-after-event") {
+        format!("{STREAM_HEAD}\r\n{FIRST_EVENT}")
+    } else if has("resume-refused") {
+        format!("{STREAM_HEAD}pomelogate-resume: /resume-refused\r\n\r\n{FIRST_EVENT}{CUT_EVENT}")
+    } else if has("resume-plain") {
+        format!("{STREAM_HEAD}pomelogate-resume: /resume-plain\r\n\r\n{FIRST_EVENT}{CUT_EVENT}")
+    } else if has("half-head") {
+        "HTTP/1.1 200 OK\r\ncontent-le".to_owned()
+    } else if has("no-blank-line") {
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n".to_owned()
+    } else if has("late-refusal") {
+        stream.write_all(ANSWER.as_bytes()).await?;
+        Timer::after(Duration::from_millis(50)).await;
+        REFUSAL.to_owned()
+    } else {
+        ANSWER.to_owned()
+    };
+    stream.write_all(text.as_bytes()).await?;
+    // What was written arrives before the end of the connection does.
+    Timer::after(Duration::from_millis(100)).await;
+    Ok(())
+}
+
+/// Whether a request has its whole body.
+fn is_whole(request: &str) -> bool {
+    let Some((head, body)) = request.split_once("\r\n\r\n") else { return false };
+    let lengths = head.lines().filter_map(|line| line.split_once(": "));
+    let mut lengths = lengths.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = lengths.next().and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    body.len() >= length
+}
+
+/// A region with the target, and one without.
+struct Deployment {
+    fleet: Fleet,
+    engine: RawTarget,
+    service: RawTarget,
+    _reporters: [Reporter; 2],
+}
+
+impl Deployment {
+    async fn start() -> Self {
+        let fleet = Fleet::replicated(&[("jakarta", 1), ("surabaya", 1)]).await;
+        let (engine, service) = (RawTarget::start().await, RawTarget::start().await);
+        let reporter = |name: &str, address, offer| {
+            let announcement = targets::announcement(name, "jakarta", address, offer);
+            Reporter::start(vec![fleet.callers(0)], targets::RENEWAL, move || announcement.clone())
+        };
+        let reporters = [
+            reporter("engine", engine.address, targets::model("planner")),
+            reporter("jobs-1", service.address, targets::service("jobs")),
+        ];
+        let deployment = Self { fleet, engine, service, _reporters: reporters };
+        for vm in 0..2 {
+            eventually("a chat is answered", async || {
+                deployment.chat(vm, "Ready?", false).await.is_some_and(|reply| reply.status == 200)
+            })
+            .await;
+            eventually("a call is answered", async || {
+                let reply = deployment.book(vm, &format!("ready-{vm}"), "Ready?").await;
+                reply.is_some_and(|reply| reply.status == 200)
+            })
+            .await;
+        }
+        deployment
+    }
+
+    async fn chat(&self, vm: usize, text: &str, stream: bool) -> Option<Reply> {
+        Caller::new(KEY).chat(self.fleet.callers(vm), "planner", text, stream).await.ok()
+    }
+
+    async fn book(&self, vm: usize, key: &str, text: &str) -> Option<Reply> {
+        let caller = Caller::new(KEY).with("idempotency-key", key);
+        caller.send(self.fleet.callers(vm), Method::POST, BOOK_PATH, text.to_owned()).await.ok()
+    }
+}
+
+/// Guards against an error event that is glued to the half of an event that the target wrote: a
+/// parser of events took both for one event of the target.
+#[test]
+fn error_event_never_continues_an_event_of_the_target() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for vm in 0..2 {
+            for marker in ["cut-event", "resume-refused"] {
+                let reply = deployment.chat(vm, marker, true).await.expect("a reply");
+                let body = reply.body_text();
+                assert_eq!((reply.status, reply.whole), (200, false), "{marker} through VM {vm}");
+                assert!(body.starts_with(FIRST_EVENT), "{marker} through VM {vm}: {body}");
+                for event in body.split("\n\n") {
+                    assert!(
+                        event.starts_with("event: error") || !event.contains("error"),
+                        "{marker} through VM {vm}: {event}"
+                    );
+                }
+                assert!(!body.contains("not run here"), "{marker} through VM {vm}: {body}");
+            }
+            // A stream that breaks off between two events says why.
+            let reply = deployment.chat(vm, "cut-after-event", true).await.expect("a reply");
+            let body = reply.body_text();
+            assert!(!reply.whole, "{body}");
+            assert!(body.starts_with(&format!("{FIRST_EVENT}event: error\ndata: ")), "{body}");
+        }
+    });
+}
+
+/// A target that stopped in the middle of a head has not answered, whatever its first line says.
+#[test]
+fn answer_whose_head_breaks_off_is_no_answer() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for vm in 0..2 {
+            for marker in ["half-head", "no-blank-line"] {
+                for stream in [false, true] {
+                    let reply = deployment.chat(vm, marker, stream).await.expect("a reply");
+                    let outcome = (reply.status, reply.outcome());
+                    assert_eq!(outcome, (502, "unknown"), "{marker} through VM {vm}");
+                }
+                let key = format!("{marker}-{vm}");
+                let reply = deployment.book(vm, &key, marker).await.expect("a reply");
+                assert_eq!((reply.status, reply.outcome()), (502, "unknown"), "{marker}");
+                let before = deployment.service.requests.load(Ordering::Relaxed);
+                let again = deployment.book(vm, &key, marker).await.expect("a reply");
+                assert_ne!(again.status, 200, "it may have run");
+                assert_eq!(deployment.service.requests.load(Ordering::Relaxed), before);
+            }
+        }
+    });
+}
+
+/// A target that writes an earlier refusal once more must not make a caller believe that a request
+/// has not run. No connection to a target carries a second request, so such bytes meet nobody.
+#[test]
+fn refusal_that_a_target_writes_once_more_is_given_to_nobody() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for vm in 0..2 {
+            for number in 0..10 {
+                let key = format!("late-{vm}-{number}");
+                let reply = deployment.book(vm, &key, "late-refusal").await.expect("a reply");
+                assert_eq!((reply.status, reply.body_text().as_str()), (200, "whole"));
+                let reply = deployment.chat(vm, "late-refusal", false).await.expect("a reply");
+                assert_eq!((reply.status, reply.body_text().as_str()), (200, "whole"));
+            }
+        }
+        let chats = deployment.engine.requests.load(Ordering::Relaxed);
+        assert!(chats >= 20, "each chat was a request of its own: {chats}");
+    });
+}
