Continue a stream that broke off only by a stream

Cause: the status alone was looked at. Now the answer must be a series of events as well, on routes from targets and from other VMs, and on the path of models, where an answer without that type does not continue events.

answer_that_is_no_stream_does_not_continue_one failed before in tests/broken_answers.rs ("cut henot run here") and in tests/gateway_requests.rs (four events, then "whole", complete), and passes.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use hyper::body::Bytes;
+use hyper::{body::Bytes, header::CONTENT_TYPE};
 use rand::RngExt;
 use smol::{Timer, future::or};
 
@@ -19,8 +19,9 @@
 };
 use crate::{
     clock::within,
-    id,
+    http, id,
     registry::{Mirror, Target, VmInfo},
+    wire::{Header, ResponseHead},
 };
 
 /// A body that is not a stream is read up to this size before the caller gets any of it, so that a
@@ -497,9 +498,9 @@
                 match self.send_to_target(request, &pick, last_event_id, time_left).await {
                     AttemptOutcome::Responded(response) => {
                         attempts.record_run(&pick.target.target);
-                        let is_success = response.status.is_success();
+                        let continues = response.is_event_stream;
                         let target_body = Box::new(TargetBody::from(*response));
-                        is_success.then_some(BodySource::Target(target_body))
+                        continues.then_some(BodySource::Target(target_body))
                     }
                     AttemptOutcome::Unknown(_) => {
                         attempts.record_run(&pick.target.target);
@@ -511,9 +512,7 @@
             Destination::Vm(vm) => {
                 attempts.record_remote_run();
                 match self.send_to_vm(request, &vm, last_event_id, time_left).await {
-                    HandoverOutcome::Responded(head, exchange)
-                        if (200..300).contains(&head.status) =>
-                    {
+                    HandoverOutcome::Responded(head, exchange) if starts_event_stream(&head) => {
                         Some(BodySource::Link(exchange))
                     }
                     _ => None,
@@ -527,6 +526,14 @@
     }
 }
 
+/// Whether a response from another VM may be a series of events.
+fn starts_event_stream(head: &ResponseHead) -> bool {
+    let is_content_type = |header: &&Header| header.name == CONTENT_TYPE.as_str();
+    let content_type = head.headers.iter().find(is_content_type);
+    (200..300).contains(&head.status)
+        && content_type.is_none_or(|header| http::is_event_stream(&header.value))
+}
+
 /// What was read of a body before the head is sent to the caller.
 enum BodyStart {
     Complete(Bytes),
--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -2,9 +2,9 @@
 
 use http_body_util::BodyExt;
 use hyper::{
-    Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode,
     body::{Bytes, Incoming},
-    header::{HOST, RANGE},
+    header::{CONTENT_TYPE, HOST, RANGE},
 };
 use smol::{Task, Timer};
 
@@ -159,17 +159,22 @@
             http::send_request(self.target, request, limits.connect_timeout, limits.idle_timeout);
         let Ok((response, connection_task)) = sent.await else { return false };
         self.watch.record_response(response.headers(), sent_at);
-        match response.status() {
-            StatusCode::PARTIAL_CONTENT => {
-                self.body = response.into_body();
-                if let Some(stall_detector) = &mut self.stall_detector {
-                    *stall_detector = StallDetector::new(limits.idle_timeout);
-                }
-                self.connection_task = connection_task;
-                true
-            }
-            _ => false,
+        if response.status() != StatusCode::PARTIAL_CONTENT || !self.continues(response.headers()) {
+            return false;
         }
+        self.body = response.into_body();
+        if let Some(stall_detector) = &mut self.stall_detector {
+            *stall_detector = StallDetector::new(limits.idle_timeout);
+        }
+        self.connection_task = connection_task;
+        true
+    }
+
+    /// Whether a body of this type may follow what was received.
+    fn continues(&self, headers: &HeaderMap) -> bool {
+        let content_type = headers.get(CONTENT_TYPE);
+        let has_events = content_type.is_some_and(|it| http::is_event_stream(it.as_bytes()));
+        has_events || !self.is_event_stream()
     }
 
     /// Waits until the target takes another request. Returns false if that would take too long.
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -226,3 +226,18 @@
         assert!(chats >= 20, "each chat was a request of its own: {chats}");
     });
 }
+
+/// Guards against bytes that are no events in the middle of a stream: a target may answer a request
+/// to resume one with something else, even with a status of success.
+#[test]
+fn answer_that_is_no_stream_does_not_continue_one() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for vm in 0..2 {
+            let reply = deployment.chat(vm, "resume-plain", true).await.expect("a reply");
+            let body = reply.body_text();
+            assert_eq!((reply.status, reply.whole), (200, false), "through VM {vm}: {body}");
+            assert!(!body.contains("not run here"), "through VM {vm}: {body}");
+        }
+    });
+}
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -76,6 +76,12 @@
     EventsThenComments(u32),
     /// Sends interim responses until the connection is closed.
     EndlessInterim,
+    /// Sends a complete response, and then a rejection of the request with this ID once more.
+    RespondThenReject(&'static str),
+    /// Closes the connection in the middle of the head of a response.
+    HalfHead,
+    /// Closes the connection after all lines of a head but the empty one.
+    HeadWithoutEnd,
     /// Never responds.
     Hang,
 }
@@ -226,9 +232,7 @@
         Behavior::Respond => response(id, "proof: p\r\n"),
         Behavior::OtherRequestId => response("another", "proof: p\r\n"),
         Behavior::NoSignature => response(id, ""),
-        Behavior::Reject => {
-            format!("HTTP/1.1 503 Full\r\nrequest: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n")
-        }
+        Behavior::Reject => rejection(id),
         Behavior::ServerError => {
             format!("HTTP/1.1 500 Failed\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 0\r\n\r\n")
         }
@@ -236,6 +240,15 @@
             "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 50\r\n\r\nhalf"
         ),
         Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
+        Behavior::RespondThenReject(rejected) => {
+            let _ = stream.write_all(response(id, "proof: p\r\n").as_bytes()).await;
+            Timer::after(Duration::from_millis(50)).await;
+            rejection(rejected)
+        }
+        Behavior::HalfHead => "HTTP/1.1 200 OK\r\ncontent-le".to_owned(),
+        Behavior::HeadWithoutEnd => {
+            format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\n")
+        }
         Behavior::AllEvents => events(id, last_event_id, LAST_EVENT_ID, true),
         Behavior::EventsToConnectionEnd(last) => {
             let numbers = last_event_id + 1..=*last;
@@ -280,6 +293,8 @@
             | Behavior::NoEventsToConnectionEnd
             | Behavior::RespondToConnectionEnd
             | Behavior::CloseConnection
+            | Behavior::HalfHead
+            | Behavior::HeadWithoutEnd
             | Behavior::Hang
     )
 }
@@ -299,6 +314,10 @@
     text + remainder
 }
 
+fn rejection(id: &str) -> String {
+    format!("HTTP/1.1 503 Full\r\nrequest: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// A response with neither a length nor chunks.
 fn unframed(id: &str, content_type: &str, body: &str) -> String {
     format!(
@@ -1134,3 +1153,73 @@
         eventually("every gateway learns that the limits have ended", all_served).await;
     });
 }
+
+/// Guards against an answer in the middle of a stream that broke off: what the next target answers
+/// may be an error, or no stream, even with a status of success.
+#[test]
+fn answer_that_is_no_stream_does_not_continue_one() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let events: String =
+            (1..=4).map(|number| format!("id: {number}\ndata: {number}\n\n")).collect();
+        for (name, next) in [
+            ("error", Behavior::ServerError),
+            ("rejection", Behavior::Reject),
+            ("half", Behavior::HalfHead),
+            ("text", Behavior::RespondToConnectionEnd),
+        ] {
+            let path = format!("/resumable/{name}");
+            deployment.set_behaviors(&path, &[Behavior::EventsThenClose(4), next]);
+            let (status, text, complete) = deployment.send_with_id(name, Method::POST, &path).await;
+            assert_eq!((status, text.as_str(), complete), (200, events.as_str(), false), "{name}");
+        }
+    });
+}
+
+/// A target that stopped in the middle of a head has not answered, whatever its first line says.
+#[test]
+fn response_whose_head_breaks_off_is_no_response() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for (name, behavior) in
+            [("half", Behavior::HalfHead), ("endless", Behavior::HeadWithoutEnd)]
+        {
+            for route in ["once", "stream", "far-stream"] {
+                let path = format!("/{route}/{name}");
+                deployment.set_behaviors(&path, std::slice::from_ref(&behavior));
+                let (status, text, _) = deployment.send_with_id(&path, Method::POST, &path).await;
+                assert_eq!(status, 502, "{path} may have run: {text}");
+                assert_eq!(deployment.arrival_count(&path), 1, "{path}");
+            }
+            let path = format!("/safe/{name}");
+            deployment.set_behaviors(&path, &[behavior.clone(), Behavior::Respond]);
+            let (status, text, complete) = deployment.send_with_id(&path, Method::GET, &path).await;
+            assert_eq!((status, text.as_str(), complete), (200, "whole", true), "{path}");
+        }
+    });
+}
+
+/// A target that writes an earlier rejection once more, on a connection that is kept, must not make
+/// a caller believe that a request has not run, or a request run at a second target.
+#[test]
+fn rejection_that_a_target_writes_once_more_is_given_to_nobody() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        for round in 0..8 {
+            let path = format!("/once/{round}");
+            let rejected: &'static str = format!("early-{round}").leak();
+            deployment.set_behaviors(&path, &[Behavior::Reject]);
+            let (status, ..) = deployment.send_with_id(rejected, Method::POST, &path).await;
+            assert_eq!(status, 503);
+            deployment
+                .set_behaviors(&path, &[Behavior::RespondThenReject(rejected), Behavior::Respond]);
+            // Each of the next requests may meet the bytes on the connection that is kept.
+            for number in 0..4 {
+                let id = format!("next-{round}-{number}");
+                let (status, text, _) = deployment.send_with_id(&id, Method::POST, &path).await;
+                assert!(matches!(status, 200 | 502), "it may have run: {status} {text}");
+                assert_eq!(deployment.arrival_count(&id), 1, "{id}");
+            }
+        }
+    });
+}
