Do not resume a stream inside an event that was passed on in part

What callers saw, on routes: an event of more than 256 KiB is passed on as it arrives.

The splitter now knows that it passed on the beginning of an event, and such a stream breaks off visibly. stream_is_not_resumed_inside_an_event_that_was_passed_on_in_part failed before (307273 bytes, complete) and passes.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -15,6 +15,8 @@
 pub struct EventSplitter {
     partial: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether the beginning of an event was passed on whose end was not.
+    is_inside_event: bool,
 }
 
 /// An incomplete event that is longer is passed on as it arrives.
@@ -24,8 +26,12 @@
     /// Adds bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.partial);
-        let end = if self.partial.len() > MAX_PARTIAL_BYTES { self.partial.len() } else { end };
+        let event_end = end_of_last_event(&self.partial);
+        let is_too_large = self.partial.len() - event_end > MAX_PARTIAL_BYTES;
+        let end = if is_too_large { self.partial.len() } else { event_end };
+        if end > 0 {
+            self.is_inside_event = is_too_large;
+        }
         let partial = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, partial);
         self.last_id = last_id_in(&complete).or(self.last_id);
@@ -37,6 +43,12 @@
         self.last_id
     }
 
+    /// Whether the beginning of an event was passed on whose end was not. Another stream would
+    /// continue that event.
+    pub fn is_inside_event(&self) -> bool {
+        self.is_inside_event
+    }
+
     /// Returns the bytes after the last complete event, at the end of the stream.
     pub fn take_remainder(&mut self) -> Bytes {
         Bytes::from(std::mem::take(&mut self.partial))
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -349,6 +349,9 @@
     /// Continues a broken stream at another target; returns false if no target can.
     async fn resume(&mut self, cause: &str) -> bool {
         let Some(event_splitter) = &mut self.event_splitter else { return false };
+        if event_splitter.is_inside_event() {
+            return false;
+        }
         event_splitter.discard_partial();
         let last_event_id = event_splitter.last_id().or(self.request.last_event_id);
         while self.attempts.may_use_new_target() {
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -76,6 +76,8 @@
     EventsThenComments(u32),
     /// Sends interim responses until the connection is closed.
     EndlessInterim,
+    /// Streams events up to this ID and half of another one that is large, then closes the connection.
+    LargeEventThenClose(u32),
     /// Sends a complete response, and then a rejection of the request with this ID once more.
     RespondThenReject(&'static str),
     /// Closes the connection in the middle of the head of a response.
@@ -110,6 +112,8 @@
 type Behaviors = Arc<Mutex<HashMap<String, Vec<Behavior>>>>;
 
 const LAST_EVENT_ID: u32 = 9;
+/// More than a gateway holds back of an event that has not ended.
+const LARGE_EVENT_BYTES: usize = 300 * 1024;
 const LAST_CHUNK: &str = "0\r\n\r\n";
 
 impl FakeTarget {
@@ -240,6 +244,12 @@
             "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 50\r\n\r\nhalf"
         ),
         Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
+        Behavior::LargeEventThenClose(last) => {
+            let events = events(id, last_event_id, *last, true);
+            let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
+            let event = format!("id: 99\ndata: {}", "x".repeat(LARGE_EVENT_BYTES));
+            format!("{events}{:x}\r\n{event}\r\n", event.len())
+        }
         Behavior::RespondThenReject(rejected) => {
             let _ = stream.write_all(response(id, "proof: p\r\n").as_bytes()).await;
             Timer::after(Duration::from_millis(50)).await;
@@ -293,6 +303,7 @@
             | Behavior::NoEventsToConnectionEnd
             | Behavior::RespondToConnectionEnd
             | Behavior::CloseConnection
+            | Behavior::LargeEventThenClose(_)
             | Behavior::HalfHead
             | Behavior::HeadWithoutEnd
             | Behavior::Hang
@@ -1176,6 +1187,22 @@
     });
 }
 
+/// Guards against two runs joined inside an event: an event that is too large to be held back has
+/// been passed on in part when its target fails.
+#[test]
+fn stream_is_not_resumed_inside_an_event_that_was_passed_on_in_part() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let behaviors = [Behavior::LargeEventThenClose(4), Behavior::AllEvents];
+        deployment.set_behaviors("/resumable/l", &behaviors);
+        let (status, text, complete) =
+            deployment.send_with_id("l", Method::POST, "/resumable/l").await;
+        assert_eq!((status, complete), (200, false), "{} bytes", text.len());
+        assert!(!text.contains("id: 5"), "no event follows the half one");
+        assert_eq!(deployment.arrival_count("l"), 1);
+    });
+}
+
 /// A target that stopped in the middle of a head has not answered, whatever its first line says.
 #[test]
 fn response_whose_head_breaks_off_is_no_response() {
