Guard shares against rounding, and drop an unused query of limits

The time until a turn could be rounded to less than nothing, which is a panic in Duration, or to zero, which was taken for a turn. tests/throttle.rs and tests/gateway.rs pass.

--- a/src/throttle/share.rs
+++ b/src/throttle/share.rs
@@ -69,8 +69,7 @@
             return Self { per_sec, burst, turn_in: Duration::ZERO };
         }
         let turns_left = (own_turn + turn_count - current_turn) % turn_count;
-        let elapsed = silence.as_secs_f64() % turn.as_secs_f64();
-        let turn_in = turn * turns_left - Duration::from_secs_f64(elapsed);
-        Self { per_sec: 0.0, burst: 0.0, turn_in }
+        let elapsed = Duration::from_secs_f64(silence.as_secs_f64() % turn.as_secs_f64());
+        Self { per_sec: 0.0, burst: 0.0, turn_in: (turn * turns_left).saturating_sub(elapsed) }
     }
 }
--- a/src/throttle/tracker.rs
+++ b/src/throttle/tracker.rs
@@ -52,6 +52,15 @@
     Ended,
 }
 
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Named(limit) => limit.fmt(f),
+            Self::Ended => f.write_str("none"),
+        }
+    }
+}
+
 /// What is known of the limit of one target.
 #[derive(Debug)]
 struct NamedLimit {
@@ -70,15 +79,6 @@
     refilled_at: Instant,
 }
 
-impl fmt::Display for Change {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Named(limit) => limit.fmt(f),
-            Self::Ended => f.write_str("none"),
-        }
-    }
-}
-
 /// The VM that sent the last request that the target is known to have answered under the limit.
 #[derive(Clone, Copy, Debug, Default)]
 enum TurnHolder {
@@ -98,11 +98,6 @@
 }
 
 impl Tracker {
-    /// Whether no limit is known.
-    pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
-
     /// Records the answer of a target to a request that was sent at `sent_at`, and the limit that
     /// the answer names. Returns what changed.
     pub fn record_answer(
@@ -192,7 +187,7 @@
         if known.available >= 1.0 {
             return Permission::Granted;
         }
-        if !share.turn_in.is_zero() {
+        if share.per_sec == 0.0 {
             return Permission::After(share.turn_in);
         }
         let missing = 1.0 - known.available;
