End a limit only by an answer to a request that ran

What callers would see: a target in need that refuses a request, or something in front of it that does, need not name the limit in that answer.

Cause: any answer without the limit ended it. Now what refuses a request or fails does not: 408, 421, 429 and 5xx. An answer is one type, `throttle::Answer`, for both request paths.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -281,7 +281,8 @@
         let keep_alive = KeepAlive::from_headers(&head.headers);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if !misdirected {
-            self.record_limit(target, text(&self.header_names.limit), attempt.sent.sent_at);
+            let limit = text(&self.header_names.limit);
+            self.record_limit(target, limit, head.status, attempt.sent.sent_at);
         }
         if misdirected || head.headers.contains_key(&self.header_names.not_executed) {
             let detail = format!("it answered {} and did not run the request", head.status);
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -15,7 +15,7 @@
 use crate::{
     id,
     registry::Target,
-    throttle::{self, Change, Limit, Notice, Permission, Returns},
+    throttle::{self, Answer, Change, Limit, Notice, Permission, Returns},
 };
 
 /// Above this number of trackers, those of targets without requests of this VM are dropped.
@@ -277,16 +277,14 @@
         self.tracker(target, now).record_end();
     }
 
-    /// Records the limit that a target names in its answer to a request that was sent at `sent_at`.
-    /// Returns what changed.
+    /// Records what a target's answer tells of its limit. Returns what changed.
     pub fn record_limit(
         &mut self,
         target: &Target,
-        limit: Option<Limit>,
-        sent_at: Instant,
+        answer: Answer,
         now: Instant,
     ) -> Option<Change> {
-        self.throttle.record_answer(&target.target, target.incarnation, limit, sent_at, now)
+        self.throttle.record_answer(&target.target, target.incarnation, answer, now)
     }
 
     /// Records what another VM of the region says of a target's limit. Returns what changed.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,5 +1,7 @@
 use std::time::Instant;
 
+use hyper::StatusCode;
+
 use super::{
     attempt::AttemptOutcome,
     balancer::Pick,
@@ -13,7 +15,7 @@
     http::Delimiter,
     id,
     registry::{BlockedRequests, Target, VmInfo},
-    throttle::{Change, Limit},
+    throttle::{Answer, Change, Limit},
 };
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
@@ -183,12 +185,20 @@
         );
     }
 
-    /// Records the limit that a target names in its answer to a request that was sent at `sent_at`.
-    pub(super) fn record_limit(&self, target: &Target, text: Option<&str>, sent_at: Instant) {
+    /// Records the limit that a target names in its answer, with this status, to a request that was
+    /// sent at `sent_at`.
+    pub(super) fn record_limit(
+        &self,
+        target: &Target,
+        text: Option<&str>,
+        status: StatusCode,
+        sent_at: Instant,
+    ) {
         let now = self.clock.now();
         match text.map(str::parse::<Limit>).transpose() {
             Ok(limit) => {
-                let change = self.balancer().record_limit(target, limit, sent_at, now);
+                let change =
+                    self.balancer().record_limit(target, Answer { limit, status, sent_at }, now);
                 self.record_limit_change(&target.target, change, &self.settings.vm());
             }
             Err(cause) if self.sampler().passes(now) => event::placement::LIMIT_UNREADABLE
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -83,7 +83,7 @@
     .await
     {
         Ok((response, connection_task)) => {
-            watch.record_response(response.headers(), sent_at);
+            watch.record_response(response.status(), response.headers(), sent_at);
             let new_body = |response| {
                 let clock = Arc::clone(clock);
                 ResumableBody::new(target.address, response, connection_task, limits, clock, watch)
--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -158,7 +158,7 @@
         let sent =
             http::send_request(self.target, request, limits.connect_timeout, limits.idle_timeout);
         let Ok((response, connection_task)) = sent.await else { return false };
-        self.watch.record_response(response.headers(), sent_at);
+        self.watch.record_response(response.status(), response.headers(), sent_at);
         if response.status() != StatusCode::PARTIAL_CONTENT || !self.continues(response.headers()) {
             return false;
         }
--- a/src/path/target_watch.rs
+++ b/src/path/target_watch.rs
@@ -1,6 +1,6 @@
 use std::{fmt::Debug, time::Instant};
 
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
 
 use crate::throttle::Permission;
 
@@ -8,8 +8,8 @@
 ///
 /// A stream that broke off is resumed by further requests to the target, which count as well.
 pub trait TargetWatch: Debug + Send + Sync {
-    /// Records the headers of the target's response to a request that was sent at `sent_at`.
-    fn record_response(&self, headers: &HeaderMap, sent_at: Instant);
+    /// Records the head of the target's response to a request that was sent at `sent_at`.
+    fn record_response(&self, status: StatusCode, headers: &HeaderMap, sent_at: Instant);
 
     /// Whether another request may be sent to the target now.
     fn permission(&self) -> Permission;
--- a/src/throttle.rs
+++ b/src/throttle.rs
@@ -5,6 +5,7 @@
 //! decides whether the VM may send a request now. [`Returns`] tells refused callers when to come
 //! back.
 
+mod answer;
 mod limit;
 mod notice;
 mod peers;
@@ -13,6 +14,7 @@
 mod tracker;
 
 pub use self::{
+    answer::Answer,
     limit::{Limit, LimitError},
     notice::Notice,
     peers::{PeerMemory, Peers},
--- a/src/throttle/tracker.rs
+++ b/src/throttle/tracker.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Limit, Notice, Peers, Share, Turn};
+use super::{Answer, Limit, Notice, Peers, Share, Turn};
 use crate::id;
 
 /// How long the end of a limit is told to other VMs.
@@ -14,16 +14,17 @@
 
 /// The limits that one VM knows, and the requests that it may send under them.
 ///
-/// A limit belongs to one incarnation of a target. It holds until the target answers a request
-/// without naming it.
+/// A limit belongs to one incarnation of a target. It holds until an answer ends it.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use pomelogate::throttle::{Peers, Permission, Tracker};
+/// use hyper::StatusCode;
+/// use pomelogate::throttle::{Answer, Peers, Permission, Tracker};
 ///
 /// let (mut tracker, alone, now) = (Tracker::default(), Peers::default(), Instant::now());
 /// let engine = "engine".into();
-/// tracker.record_answer(&engine, 1, Some("2".parse().unwrap()), now, now);
+/// let limit = "2".parse().ok();
+/// tracker.record_answer(&engine, 1, Answer { limit, status: StatusCode::OK, sent_at: now }, now);
 /// let later = now + Duration::from_millis(500);
 /// assert_eq!(tracker.permission(&engine, 1, &alone, later), Permission::Granted);
 /// tracker.record_sent(&engine, 1);
@@ -98,19 +99,19 @@
 }
 
 impl Tracker {
-    /// Records the answer of a target to a request that was sent at `sent_at`, and the limit that
-    /// the answer names. Returns what changed.
+    /// Records the answer of a target. Returns what changed.
     pub fn record_answer(
         &mut self,
         target: &id::Target,
         incarnation: u64,
-        limit: Option<Limit>,
-        sent_at: Instant,
+        answer: Answer,
         now: Instant,
     ) -> Option<Change> {
+        let Answer { limit, sent_at, .. } = answer;
         let known = self.targets.get(target).filter(|known| known.limit.is_some());
         // An answer to a request that was sent before the target named its limit does not end it.
-        if limit.is_none() && known.is_none_or(|known| known.said_at > sent_at) {
+        let may_end = known.is_some_and(|known| known.said_at <= sent_at) && answer.ends_limit();
+        if limit.is_none() && !may_end {
             return None;
         }
         let turn_holder = match known {
--- a/src/vm/target_limit.rs
+++ b/src/vm/target_limit.rs
@@ -3,14 +3,14 @@
 
 use std::{sync::Arc, time::Instant};
 
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
 
 use super::Vm;
 use crate::{
     event, id,
     path::{LIMIT, TargetWatch},
     target::{Announcement, Gossip},
-    throttle::{Change, Limit, Notice, Permission},
+    throttle::{Answer, Change, Limit, Notice, Permission},
 };
 
 /// The limit of one target, as the requests to it see it.
@@ -27,7 +27,7 @@
 }
 
 impl TargetWatch for TargetLimit {
-    fn record_response(&self, headers: &HeaderMap, sent_at: Instant) {
+    fn record_response(&self, status: StatusCode, headers: &HeaderMap, sent_at: Instant) {
         let text = headers.get(LIMIT).map(|value| String::from_utf8_lossy(value.as_bytes()));
         let Announcement { target, incarnation, .. } = &self.target;
         let (vm, now) = (&self.vm, self.vm.clock.now());
@@ -38,7 +38,8 @@
                     .emit(&vm.logger, &[("target", target), ("cause", &cause)]);
             }
         };
-        let change = vm.routing().throttle.record_answer(target, *incarnation, limit, sent_at, now);
+        let answer = Answer { limit, status, sent_at };
+        let change = vm.routing().throttle.record_answer(target, *incarnation, answer, now);
         if let Some(change) = change {
             vm.log_limit_change(target, change, &vm.settings.vm);
             // The others would send what the target no longer takes until the next renewals.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use hyper::StatusCode;
 use pomelogate::{
     gateway::{
         Admission, AdmissionQuery, Attempts, Balancer, Decision, EventSplitter, InFlight, Peers,
@@ -13,6 +14,7 @@
     id,
     registry::Target,
     route::{DeliveryMode, Route, Split},
+    throttle::Answer,
 };
 
 fn target(name: &str, now: Instant) -> Target {
@@ -557,7 +559,8 @@
     let targets: Vec<&Target> = targets.iter().collect();
     let (limited, prompt) = (targets[0], prompt(7));
     let mut balancer = Balancer::new(1);
-    balancer.record_limit(limited, "1".parse().ok(), now, now);
+    let answer = Answer { limit: "1".parse().ok(), status: StatusCode::OK, sent_at: now };
+    balancer.record_limit(limited, answer, now);
     let full = InFlight { requests: 60, unread_tokens: 90_000.0, stream_gap_secs: 0.0 };
     let mut sent_to_limited = 0;
     for millis in 1..8000 {
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1165,6 +1165,41 @@
     });
 }
 
+/// Guards against a limit that a refusal ends: what refuses a request may not know of the limit.
+#[test]
+fn refusal_that_names_no_limit_does_not_end_one() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let limited = &deployment.targets[0];
+        limited.name_limit(Some("1"));
+        eventually("the gateway has heard of the limit", async || {
+            deployment.send_with_id("named", Method::GET, "/safe/l").await;
+            !limited.arrivals().is_empty()
+        })
+        .await;
+        limited.name_limit(None);
+        deployment.set_behaviors("/once/refused", &[Behavior::Reject]);
+        let since = Instant::now();
+        let send_refused = async |number: u32| {
+            Timer::after(number * Duration::from_millis(20)).await;
+            let id = format!("refused-{number}");
+            let (status, ..) = deployment.send_with_id(&id, Method::POST, "/once/refused").await;
+            assert_eq!(status, 503);
+        };
+        futures_util::future::join_all((0..100).map(send_refused)).await;
+        let most = most_in_window(&limited.arrivals(), since);
+        assert!(most <= bound(1.0), "{most} requests in a window");
+        eventually("an answer to a request that ran ends the limit", async || {
+            let before = limited.arrivals().len();
+            for _ in 0..40 {
+                deployment.send_with_id("ran", Method::GET, "/safe/l").await;
+            }
+            limited.arrivals().len() > before + 8
+        })
+        .await;
+    });
+}
+
 /// Guards against an answer in the middle of a stream that broke off: what the next target answers
 /// may be an error, or no stream, even with a status of success.
 #[test]
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -8,9 +8,10 @@
     time::{Duration, Instant},
 };
 
+use hyper::StatusCode;
 use pomelogate::{
     id,
-    throttle::{Change, Limit, Notice, Peers, Permission, Tracker},
+    throttle::{Answer, Change, Limit, Notice, Peers, Permission, Tracker},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use support::window::{SETTLING_TIME, bound, most_in_window};
@@ -24,6 +25,10 @@
     per_sec.to_string().parse().expect("a limit")
 }
 
+fn answer(limit: Option<Limit>, sent_at: Instant) -> Answer {
+    Answer { limit, status: StatusCode::OK, sent_at }
+}
+
 fn engine() -> id::Target {
     id::Target::from("engine")
 }
@@ -142,7 +147,7 @@
             Event::Answer(vm, sent_at, names_limit) => {
                 let named = names_limit.then(|| limit(self.limit_per_sec));
                 let sent_at = self.start + sent_at;
-                self.trackers[vm].record_answer(&engine(), 1, named, sent_at, now);
+                self.trackers[vm].record_answer(&engine(), 1, answer(named, sent_at), now);
                 if names_limit {
                     self.told_at[vm].get_or_insert(at);
                 }
@@ -242,27 +247,30 @@
     let at = |millis| start + Duration::from_millis(millis);
     let mut tracker = Tracker::default();
     let mut other = Tracker::default();
-    let change = tracker.record_answer(&engine(), 1, Some(limit(1.0)), at(0), at(100));
+    let change = tracker.record_answer(&engine(), 1, answer(Some(limit(1.0)), at(0)), at(100));
     assert_eq!(change, Some(Change::Named(limit(1.0))));
     assert_ne!(tracker.permission(&engine(), 1, &alone, at(100)), Permission::Granted);
     assert_eq!(tracker.permission(&engine(), 2, &alone, at(100)), Permission::Granted);
-    let unnamed_before = tracker.record_answer(&engine(), 1, None, at(50), at(150));
+    let unnamed_before = tracker.record_answer(&engine(), 1, answer(None, at(50)), at(150));
     assert_eq!(unnamed_before, None, "that request was sent before the limit was named");
     for notice in tracker.notices(&alone, at(200)) {
         assert_eq!(other.record_notice(&notice, at(201)), Some(Change::Named(limit(1.0))));
     }
     assert_ne!(other.permission(&engine(), 1, &alone, at(201)), Permission::Granted);
-    let risen = tracker.record_answer(&engine(), 1, Some(limit(50.0)), at(200), at(300));
+    let risen = tracker.record_answer(&engine(), 1, answer(Some(limit(50.0)), at(200)), at(300));
     assert_eq!(risen, Some(Change::Named(limit(50.0))));
     assert_eq!(tracker.permission(&engine(), 1, &alone, at(400)), Permission::Granted);
-    assert_eq!(tracker.record_answer(&engine(), 1, None, at(400), at(500)), Some(Change::Ended));
+    assert_eq!(
+        tracker.record_answer(&engine(), 1, answer(None, at(400)), at(500)),
+        Some(Change::Ended)
+    );
     for notice in tracker.notices(&alone, at(600)) {
         assert_eq!(other.record_notice(&notice, at(601)), Some(Change::Ended));
     }
     for tracker in [&mut tracker, &mut other] {
         assert_eq!(tracker.permission(&engine(), 1, &alone, at(700)), Permission::Granted);
-        tracker.record_answer(&engine(), 2, Some(limit(1.0)), at(700), at(800));
-        let stale = tracker.record_answer(&engine(), 1, Some(limit(9.0)), at(700), at(900));
+        tracker.record_answer(&engine(), 2, answer(Some(limit(1.0)), at(700)), at(800));
+        let stale = tracker.record_answer(&engine(), 1, answer(Some(limit(9.0)), at(700)), at(900));
         assert_eq!(stale, None, "the incarnation has ended");
         assert_eq!(tracker.limit(&engine(), 2), Some(limit(1.0)));
     }
