Try limits before targets that answer late

Its silence gives other VMs their turn while requests are on their way. limit_is_kept_where_the_target_answers_late, at 7, 32 and 95 VMs with answers that take up to 12.6 s, passed at once, the bound and the use of the limit.

--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -42,6 +42,8 @@
     unknown_peers: f64,
     /// When all requests but those of the last VM end, so that the others have none to send.
     only_last_vm_after: Option<Duration>,
+    /// How much longer than others the slowest answers take, in seconds.
+    answer_delay: f64,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -141,7 +143,7 @@
             Event::Arrival(vm, sent_at) => {
                 let told = self.told_at[vm].is_some_and(|told_at| told_at + TOLD_DELAY <= at);
                 self.arrivals.push((at, told));
-                let delay = self.delay(0.02, 0.6);
+                let delay = self.delay(0.02, 0.6 + self.faults.answer_delay);
                 self.push(at + delay, Event::Answer(vm, sent_at, at >= NAMED_AT));
             }
             Event::Answer(vm, sent_at, names_limit) => {
@@ -222,6 +224,30 @@
     }
 }
 
+/// A target in need answers late. Its silence gives other VMs their turn while the requests of the
+/// VMs before them are still on their way.
+#[test]
+fn limit_is_kept_where_the_target_answers_late() {
+    for vm_count in [7, 32, 95] {
+        for limit_per_sec in LIMITS {
+            for answer_delay in [6.0, 12.0] {
+                for seed in 0..8 {
+                    let faults = Faults { answer_delay, ..Faults::default() };
+                    let region = Region::new(vm_count, limit_per_sec, faults, seed).run();
+                    let most = region.most_in_window();
+                    let case = format!("{vm_count} VMs, {limit_per_sec} a second, seed {seed}");
+                    assert!(most <= bound(limit_per_sec), "{case}: {most} in a window");
+                    let used = region.used_per_sec(NAMED_AT + 2 * SETTLING_TIME);
+                    assert!(
+                        used > limit_per_sec / 2.0,
+                        "{case}: only {used:.2} a second were used"
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// A limit that only a few VMs may use would be lost where the callers of those VMs want nothing.
 #[test]
 fn limit_passes_to_other_vms_where_those_with_a_turn_have_no_requests() {
