Discard streams within the limit of their target

Cause: discarding was counted, but asked nobody. It now waits for its turn, as a resumption does, and is left out where that takes longer than a silent target may.

The test at 95 processes now says when requests arrived.

--- a/src/path/resumable_body.rs
+++ b/src/path/resumable_body.rs
@@ -145,7 +145,8 @@
     /// Asks the target for the rest of a broken stream. Returns whether the target sends it.
     async fn resume(&mut self) -> bool {
         let Some(path) = self.resume_path.clone() else { return false };
-        if self.resumptions >= self.limits.max_resumptions || !self.wait_for_permission().await {
+        let is_spent = self.resumptions >= self.limits.max_resumptions;
+        if is_spent || !wait_for_permission(&*self.watch, &*self.clock, self.limits).await {
             return false;
         }
         self.resumptions += 1;
@@ -177,35 +178,45 @@
         has_events || !self.is_event_stream()
     }
 
-    /// Waits until the target takes another request. Returns false if that would take too long.
-    async fn wait_for_permission(&self) -> bool {
-        let deadline = self.clock.now() + self.limits.idle_timeout;
-        loop {
-            match self.watch.permission() {
-                Permission::Granted => return true,
-                Permission::After(delay) if self.clock.now() + delay < deadline => {
-                    Timer::after(delay).await;
-                }
-                Permission::After(_) => return false,
-            }
-        }
-    }
-
     fn host_header(&self) -> String {
         self.target.to_string()
     }
 }
 
+/// Waits until the target takes another request. Returns false if that would take longer than a
+/// silent target may.
+async fn wait_for_permission(
+    watch: &dyn TargetWatch,
+    clock: &dyn Clock,
+    limits: DispatchLimits,
+) -> bool {
+    let deadline = clock.now() + limits.idle_timeout;
+    loop {
+        match watch.permission() {
+            Permission::Granted => return true,
+            Permission::After(delay) if clock.now() + delay < deadline => {
+                Timer::after(delay).await;
+            }
+            Permission::After(_) => return false,
+        }
+    }
+}
+
 impl Drop for ResumableBody {
-    /// Tells the target to discard a stream that it keeps for resumption.
+    /// Tells the target to discard a stream that it keeps for resumption, as soon as it takes another
+    /// request.
     fn drop(&mut self) {
         let Some(path) = self.resume_path.take().filter(|_| !self.ended) else { return };
         let request =
             Request::builder().method(Method::DELETE).uri(path).header(HOST, self.host_header());
         let Ok(request) = request.body(http::empty()) else { return };
         let (target, limits) = (self.target, self.limits);
-        self.watch.record_sent();
+        let (watch, clock) = (Arc::clone(&self.watch), Arc::clone(&self.clock));
         smol::spawn(async move {
+            if !wait_for_permission(&*watch, &*clock, limits).await {
+                return;
+            }
+            watch.record_sent();
             let _ =
                 http::send_request(target, request, limits.connect_timeout, limits.connect_timeout)
                     .await;
--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -4,6 +4,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -60,6 +61,11 @@
     targets::faulty(name, "surabaya", "planner", &[vm], PACE, fault).await
 }
 
+async fn start_slow_engine(name: &str, vm: SocketAddr) -> (Engine, Reporter) {
+    let pace = Pace { between: Duration::from_millis(50), ..PACE };
+    targets::faulty(name, "surabaya", "planner", &[vm], pace, Fault::None).await
+}
+
 async fn wait_until_served(vms: &[SocketAddr]) {
     for vm in vms {
         eventually("the VM answers", async || {
@@ -102,7 +108,8 @@
     let settled_at = named_at + SETTLING_TIME;
     let arrivals = limited.arrivals();
     let most = most_in_window(&arrivals, settled_at);
-    assert!(most <= bound(1.0), "{most} requests in a window at {vm_count} VMs");
+    let offsets: Vec<Duration> = arrivals.iter().map(|at| at.duration_since(named_at)).collect();
+    assert!(most <= bound(1.0), "{most} requests in a window at {vm_count} VMs: {offsets:?}");
     let used = arrivals.iter().filter(|at| **at >= settled_at).count();
     assert!(used >= 3, "{used} requests in {:?}", LOAD_TIME - SETTLING_TIME);
     assert!(free.started() > limited.started());
@@ -118,6 +125,39 @@
     smol::block_on(check_engines(95));
 }
 
+/// Guards against requests that nobody asked for: each stream that its caller leaves is discarded at
+/// its target, and many callers may leave at once.
+#[test]
+fn streams_that_callers_leave_together_are_discarded_within_the_limit() {
+    smol::block_on(async {
+        let fleet = Fleet::start(&[("surabaya", 2)]).await;
+        let vms = [fleet.callers(0), fleet.callers(1)];
+        let (engine, _reporter) = start_slow_engine("limited", vms[0]).await;
+        wait_until_served(&vms).await;
+        let ready_count = engine.started();
+        let text: Arc<str> = "a long plan ".repeat(300).into();
+        let streams: Vec<_> = (0..30)
+            .map(|number| {
+                let (vm, text) = (vms[number % 2], Arc::clone(&text));
+                smol::spawn(async move { Caller::new(KEY).chat(vm, "planner", &text, true).await })
+            })
+            .collect();
+        eventually("the streams have begun", async || engine.started() == ready_count + 30).await;
+        engine.name_limit(Some(ONE_PER_SEC));
+        for vm in vms {
+            chat(vm, "Is there a limit?").await;
+        }
+        Timer::after(SETTLING_TIME).await;
+        let left_at = Instant::now();
+        drop(streams);
+        Timer::after(WINDOW + WINDOW).await;
+        let most = most_in_window(&engine.arrivals(), left_at);
+        assert!(most <= bound(1.0), "{most} requests in a window");
+        let discarded = engine.cancelled();
+        assert!(discarded >= 4, "{discarded} streams were discarded in {:?}", WINDOW + WINDOW);
+    });
+}
+
 /// Calls that may run at most once take their claims first, on a way of their own.
 #[test]
 fn vms_together_keep_the_limit_of_a_service_and_refuse_calls_at_once() {
