Count VMs from the first list that lacks them

What callers could have seen: after the replicas of the lists were down for more than ten seconds, the first list that a VM gets lacks most VMs, as it is built anew from their reports.

Cause: the ten seconds counted from the last list with a VM; they now count from the first list without it.

first_list_after_a_long_gap_removes_no_vm_at_once failed before (one VM of three left) and passes.

--- a/src/throttle/peers.rs
+++ b/src/throttle/peers.rs
@@ -7,7 +7,7 @@
 
 use crate::id;
 
-/// How long a VM counts after it was last listed. A VM that stops still sends requests for some
+/// How long a VM counts from the first list without it. A VM that stops still sends requests for some
 /// seconds, and a list that was rebuilt lacks VMs at first.
 const RETENTION: Duration = Duration::from_secs(10);
 
@@ -90,28 +90,29 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct PeerMemory {
-    listed_at: HashMap<String, Instant>,
+    /// The VMs, and since when lists lack them.
+    missing_since: HashMap<String, Option<Instant>>,
 }
 
 impl PeerMemory {
-    /// Records the VMs that are listed at `now`, and forgets those that were listed long ago.
+    /// Records the VMs that are listed at `now`, and forgets those that lists have lacked for long.
     pub fn update<'a>(&mut self, vms: impl Iterator<Item = &'a str>, now: Instant) {
-        for vm in vms {
-            match self.listed_at.get_mut(vm) {
-                Some(listed_at) => *listed_at = now,
-                None => drop(self.listed_at.insert(vm.to_owned(), now)),
-            }
+        for missing_since in self.missing_since.values_mut() {
+            missing_since.get_or_insert(now);
         }
-        self.listed_at.retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
+        self.missing_since.extend(vms.map(|vm| (vm.to_owned(), None)));
+        self.missing_since.retain(|_, missing_since| {
+            missing_since.is_none_or(|since| now.saturating_duration_since(since) < RETENTION)
+        });
     }
 
     /// The number of VMs.
     pub fn vm_count(&self) -> u32 {
-        u32::try_from(self.listed_at.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.missing_since.len()).unwrap_or(u32::MAX)
     }
 
     /// The VMs as peers of the VM `own`.
     pub fn peers(&self, own: &str) -> Peers {
-        Peers::new(own, self.listed_at.keys().map(String::as_str))
+        Peers::new(own, self.missing_since.keys().map(String::as_str))
     }
 }
--- a/src/vm/gossip.rs
+++ b/src/vm/gossip.rs
@@ -258,8 +258,7 @@
     }
 
     /// Sends the region the renewals that this VM received since the last batch and the limits that
-    /// it heard of, and asks other VMs
-    /// for announcements that are missing here.
+    /// it heard of, and asks other VMs for announcements that are missing here.
     fn send_target_renewals(&self) {
         let now = self.clock.now();
         let limits = self.limit_notices();
--- a/src/vm/target_deaths.rs
+++ b/src/vm/target_deaths.rs
@@ -123,8 +123,8 @@
         Bytes::new()
     }
 
-    /// Tells placement and the limiter the VMs of the region, and repeats the crash
-    /// records, as earlier calls with them may have been lost.
+    /// Tells placement and the limiter the VMs of the region, and repeats the crash records, as
+    /// earlier calls with them may have been lost.
     pub(super) async fn maintain_routing(self: Arc<Self>) {
         for tick in 1_u64.. {
             let now = self.clock.now();
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use pomelogate::{
     id,
-    throttle::{Answer, Change, Limit, Notice, Peers, Permission, Tracker},
+    throttle::{Answer, Change, Limit, Notice, PeerMemory, Peers, Permission, Tracker},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use support::window::{SETTLING_TIME, bound, most_in_window};
@@ -266,6 +266,22 @@
     }
 }
 
+/// Guards against shares that grow as a list of VMs is built anew: after the replicas of the lists
+/// were down for longer than a VM is remembered, their first list lacks most VMs.
+#[test]
+fn first_list_after_a_long_gap_removes_no_vm_at_once() {
+    let start = Instant::now();
+    let mut memory = PeerMemory::default();
+    memory.update(["one", "two", "three"].into_iter(), start);
+    let gap_end = start + Duration::from_secs(60);
+    memory.update(["one"].into_iter(), gap_end);
+    assert_eq!(memory.vm_count(), 3);
+    memory.update(["one", "two"].into_iter(), gap_end + Duration::from_secs(9));
+    assert_eq!(memory.vm_count(), 3);
+    memory.update(["one", "two"].into_iter(), gap_end + Duration::from_secs(11));
+    assert_eq!(memory.vm_count(), 2, "a VM that stays away does not count for ever");
+}
+
 /// A limit holds for as long as the target names it, and for no other incarnation.
 #[test]
 fn limit_ends_with_an_answer_that_does_not_name_it_and_with_the_incarnation() {
