Make sure that the limit is heard before the test of refusals begins

refusal_that_names_no_limit_does_not_end_one failed in 8 of 9 runs on this machine (37 to 46 requests in a window), always for the test's own reason: it took any earlier request to the target for the one whose answer names the limit, and requests that follow each other mostly went to the other target, whichever answered faster. So the gateway often had not heard of the limit, and with that mended, its end was not noticed in 3 of 8 runs.

The test now counts from before the limit is named, and sends eight requests at a time, which go to both targets.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1171,10 +1171,12 @@
     smol::block_on(async {
         let deployment = Deployment::start().await;
         let limited = &deployment.targets[0];
+        let before = limited.arrivals().len();
         limited.name_limit(Some("1"));
         eventually("the gateway has heard of the limit", async || {
-            deployment.send_with_id("named", Method::GET, "/safe/l").await;
-            !limited.arrivals().is_empty()
+            let send = |_| deployment.send_with_id("named", Method::GET, "/safe/l");
+            futures_util::future::join_all((0..8).map(send)).await;
+            limited.arrivals().len() > before
         })
         .await;
         limited.name_limit(None);
@@ -1191,8 +1193,10 @@
         assert!(most <= bound(1.0), "{most} requests in a window");
         eventually("an answer to a request that ran ends the limit", async || {
             let before = limited.arrivals().len();
-            for _ in 0..40 {
-                deployment.send_with_id("ran", Method::GET, "/safe/l").await;
+            // Requests that are in flight together go to both targets.
+            for _ in 0..5 {
+                let send = |_| deployment.send_with_id("ran", Method::GET, "/safe/l");
+                futures_util::future::join_all((0..8).map(send)).await;
             }
             limited.arrivals().len() > before + 8
         })
