Do not end a limit by a header that is no text

Cause: the header was read as text, and what cannot be read so was as good as absent. Both request paths now read it in one place, `Limit::try_from`, and what is not readable leaves the limit as it was and is logged (event 341).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -281,7 +281,7 @@
         let keep_alive = KeepAlive::from_headers(&head.headers);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if !misdirected {
-            let limit = text(&self.header_names.limit);
+            let limit = head.headers.get(&self.header_names.limit);
             self.record_limit(target, limit, head.status, attempt.sent.sent_at);
         }
         if misdirected || head.headers.contains_key(&self.header_names.not_executed) {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use hyper::StatusCode;
+use hyper::{StatusCode, header::HeaderValue};
 
 use super::{
     attempt::AttemptOutcome,
@@ -190,12 +190,12 @@
     pub(super) fn record_limit(
         &self,
         target: &Target,
-        text: Option<&str>,
+        limit: Option<&HeaderValue>,
         status: StatusCode,
         sent_at: Instant,
     ) {
         let now = self.clock.now();
-        match text.map(str::parse::<Limit>).transpose() {
+        match limit.map(Limit::try_from).transpose() {
             Ok(limit) => {
                 let change =
                     self.balancer().record_limit(target, Answer { limit, status, sent_at }, now);
--- a/src/throttle/limit.rs
+++ b/src/throttle/limit.rs
@@ -1,5 +1,7 @@
 use std::{fmt, str::FromStr};
 
+use hyper::header::HeaderValue;
+
 /// The lowest rate that VMs send at. A target that names less, or zero, still gets a request now and
 /// then, because only its answers tell that the limit has risen.
 const MIN_PER_SEC: f64 = 0.1;
@@ -40,6 +42,14 @@
     }
 }
 
+impl TryFrom<&HeaderValue> for Limit {
+    type Error = LimitError;
+
+    fn try_from(value: &HeaderValue) -> Result<Self, LimitError> {
+        String::from_utf8_lossy(value.as_bytes()).parse()
+    }
+}
+
 impl fmt::Display for Limit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/src/vm/target_limit.rs
+++ b/src/vm/target_limit.rs
@@ -28,10 +28,9 @@
 
 impl TargetWatch for TargetLimit {
     fn record_response(&self, status: StatusCode, headers: &HeaderMap, sent_at: Instant) {
-        let text = headers.get(LIMIT).map(|value| String::from_utf8_lossy(value.as_bytes()));
         let Announcement { target, incarnation, .. } = &self.target;
         let (vm, now) = (&self.vm, self.vm.clock.now());
-        let limit = match text.map(|text| text.parse::<Limit>()).transpose() {
+        let limit = match headers.get(LIMIT).map(Limit::try_from).transpose() {
             Ok(limit) => limit,
             Err(cause) => {
                 return event::placement::LIMIT_UNREADABLE
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1204,6 +1204,39 @@
     });
 }
 
+/// Guards against a limit that ends because what its target names later is not readable, as it is no
+/// number or no text.
+#[test]
+fn limit_that_is_not_readable_does_not_end_one() {
+    smol::block_on(async {
+        for unreadable in ["soon", "ü"] {
+            let deployment = Deployment::start().await;
+            let limited = &deployment.targets[..2];
+            for target in limited {
+                target.name_limit(Some("1"));
+            }
+            eventually("the gateway has heard of the limits", async || {
+                let send = |_| deployment.send_with_id("named", Method::GET, "/near/l");
+                let responses = futures_util::future::join_all((0..8).map(send)).await;
+                responses.iter().any(|(status, ..)| *status == 503)
+            })
+            .await;
+            for target in limited {
+                target.name_limit(Some(unreadable));
+            }
+            let since = Instant::now();
+            while since.elapsed() < WINDOW {
+                deployment.send_with_id("unreadable", Method::GET, "/near/l").await;
+                Timer::after(Duration::from_millis(10)).await;
+            }
+            for target in limited {
+                let most = most_in_window(&target.arrivals(), since);
+                assert!(most <= bound(1.0), "`{unreadable}`: {most} requests in a window");
+            }
+        }
+    });
+}
+
 /// Guards against an answer in the middle of a stream that broke off: what the next target answers
 /// may be an error, or no stream, even with a status of success.
 #[test]
