Reproduce a target that comes back after its withdrawal was confirmed

Cause: the withdrawal of a target that the registry does not know is confirmed and leaves nothing behind, so that an announcement that arrives late looks like that of a new target.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -10,7 +10,7 @@
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use http_body_util::BodyExt;
@@ -938,6 +938,39 @@
     });
 }
 
+/// Guards against a target that comes back after its end was confirmed: it was withdrawn before any of
+/// its announcements had arrived, and one arrives late.
+#[test]
+fn late_announcement_does_not_bring_back_a_target_that_was_withdrawn_before_it_was_known() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let ip = deployment.net.address(4);
+        let late = FakeTarget::start("near-3", ip, Arc::clone(&deployment.behaviors)).await;
+        let unix_millis = || {
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+            u64::try_from(since_epoch.as_millis()).expect("a number")
+        };
+        let born = unix_millis() - 3000;
+        deployment.control.withdraw(&"near-3".into()).await.expect("confirmed");
+        deployment.announce_with(&late, born, 2).await;
+        for _ in 0..20 {
+            let send = |_| deployment.send_with_id("late", Method::GET, "/near/l");
+            futures_util::future::join_all((0..8).map(send)).await;
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        let arrived = late.arrivals().len();
+        assert_eq!(arrived, 0, "requests to a target that has left");
+        // A process that starts later under the same name is another incarnation.
+        deployment.announce_with(&late, unix_millis(), 1).await;
+        eventually("the new incarnation gets requests", async || {
+            let send = |_| deployment.send_with_id("new", Method::GET, "/near/l");
+            futures_util::future::join_all((0..8).map(send)).await;
+            !late.arrivals().is_empty()
+        })
+        .await;
+    });
+}
+
 #[test]
 fn stopping_gateway_is_not_ready_and_finishes_draining() {
     smol::block_on(async {
