--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
+    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -538,6 +539,18 @@
         start_gateway(self.net.address(vm), region, self.net.address(1)).await
     }
 
+    /// Starts more gateways, and waits until they are ready.
+    async fn start_gateways(&self, vms: Range<u8>, region: &str) -> Vec<RunningGateway> {
+        let mut gateways = Vec::new();
+        for vm in vms {
+            gateways.push(self.start_gateway(vm, region).await);
+        }
+        for running in &gateways {
+            eventually("the gateway is ready", async || running.gateway().is_ready()).await;
+        }
+        gateways
+    }
+
     async fn wait_until_ready(&self) {
         let text = Bytes::from_static(ROUTES.as_bytes());
         eventually("routes are published", async || {
@@ -1152,13 +1165,7 @@
 fn gateways_together_keep_the_limit_that_a_target_names() {
     smol::block_on(async {
         let deployment = Deployment::start().await;
-        let mut gateways = Vec::new();
-        for vm in 5..11 {
-            gateways.push(deployment.start_gateway(vm, "jakarta").await);
-        }
-        for running in &gateways {
-            eventually("the gateway is ready", async || running.gateway().is_ready()).await;
-        }
+        let _gateways = deployment.start_gateways(5..11, "jakarta").await;
         let vms: Vec<u8> = [2].into_iter().chain(5..11).collect();
         let (limited, free) = (&deployment.targets[0], &deployment.targets[1]);
         limited.name_limit(Some("1"));
@@ -1239,13 +1246,7 @@
 fn ninety_five_gateways_together_keep_the_limits_that_targets_name_and_use_them() {
     smol::block_on(async {
         let deployment = Deployment::start_large().await;
-        let mut gateways = Vec::new();
-        for vm in 5..99 {
-            gateways.push(deployment.start_gateway(vm, "jakarta").await);
-        }
-        for running in &gateways {
-            eventually("the gateway is ready", async || running.gateway().is_ready()).await;
-        }
+        let _gateways = deployment.start_gateways(5..99, "jakarta").await;
         let limited = &deployment.targets[..2];
         for target in limited {
             target.name_limit(Some("1"));
