Tell the software version of targets to VMs and log it

The logs named neither the software version of a target nor the one at which a stream began, so that an in-answer resumption at another version could not be told from one at the same version, nor from a stream that its caller took up again.

Announcements, records and mirrors hold the version. A VM that hands a request over gets it with the head of the response. Lines 300 (placed) and resumed streams name it.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -116,6 +116,7 @@
                 ("service", &record.service),
                 ("address", &record.address),
                 ("born", &record.incarnation),
+                ("software", &record.software_version),
                 ("sequence", &record.sequence),
                 ("state", &state),
                 ("cold_ms", &record.cold_remaining_ms),
@@ -160,6 +161,7 @@
         known.state() != record.state() && known.state() != State::Leaving
             || (&known.address, &known.service, &known.zone, known.slots)
                 != (&record.address, &record.service, &record.zone, record.slots)
+            || known.software_version != record.software_version
             || Duration::from_millis(record.cold_remaining_ms)
                 > known_remaining + COLD_TIME_TOLERANCE
     }
--- a/src/emulator/peak/world.rs
+++ b/src/emulator/peak/world.rs
@@ -401,6 +401,7 @@
         slots: u32::try_from(slots).unwrap_or(u32::MAX),
         cold_until: now,
         silent: false,
+        software_version: Some(id::SoftwareVersion::from("v1")),
     }
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -9,7 +9,7 @@
     admission::{AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
     attempt::{AttemptOutcome, OpenResponse},
     balancer::{Pick, TargetQuery},
-    handover::HandoverOutcome,
+    handover::{HandoverOutcome, software_version},
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
     record::part_keys,
     registry_sync::pair_hash,
@@ -416,6 +416,7 @@
                     source: source.clone(),
                     status: status.as_u16(),
                     head_received_at,
+                    software_version: body_source.software_version().cloned(),
                 };
                 let attempts = std::mem::take(&mut state.attempts);
                 let streaming_body = StreamingBody::new(
@@ -513,7 +514,8 @@
                 attempts.record_remote_run();
                 match self.send_to_vm(request, &vm, last_event_id, time_left).await {
                     HandoverOutcome::Responded(head, exchange) if starts_event_stream(&head) => {
-                        Some(BodySource::Link(exchange))
+                        let software_version = software_version(&head);
+                        Some(BodySource::Link { exchange, software_version })
                     }
                     _ => None,
                 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -63,9 +63,11 @@
                 let status = u16::try_from(head.status).unwrap_or_default();
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                 let body = ResponseBody::Complete(Bytes::new());
+                let software_version = software_version(&head);
                 let headers = decode_headers(head.headers);
                 let response = TargetResponse { status, headers, body, source: vm.vm.clone() };
-                self.start_response(request, response, BodySource::Link(exchange), state).await
+                let body_source = BodySource::Link { exchange, software_version };
+                self.start_response(request, response, body_source, state).await
             }
             HandoverOutcome::NotSent => {
                 state.unsent_attempts += 1;
@@ -242,6 +244,12 @@
     }
 }
 
+/// The software version of the target that responded to the other VM, if that VM told it.
+pub(super) fn software_version(head: &ResponseHead) -> Option<id::SoftwareVersion> {
+    (!head.software_version.is_empty())
+        .then(|| id::SoftwareVersion::from(head.software_version.as_str()))
+}
+
 fn refuse_handover(detail: &str) -> Outcome {
     let retry_after = Duration::from_millis(300);
     Outcome::Refused(Refusal::new(Reason::NoTarget, detail, retry_after))
@@ -279,6 +287,11 @@
     let head = ResponseHead {
         status: u32::from(response.status.as_u16()),
         headers: encode_headers(&response.headers),
+        software_version: match &response.body {
+            ResponseBody::Streaming(body) => body.software_version(),
+            ResponseBody::Complete(_) => None,
+        }
+        .map_or_else(String::new, ToString::to_string),
     };
     if exchange.send(Body::ResponseHead(head)).await.is_err() {
         return;
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -23,6 +23,8 @@
     pub token_counts: HeaderName,
     /// The ID of the last event that was received whole.
     pub last_event_id: HeaderName,
+    /// The request ID under which a stream began, in a request that takes it up again.
+    pub resumed_request: HeaderName,
     /// The priority of a request at a target; 0 is the highest.
     pub priority: HeaderName,
     /// The address of another target, from which the receiving target copies cached parts of the
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -22,6 +22,11 @@
 /// unusual events are not limited.
 pub(super) const ROUTINE_LINES_PER_SEC: u32 = 60;
 
+/// A software version in a log entry.
+pub(super) fn software_text(version: Option<&id::SoftwareVersion>) -> &str {
+    version.map_or("unknown", id::SoftwareVersion::as_str)
+}
+
 impl Gateway {
     /// Logs the target that a request is sent to and its expected delay.
     pub(super) fn record_placement(&self, request: &RoutedRequest, pick: &Pick) {
@@ -35,6 +40,7 @@
             &[
                 ("request", &request.id),
                 ("target", &pick.target.target),
+                ("software", &software_text(pick.target.software_version.as_ref())),
                 ("service", &request.service),
                 ("expected_ms", &expected_ms),
                 ("load", &pick.in_flight),
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -11,7 +11,7 @@
     Attempts, EventSplitter,
     attempt::{ActiveAttempt, OpenResponse},
     connection_pool::{ConnectionLease, KeepAlive},
-    record::StreamEnd,
+    record::{StreamEnd, software_text},
     routed_request::RoutedRequest,
     server::Gateway,
 };
@@ -38,7 +38,11 @@
     /// A target in this region.
     Target(Box<TargetBody>),
     /// A VM in another region.
-    Link(Exchange),
+    Link {
+        exchange: Exchange,
+        /// The software version of the target there, if that VM knows it.
+        software_version: Option<id::SoftwareVersion>,
+    },
 }
 
 /// The body of a response on a connection to a target.
@@ -102,6 +106,8 @@
     pub(super) source: String,
     pub(super) status: u16,
     pub(super) head_received_at: Instant,
+    /// The software version of the first target, if it is known.
+    pub(super) software_version: Option<id::SoftwareVersion>,
 }
 
 impl Drop for StreamingBody {
@@ -138,7 +144,15 @@
     fn delimiter(&self) -> Option<Delimiter> {
         match self {
             Self::Target(target_body) => Some(target_body.delimiter),
-            Self::Link(_) => None,
+            Self::Link { .. } => None,
+        }
+    }
+
+    /// The software version of the target that responds, if it is known.
+    pub(super) fn software_version(&self) -> Option<&id::SoftwareVersion> {
+        match self {
+            Self::Target(target_body) => target_body.attempt.target.software_version.as_ref(),
+            Self::Link { software_version, .. } => software_version.as_ref(),
         }
     }
 
@@ -146,7 +160,7 @@
     pub(super) async fn next(&mut self, gateway: &Gateway) -> BodyChunk {
         match self {
             Self::Target(target_body) => target_body.next(gateway).await,
-            Self::Link(exchange) => match exchange.receive().await {
+            Self::Link { exchange, .. } => match exchange.receive().await {
                 Ok(wire::Body::Chunk(chunk)) => BodyChunk::Data(chunk.bytes),
                 Ok(wire::Body::End(_)) => BodyChunk::End,
                 Ok(wire::Body::Abort(abort)) => BodyChunk::Broken(abort.detail),
@@ -267,6 +281,11 @@
         }
     }
 
+    /// The software version of the target that began the response, if it is known.
+    pub(super) fn software_version(&self) -> Option<&id::SoftwareVersion> {
+        self.origin.software_version.as_ref()
+    }
+
     /// Waits for the next chunk to send; `None` after the end of a complete body.
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, IncompleteBody>> {
         let chunk = self.next_chunk().await;
@@ -364,12 +383,15 @@
                     &mut self.attempts,
                 )
                 .await;
+            let software_version = resumed.as_ref().and_then(BodySource::software_version);
             event::path::RESUMED.emit(
                 &self.gateway.logger,
                 &[
                     ("request", &self.request.id),
                     ("cause", &cause),
                     ("after", &last_event_id.unwrap_or_default()),
+                    ("began_at", &software_text(self.origin.software_version.as_ref())),
+                    ("software", &software_text(software_version)),
                     ("resumed", &resumed.is_some()),
                 ],
             );
--- a/src/id.rs
+++ b/src/id.rs
@@ -65,6 +65,8 @@
     Adapter,
     /// A version of a model's weights.
     Version,
+    /// A version of the software that a target runs.
+    SoftwareVersion,
     /// A plain service.
     Service,
     /// A request; the same on every VM that handles it.
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -137,6 +137,7 @@
     let head = ResponseHead {
         status: u32::from(status.as_u16()),
         headers: end_to_end_headers(response.headers()),
+        ..ResponseHead::default()
     };
     let mut response_body = new_body(response);
     let mut chunks = Vec::new();
--- a/src/registry/announcement.rs
+++ b/src/registry/announcement.rs
@@ -25,6 +25,8 @@
     pub leaving: bool,
     /// Remaining time during which the target is slow after its start.
     pub cold_remaining: Duration,
+    /// Version of the software that the target runs; it does not change within an incarnation.
+    pub software_version: id::SoftwareVersion,
 }
 
 impl Announcement {
@@ -42,6 +44,7 @@
             state: state.into(),
             cold_remaining_ms: u64::try_from(self.cold_remaining.as_millis()).unwrap_or(u64::MAX),
             changed_index: 0,
+            software_version: self.software_version.to_string(),
         }
     }
 }
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -28,6 +28,8 @@
     pub cold_until: Instant,
     /// Whether the target's last announcement is overdue.
     pub silent: bool,
+    /// Version of the software that the target runs; `None` if it is unknown.
+    pub software_version: Option<id::SoftwareVersion>,
 }
 
 /// One run of a target, from its start to its end.
@@ -212,6 +214,7 @@
                 slots: record.slots,
                 cold_until: zone_cold_until.max(*cold_until),
                 silent: self.silent_targets.contains(&record.target),
+                software_version: record.software_version(),
             };
             let service = id::Service::from(record.service.as_str());
             self.services.entry(service).or_default().push(target);
--- a/src/registry/target_record.rs
+++ b/src/registry/target_record.rs
@@ -1,5 +1,7 @@
 use prost::{Enumeration, Message};
 
+use crate::id;
+
 /// State of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
 #[repr(i32)]
@@ -45,4 +47,16 @@
     /// Log index at which the record last changed.
     #[prost(uint64, tag = "10")]
     pub changed_index: u64,
+    /// Version of the software that the target runs; empty if it is unknown.
+    #[prost(string, tag = "11")]
+    pub software_version: String,
+}
+
+impl TargetRecord {
+    /// Version of the software that the target runs; `None` if a process that did not know it wrote
+    /// the record.
+    pub fn software_version(&self) -> Option<id::SoftwareVersion> {
+        (!self.software_version.is_empty())
+            .then(|| id::SoftwareVersion::from(self.software_version.as_str()))
+    }
 }
--- a/src/vm/at_most_once.rs
+++ b/src/vm/at_most_once.rs
@@ -303,7 +303,8 @@
                 .headers
                 .into_iter()
                 .map(|header| Header { name: header.name, value: header.value.to_vec() });
-            let head = ResponseHead { status: response.status, headers: headers.collect() };
+            let headers = headers.collect();
+            let head = ResponseHead { status: response.status, headers, ..ResponseHead::default() };
             Outcome::Answered(response_with_body(head, response.body, hops))
         }
     }
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -181,6 +181,9 @@
     /// The headers.
     #[prost(message, repeated, tag = "2")]
     pub headers: Vec<Header>,
+    /// The version of the software of the target that responds; empty if it is unknown.
+    #[prost(string, tag = "3")]
+    pub software_version: String,
 }
 
 /// A header: its name and its value.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,7 @@
         slots: 64,
         cold_until: now,
         silent: false,
+        software_version: Some(id::SoftwareVersion::from("v1")),
     }
 }
 
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -352,6 +352,7 @@
         prompt_parts: name("parts"),
         token_counts: name("tokens"),
         last_event_id: name("last-event"),
+        resumed_request: name("resumed-request"),
         priority: name("urgency"),
         prompt_cache_source: name("fetch"),
         reserved: vec![name("reserved")],
@@ -599,6 +600,7 @@
             slots: 8,
             leaving: false,
             cold_remaining: Duration::ZERO,
+            software_version: id::SoftwareVersion::from("v1"),
         };
         self.control.announce(announcement).await.expect("announced");
     }
--- a/tests/prefix_affinity.rs
+++ b/tests/prefix_affinity.rs
@@ -22,6 +22,7 @@
         slots: 24,
         cold_until: now,
         silent: false,
+        software_version: Some(id::SoftwareVersion::from("v1")),
     };
     (0..12).map(target).collect()
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -49,6 +49,7 @@
         slots: 64,
         leaving,
         cold_remaining: Duration::ZERO,
+        software_version: id::SoftwareVersion::from("v1"),
     };
     announcement.record()
 }
@@ -311,6 +312,7 @@
         slots: 64,
         leaving: false,
         cold_remaining,
+        software_version: id::SoftwareVersion::from("v1"),
     };
     let second = Duration::from_secs(1);
     let mut one = HeartbeatTable::new(second * 3);
