Decide at which software version a stream may go on

Nothing recorded the software version at which a resumable stream began, so that a take-up at another VM went to any target of the service.

No shell uses it yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! - What VMs know of each other and of targets: [`member`], [`target`], [`link`], [`wire`].
 //! - What replicas agree on: [`consensus`], [`disk`], [`replica`], [`list_state`], [`list`],
 //!   [`stop`], [`claim`], [`order`].
+//! - Resumption of streams: [`continuation`].
 //! - The daemon, [`vm`], and what surrounds it: [`settings`], [`event`], [`figure`], [`admin`],
 //!   [`tool`], [`http`].
 //! - For tests and experiments: [`standin`], [`emulator`].
@@ -16,6 +17,7 @@
 pub mod claim;
 pub mod clock;
 pub mod consensus;
+pub mod continuation;
 pub mod control;
 pub mod crash;
 pub mod disk;
