--- a/src/registry.rs
+++ b/src/registry.rs
@@ -20,6 +20,7 @@
 mod state_machine;
 mod target_record;
 mod update;
+mod version_ends;
 mod vm_set;
 
 pub use self::{
--- a/src/registry/state_machine.rs
+++ b/src/registry/state_machine.rs
@@ -5,8 +5,14 @@
 
 use prost::{Message, bytes::Bytes};
 
-use super::{Command, Drain, Operation, Publish, Reply, State, TargetRecord, Withdraw};
-use crate::replica::{self, change_notifier::ChangeNotifier};
+use super::{
+    Command, Drain, Operation, Publish, Reply, State, TargetRecord, Withdraw,
+    version_ends::VersionEnds,
+};
+use crate::{
+    id,
+    replica::{self, change_notifier::ChangeNotifier},
+};
 
 /// Number of records of gone targets that are kept to reject late announcements; the oldest are
 /// dropped first. The limit is well above the number of targets of a large deployment that can go
@@ -25,6 +31,7 @@
     zones: BTreeMap<String, Zone>,
     /// Records that changed at or below this index may have been dropped.
     compacted_index: u64,
+    version_ends: VersionEnds,
     index: u64,
     changed: Arc<ChangeNotifier>,
 }
@@ -47,6 +54,9 @@
     compacted_index: u64,
     #[prost(uint64, tag = "8")]
     index: u64,
+    /// Missing if a process wrote the snapshot that did not record ends.
+    #[prost(message, optional, tag = "9")]
+    version_ends: Option<VersionEnds>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -127,6 +137,21 @@
         }
     }
 
+    /// The software version of all targets of `service`, if every target of another or unknown
+    /// version ended at or before log index `ended_by_index`. Leaving targets count; gone ones have
+    /// ended.
+    pub fn sole_version(&self, service: &str, ended_by_index: u64) -> Option<id::SoftwareVersion> {
+        let mut versions = self
+            .targets
+            .values()
+            .filter(|record| record.service == service && record.state() != State::Gone)
+            .map(|record| record.software_version.as_str());
+        let version = versions.next().filter(|version| !version.is_empty())?;
+        let is_sole = versions.all(|other| other == version)
+            && self.version_ends.ended_by(service, version, ended_by_index);
+        is_sole.then(|| id::SoftwareVersion::from(version))
+    }
+
     /// Returns a future that completes at the next change after this call.
     pub fn listen(&self) -> impl Future<Output = ()> + use<> {
         self.changed.listen()
@@ -223,12 +248,25 @@
 
     fn put(&mut self, record: TargetRecord) {
         if let Some(previous) = self.targets.remove(&record.target) {
-            self.targets_by_change.remove(&(previous.changed_index, previous.target));
+            self.targets_by_change.remove(&(previous.changed_index, previous.target.clone()));
+            self.record_end(&previous, &record);
         }
         self.targets_by_change.insert((record.changed_index, record.target.clone()));
         self.targets.insert(record.target.clone(), record);
     }
 
+    /// Records the end of a target's previous process if the new record shows it.
+    fn record_end(&mut self, previous: &TargetRecord, record: &TargetRecord) {
+        let continues = record.state() != State::Gone
+            && previous.incarnation == record.incarnation
+            && previous.service == record.service
+            && previous.software_version == record.software_version;
+        if previous.state() != State::Gone && !continues {
+            let (service, version) = (&previous.service, &previous.software_version);
+            self.version_ends.record(service, version, record.changed_index);
+        }
+    }
+
     /// Marks a target as gone, and drops the oldest record of a gone target if there are too many.
     fn mark_gone(&mut self, index: u64, target: &str) {
         if let Some(record) = self.targets.get(target) {
@@ -268,6 +306,7 @@
             zones: self.zones.values().cloned().collect(),
             compacted_index: self.compacted_index,
             index: self.index,
+            version_ends: Some(self.version_ends.clone()),
             ..self.stored.clone()
         };
         Bytes::from(snapshot.encode_to_vec())
@@ -279,6 +318,9 @@
         let targets = std::mem::take(&mut stored.targets).into_iter();
         (self.targets, self.targets_by_change) = (BTreeMap::new(), BTreeSet::new());
         targets.for_each(|record| self.put(record));
+        let version_ends = stored.version_ends.take();
+        self.version_ends =
+            version_ends.unwrap_or_else(|| VersionEnds::unknown_up_to(stored.index));
         let zones = std::mem::take(&mut stored.zones).into_iter();
         self.zones = zones.map(|zone| (zone.zone.clone(), zone)).collect();
         (self.compacted_index, self.index) = (stored.compacted_index, stored.index);
