--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -4,412 +4,39 @@
 mod support;
 
 use std::{
-    collections::HashMap,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     ops::Range,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicU32, Ordering},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Method, Request, header::HeaderName};
+use hyper::{HeaderMap, Method, Request};
 use pomelogate::{
-    clock,
-    control::Control,
-    gateway::{Gateway, HeaderNames, RunningGateway},
-    http, id,
-    node::Settings,
+    clock, control::Control, gateway::RunningGateway, http, id, node::Settings,
     registry::Announcement,
-    route::{DeliveryMode, Limits, Route, Service, Split, Table, TableError},
 };
 use prost::bytes::Bytes;
 use smol::{
     Timer,
-    io::{AsyncReadExt, AsyncWriteExt},
     lock::{RwLock, RwLockReadGuard, RwLockWriteGuard},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
 };
 use support::{
+    fake_target::{Behavior, Behaviors, FakeTarget, LAST_EVENT_ID, ReceivedRequest},
     fleet::eventually,
+    routed::{
+        CALLERS_PORT, CONTROL_PORT, GRACE, MAX_CONNECTIONS_PER_TARGET, Net, read_routes, settings,
+        start_gateway,
+    },
     window::{SETTLING_TIME, WINDOW, bound, most_in_window},
 };
 
-const LINKS_PORT: u16 = 27_660;
-const CALLERS_PORT: u16 = 28_080;
-const CONTROL_PORT: u16 = 28_090;
-/// The time that a stopping gateway has.
-const GRACE: Duration = Duration::from_secs(2);
 const ADDRESSES_PER_DEPLOYMENT: u8 = 16;
 
-/// What a fake target does with a request.
-#[derive(Clone, Debug)]
-enum Behavior {
-    /// Sends a complete response.
-    Respond,
-    /// Sends a response with the ID of another request.
-    OtherRequestId,
-    /// Sends a response without the signature header.
-    NoSignature,
-    /// Reports that it did not run the request.
-    Reject,
-    /// Closes the connection without a response.
-    CloseConnection,
-    /// Closes the connection in the middle of the body.
-    TruncatedBody,
-    /// Responds with status 500.
-    ServerError,
-    /// Streams events up to this ID and half of another one, then closes the connection.
-    EventsThenClose(u32),
-    /// Streams all events.
-    AllEvents,
-    /// Streams events up to this ID with neither a length nor chunks and ends them with the
-    /// connection, all but the last ID in the middle of another event.
-    EventsToConnectionEnd(u32),
-    /// Sends the head of a stream with neither a length nor chunks, then closes the connection.
-    NoEventsToConnectionEnd,
-    /// Sends a response with neither a length nor chunks, which ends with the connection.
-    RespondToConnectionEnd,
-    /// Sends half a response with neither a length nor chunks, then resets the connection.
-    ResetWithoutLength,
-    /// Streams events up to this ID, then comments until the connection is closed.
-    EventsThenComments(u32),
-    /// Sends interim responses until the connection is closed.
-    EndlessInterim,
-    /// Streams events up to this ID and half of another one that is large, then closes the connection.
-    LargeEventThenClose(u32),
-    /// Sends a complete response, and then a rejection of the request with this ID once more.
-    RespondThenReject(&'static str),
-    /// Closes the connection in the middle of the head of a response.
-    HalfHead,
-    /// Closes the connection after all lines of a head but the empty one.
-    HeadWithoutEnd,
-    /// Never responds.
-    Hang,
-}
-
-#[derive(Clone, Debug)]
-struct ReceivedRequest {
-    id: String,
-    headers: HashMap<String, String>,
-    body: Vec<u8>,
-    /// Whether the gateway closed the connection while the target did not respond.
-    connection_closed: bool,
-    at: Instant,
-}
-
-/// A target whose behavior depends on the path: one behavior for each request on it, the last one
-/// for all further requests.
-struct FakeTarget {
-    name: &'static str,
-    address: SocketAddr,
-    received: Arc<Mutex<Vec<ReceivedRequest>>>,
-    /// The limit that its responses name.
-    limit: NamedLimit,
-}
-
-type NamedLimit = Arc<Mutex<Option<&'static str>>>;
-type Behaviors = Arc<Mutex<HashMap<String, Vec<Behavior>>>>;
-
-const LAST_EVENT_ID: u32 = 9;
-/// More than a gateway holds back of an event that has not ended.
-const LARGE_EVENT_BYTES: usize = 300 * 1024;
-const LAST_CHUNK: &str = "0\r\n\r\n";
-
-impl FakeTarget {
-    async fn start(name: &'static str, ip: Ipv4Addr, behaviors: Behaviors) -> Self {
-        let listener = TcpListener::bind((ip, 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let received: Arc<Mutex<Vec<ReceivedRequest>>> = Arc::default();
-        let listener_received = Arc::clone(&received);
-        let limit = NamedLimit::default();
-        let listener_limit = Arc::clone(&limit);
-        smol::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (received, behaviors, limit) = (
-                    Arc::clone(&listener_received),
-                    Arc::clone(&behaviors),
-                    Arc::clone(&listener_limit),
-                );
-                smol::spawn(async move {
-                    serve_connection(stream, received, behaviors, limit).await;
-                })
-                .detach();
-            }
-        })
-        .detach();
-        Self { name, address, received, limit }
-    }
-
-    fn name_limit(&self, limit: Option<&'static str>) {
-        *self.limit.lock().expect("limit") = limit;
-    }
-
-    fn arrivals(&self) -> Vec<Instant> {
-        self.received.lock().expect("received").iter().map(|request| request.at).collect()
-    }
-
-    fn requests_with_id(&self, id: &str) -> Vec<ReceivedRequest> {
-        let received = self.received.lock().expect("received");
-        received.iter().filter(|request| request.id == id).cloned().collect()
-    }
-}
-
-async fn serve_connection(
-    mut stream: TcpStream,
-    received: Arc<Mutex<Vec<ReceivedRequest>>>,
-    behaviors: Behaviors,
-    limit: NamedLimit,
-) {
-    while let Some((path, request)) = read_request(&mut stream).await {
-        let id = request.id.clone();
-        let index = {
-            let mut received = received.lock().expect("received");
-            received.push(request.clone());
-            received.len() - 1
-        };
-        let behavior = {
-            let mut behaviors = behaviors.lock().expect("behaviors");
-            let list = behaviors.entry(path).or_insert_with(|| vec![Behavior::Respond]);
-            if list.len() > 1 { list.remove(0) } else { list[0].clone() }
-        };
-        let last_event_id = request.headers.get("last-event").and_then(|text| text.parse().ok());
-        let limit = limit.lock().expect("limit").map(|limit| format!("\r\nlimit: {limit}"));
-        // The ID ends a line in the head of each response.
-        let id = id + &limit.unwrap_or_default();
-        if !perform(&mut stream, &id, &behavior, last_event_id.unwrap_or(0)).await {
-            if matches!(behavior, Behavior::Hang) {
-                let mut byte = [0];
-                let _ = stream.read(&mut byte).await;
-                received.lock().expect("received")[index].connection_closed = true;
-            }
-            return;
-        }
-    }
-}
-
-/// Reads a request with its body; returns its path as well.
-async fn read_request(stream: &mut TcpStream) -> Option<(String, ReceivedRequest)> {
-    let mut bytes = Vec::new();
-    let end = loop {
-        if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-            break end + 4;
-        }
-        let mut buffer = [0; 4096];
-        match stream.read(&mut buffer).await {
-            Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
-            _ => return None,
-        }
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let path = head.split(' ').nth(1)?.to_owned();
-    let headers: HashMap<String, String> = head
-        .lines()
-        .skip(1)
-        .filter_map(|line| line.split_once(": "))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
-        .collect();
-    let length = headers.get("content-length").map_or(0, |text| text.parse().expect("a length"));
-    let mut body = bytes.split_off(end);
-    while body.len() < length {
-        let mut buffer = [0; 4096];
-        let read = stream.read(&mut buffer).await.ok().filter(|read| *read > 0)?;
-        body.extend_from_slice(&buffer[..read]);
-    }
-    let id = headers.get("request").cloned().unwrap_or_default();
-    let request =
-        ReceivedRequest { id, headers, body, connection_closed: false, at: Instant::now() };
-    Some((path, request))
-}
-
-/// Performs a behavior; returns false if the connection ends with it.
-async fn perform(
-    stream: &mut TcpStream,
-    id: &str,
-    behavior: &Behavior,
-    last_event_id: u32,
-) -> bool {
-    let response = |id: &str, signature: &str| {
-        format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\n{signature}content-length: 5\r\n\r\nwhole")
-    };
-    let text = match behavior {
-        Behavior::Respond => response(id, "proof: p\r\n"),
-        Behavior::OtherRequestId => response("another", "proof: p\r\n"),
-        Behavior::NoSignature => response(id, ""),
-        Behavior::Reject => rejection(id),
-        Behavior::ServerError => {
-            format!("HTTP/1.1 500 Failed\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 0\r\n\r\n")
-        }
-        Behavior::TruncatedBody => format!(
-            "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 50\r\n\r\nhalf"
-        ),
-        Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
-        Behavior::LargeEventThenClose(last) => {
-            let events = events(id, last_event_id, *last, true);
-            let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
-            let event = format!("id: 99\ndata: {}", "x".repeat(LARGE_EVENT_BYTES));
-            format!("{events}{:x}\r\n{event}\r\n", event.len())
-        }
-        Behavior::RespondThenReject(rejected) => {
-            let _ = stream.write_all(response(id, "proof: p\r\n").as_bytes()).await;
-            Timer::after(Duration::from_millis(50)).await;
-            rejection(rejected)
-        }
-        Behavior::HalfHead => "HTTP/1.1 200 OK\r\ncontent-le".to_owned(),
-        Behavior::HeadWithoutEnd => {
-            format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\n")
-        }
-        Behavior::AllEvents => events(id, last_event_id, LAST_EVENT_ID, true),
-        Behavior::EventsToConnectionEnd(last) => {
-            let numbers = last_event_id + 1..=*last;
-            let events: String =
-                numbers.map(|number| format!("id: {number}\ndata: {number}\n\n")).collect();
-            let _ = stream.write_all(unframed(id, "text/event-stream", &events).as_bytes()).await;
-            // `hyper` discards what it has not written, the head too, when a body breaks off.
-            Timer::after(Duration::from_millis(100)).await;
-            if *last == LAST_EVENT_ID { String::new() } else { "id: 99\nd".to_owned() }
-        }
-        Behavior::NoEventsToConnectionEnd => unframed(id, "text/event-stream", ""),
-        Behavior::RespondToConnectionEnd => unframed(id, "text/plain", "whole"),
-        Behavior::ResetWithoutLength => {
-            let _ = stream.write_all(unframed(id, "text/plain", "half").as_bytes()).await;
-            // The gateway reads the response before the reset discards what it has not read.
-            Timer::after(Duration::from_millis(100)).await;
-            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-            return false;
-        }
-        Behavior::EventsThenComments(last) => {
-            let events = events(id, last_event_id, *last, true);
-            let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
-            let _ = stream.write_all(events.as_bytes()).await;
-            while stream.write_all(b"4\r\n: \n\n\r\n").await.is_ok() {
-                Timer::after(Duration::from_millis(300)).await;
-            }
-            return false;
-        }
-        Behavior::EndlessInterim => {
-            while stream.write_all(b"HTTP/1.1 103 Early Hints\r\n\r\n").await.is_ok() {}
-            return false;
-        }
-        Behavior::CloseConnection | Behavior::Hang => String::new(),
-    };
-    let _ = stream.write_all(text.as_bytes()).await;
-    let _ = stream.flush().await;
-    !matches!(
-        behavior,
-        Behavior::TruncatedBody
-            | Behavior::EventsThenClose(_)
-            | Behavior::EventsToConnectionEnd(_)
-            | Behavior::NoEventsToConnectionEnd
-            | Behavior::RespondToConnectionEnd
-            | Behavior::CloseConnection
-            | Behavior::LargeEventThenClose(_)
-            | Behavior::HalfHead
-            | Behavior::HeadWithoutEnd
-            | Behavior::Hang
-    )
-}
-
-/// The response that streams the events after `after` up to `last`; `complete` or cut off in the
-/// middle of another event.
-fn events(id: &str, after: u32, last: u32, complete: bool) -> String {
-    let mut text = format!(
-        "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-type: text/event-stream\r\n\
-         transfer-encoding: chunked\r\n\r\n"
-    );
-    for number in after + 1..=last {
-        let event = format!("id: {number}\ndata: {number}\n\n");
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
-    }
-    let remainder = if complete { LAST_CHUNK } else { "8\r\nid: 99\nd\r\n" };
-    text + remainder
-}
-
-fn rejection(id: &str) -> String {
-    format!("HTTP/1.1 503 Full\r\nrequest: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n")
-}
-
-/// A response with neither a length nor chunks.
-fn unframed(id: &str, content_type: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-type: {content_type}\r\n\
-         connection: close\r\n\r\n{body}"
-    )
-}
-
-fn header_names() -> HeaderNames {
-    let name = HeaderName::from_static;
-    HeaderNames {
-        request_id: name("request"),
-        timeout_ms: name("time-left"),
-        expected_target: name("expect-target"),
-        load: name("load"),
-        limit: name("limit"),
-        not_executed: name("not-run"),
-        signature: name("proof"),
-        prompt_parts: name("parts"),
-        token_counts: name("tokens"),
-        last_event_id: name("last-event"),
-        resumed_request: name("resumed-request"),
-        priority: name("urgency"),
-        prompt_cache_source: name("fetch"),
-        reserved: vec![name("reserved")],
-    }
-}
-
-const MAX_CONNECTIONS_PER_TARGET: u32 = 6;
-
-/// Reads a version, and then one route a line: delivery mode, prefix, maximum of targets, timeout
-/// in milliseconds, allowed regions or `-`.
-fn read_routes(text: &[u8]) -> Result<Table, TableError> {
-    let text = String::from_utf8_lossy(text);
-    let mut lines = text.lines();
-    let unreadable = || TableError::Unreadable("a test's routes".to_owned());
-    let version = lines.next().and_then(|line| line.parse().ok()).ok_or_else(unreadable)?;
-    let read_route = |line: &str| -> Option<Route> {
-        let columns: Vec<&str> = line.split(' ').collect();
-        let [delivery_mode, prefix, max_targets, timeout_ms, regions] = columns.as_slice() else {
-            return None;
-        };
-        let delivery_mode = match *delivery_mode {
-            "safe" => DeliveryMode::Safe,
-            "once" => DeliveryMode::Once,
-            "stream" => DeliveryMode::Stream,
-            _ => DeliveryMode::Resumable,
-        };
-        let timeout = Duration::from_millis(timeout_ms.parse().ok()?);
-        Some(Route {
-            name: (*prefix).to_owned(),
-            host: "a.example".to_owned(),
-            prefix: (*prefix).to_owned(),
-            delivery_mode,
-            timeout,
-            latency_objective: Duration::from_secs(if *prefix == "/brisk/" { 1 } else { 5 }),
-            event_gap_objective: Duration::ZERO,
-            priority: 0,
-            max_targets: max_targets.parse().ok()?,
-            keeps_prompt_parts: false,
-            split: Split::single("jobs".into()),
-            allowed_regions: regions
-                .split(',')
-                .filter(|region| *region != "-")
-                .map(id::Region::from)
-                .collect(),
-        })
-    };
-    let routes = lines.map(read_route).collect::<Option<_>>().ok_or_else(unreadable)?;
-    let service = Service {
-        name: "jobs".into(),
-        max_connections: MAX_CONNECTIONS_PER_TARGET,
-        cold_requests_per_sec: 0.0,
-        cold_period: Duration::ZERO,
-        cache_capacity_tokens: 0,
-    };
-    Table::new(version, routes, vec![service], Limits::default())
-}
-
 const ROUTES: &str = "1
 safe /safe/ 2 8000 -
 once /once/ 1 8000 -
@@ -442,39 +69,6 @@
     _thread: ThreadLock,
 }
 
-/// The IP addresses of a deployment.
-struct Net {
-    first: Ipv4Addr,
-    size: u8,
-}
-
-impl Net {
-    /// The IP address of one VM.
-    fn address(&self, vm: u8) -> Ipv4Addr {
-        assert!(vm < self.size, "a deployment has fewer VMs");
-        let [first, second, third, fourth] = self.first.octets();
-        Ipv4Addr::new(first, second, third, fourth + vm)
-    }
-}
-
-fn settings(ip: Ipv4Addr, region: &str, seed: Ipv4Addr) -> Settings {
-    let text = serde_json::json!({
-        "name": ip.to_string(), "address": ip, "region": region, "zone": format!("{region}-a"),
-        "regions": { "jakarta-a": "jakarta", "surabaya-a": "surabaya" },
-        "links_port": LINKS_PORT, "seeds": [SocketAddr::from((seed, CONTROL_PORT))],
-        "first_start": true, "bounds": { "grace_s": GRACE.as_secs_f64() },
-    });
-    serde_json::from_value(text).expect("settings")
-}
-
-async fn start_gateway(ip: Ipv4Addr, region: &str, seed: Ipv4Addr) -> RunningGateway {
-    let settings =
-        Settings { callers: Some((ip, CALLERS_PORT).into()), ..settings(ip, region, seed) };
-    let logger = slog::Logger::root(slog::Discard, slog::o!());
-    let clock = Arc::new(clock::System);
-    Gateway::start(settings, None, header_names(), read_routes, clock, logger).await.expect("a VM")
-}
-
 impl Deployment {
     async fn start() -> Self {
         static COUNT: AtomicU32 = AtomicU32::new(0);
