Test that streams hold events of one software version

Replica and gateways run as processes of the test's binary, so that they can be killed; the fake targets write their version into each event, and the test's callers judge what one stream holds:

The test of one version alone passes before the fix and has to go on doing so.

--- a/tests/support/fake_target.rs
+++ b/tests/support/fake_target.rs
@@ -77,8 +77,20 @@
     pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
     /// The limit that its responses name.
     pub limit: NamedLimit,
+    process: TargetProcess,
 }
 
+/// What runs at a target's address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// The ID of the target; a request that is meant for another one does not run.
+    pub target: &'static str,
+    /// The software version, which begins the data of each event.
+    pub software_version: &'static str,
+}
+
+/// The process is not told apart from others if there is none.
+type TargetProcess = Arc<Mutex<Option<Process>>>;
 pub type NamedLimit = Arc<Mutex<Option<&'static str>>>;
 pub type Behaviors = Arc<Mutex<HashMap<String, Vec<Behavior>>>>;
 
@@ -95,21 +107,29 @@
         let listener_received = Arc::clone(&received);
         let limit = NamedLimit::default();
         let listener_limit = Arc::clone(&limit);
+        let process = TargetProcess::default();
+        let listener_process = Arc::clone(&process);
         smol::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (received, behaviors, limit) = (
+                let (received, behaviors, limit, process) = (
                     Arc::clone(&listener_received),
                     Arc::clone(&behaviors),
                     Arc::clone(&listener_limit),
+                    Arc::clone(&listener_process),
                 );
                 smol::spawn(async move {
-                    serve_connection(stream, received, behaviors, limit).await;
+                    serve_connection(stream, received, behaviors, limit, process).await;
                 })
                 .detach();
             }
         })
         .detach();
-        Self { name, address, received, limit }
+        Self { name, address, received, limit, process }
+    }
+
+    /// From now on another process runs at the address.
+    pub fn set_process(&self, process: Process) {
+        *self.process.lock().expect("process") = Some(process);
     }
 
     pub fn name_limit(&self, limit: Option<&'static str>) {
@@ -131,6 +151,7 @@
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
     behaviors: Behaviors,
     limit: NamedLimit,
+    process: TargetProcess,
 ) {
     while let Some((path, request)) = read_request(&mut stream).await {
         let id = request.id.clone();
@@ -139,7 +160,15 @@
             received.push(request.clone());
             received.len() - 1
         };
-        let behavior = {
+        let process = process.lock().expect("process").clone();
+        let expected = request.headers.get("expect-target");
+        let is_for_another = process
+            .as_ref()
+            .zip(expected)
+            .is_some_and(|(process, expected)| process.target != expected.as_str());
+        let behavior = if is_for_another {
+            Behavior::Reject
+        } else {
             let mut behaviors = behaviors.lock().expect("behaviors");
             let list = behaviors.entry(path).or_insert_with(|| vec![Behavior::Respond]);
             if list.len() > 1 { list.remove(0) } else { list[0].clone() }
@@ -148,7 +177,8 @@
         let limit = limit.lock().expect("limit").map(|limit| format!("\r\nlimit: {limit}"));
         // The ID ends a line in the head of each response.
         let id = id + &limit.unwrap_or_default();
-        if !perform(&mut stream, &id, &behavior, last_event_id.unwrap_or(0)).await {
+        let version = process.map(|process| process.software_version);
+        if !perform(&mut stream, &id, &behavior, last_event_id.unwrap_or(0), version).await {
             if matches!(behavior, Behavior::Hang) {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
@@ -199,6 +229,7 @@
     id: &str,
     behavior: &Behavior,
     last_event_id: u32,
+    version: Option<&str>,
 ) -> bool {
     let response = |id: &str, signature: &str| {
         format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\n{signature}content-length: 5\r\n\r\nwhole")
@@ -214,9 +245,9 @@
         Behavior::TruncatedBody => format!(
             "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-length: 50\r\n\r\nhalf"
         ),
-        Behavior::EventsThenClose(last) => events(id, last_event_id, *last, false),
+        Behavior::EventsThenClose(last) => events(id, version, last_event_id, *last, false),
         Behavior::LargeEventThenClose(last) => {
-            let events = events(id, last_event_id, *last, true);
+            let events = events(id, version, last_event_id, *last, true);
             let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
             let event = format!("id: 99\ndata: {}", "x".repeat(LARGE_EVENT_BYTES));
             format!("{events}{:x}\r\n{event}\r\n", event.len())
@@ -230,7 +261,7 @@
         Behavior::HeadWithoutEnd => {
             format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\n")
         }
-        Behavior::AllEvents => events(id, last_event_id, LAST_EVENT_ID, true),
+        Behavior::AllEvents => events(id, version, last_event_id, LAST_EVENT_ID, true),
         Behavior::EventsToConnectionEnd(last) => {
             let numbers = last_event_id + 1..=*last;
             let events: String =
@@ -250,7 +281,7 @@
             return false;
         }
         Behavior::EventsThenComments(last) => {
-            let events = events(id, last_event_id, *last, true);
+            let events = events(id, version, last_event_id, *last, true);
             let events = events.strip_suffix(LAST_CHUNK).unwrap_or(&events);
             let _ = stream.write_all(events.as_bytes()).await;
             while stream.write_all(b"4\r\n: \n\n\r\n").await.is_ok() {
@@ -283,13 +314,14 @@
 
 /// The response that streams the events after `after` up to `last`; `complete` or cut off in the
 /// middle of another event.
-pub fn events(id: &str, after: u32, last: u32, complete: bool) -> String {
+pub fn events(id: &str, version: Option<&str>, after: u32, last: u32, complete: bool) -> String {
     let mut text = format!(
         "HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\ncontent-type: text/event-stream\r\n\
          transfer-encoding: chunked\r\n\r\n"
     );
     for number in after + 1..=last {
-        let event = format!("id: {number}\ndata: {number}\n\n");
+        let version = version.map_or_else(String::new, |version| format!("{version} "));
+        let event = format!("id: {number}\ndata: {version}{number}\n\n");
         text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
     }
     let remainder = if complete { LAST_CHUNK } else { "8\r\nid: 99\nd\r\n" };
