Continue streams only at the software version that began them

Cause: no decision read a target's version. A resumption within a response, and a request that takes a stream up, chose among all targets of the service, here and in other regions. After the death of the VM that began it, nothing told at which version a stream began.

The VM that answers the caller records the version with the first event and sends it to the replica that it follows, ten times a second. Who takes a stream up asks its own records, then all replicas, of which one may also prove that one version alone has served for longer than a stream lasts, by a registry that a quorum confirms after the question. Otherwise the request is refused at once. The version binds placement, retries, hand-over (both ways) and resumption; loads of regions name the versions there.

--- a/src/continuation/ledger.rs
+++ b/src/continuation/ledger.rs
@@ -7,7 +7,7 @@
 use crate::id;
 
 /// Number of records that a [`Ledger`] holds; those that expire first are dropped first.
-pub const MAX_RECORDS: usize = 1 << 18;
+pub const MAX_RECORDS: usize = 1 << 16;
 
 /// Longest time for which a record counts.
 pub const MAX_TIME_LEFT: Duration = Duration::from_secs(3600);
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 mod propose;
 mod replica;
 mod server;
+mod streams;
 mod updates;
 
 pub(crate) use self::server::lock;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -184,6 +184,7 @@
             }
             let Some(group) = self.group() else { continue };
             let now = self.clock.now();
+            lock(&self.progress).record(group.status().applied_index, now);
             let polling_vms = lock(&self.polling_vms).clone();
             let own = self.own_info();
             let report = {
@@ -225,6 +226,7 @@
             zone: self.settings.zone.to_string(),
             links_address: self.settings.links_address().to_string(),
             incarnation: self.incarnation,
+            records_streams: true,
             ..VmInfo::default()
         }
     }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -10,6 +10,7 @@
 use super::updates::ReadyTargetCounts;
 use crate::{
     clock::Clock,
+    continuation,
     crash::{self, CrashTracker, PartSettings, PartTracker},
     event,
     link::{Hub, Inbound},
@@ -60,6 +61,10 @@
     pub(super) vms_changed: ChangeNotifier,
     /// The VMs that have requested updates from this replica.
     pub(super) polling_vms: Mutex<BTreeSet<String>>,
+    /// The software versions at which streams began, as VMs told this replica.
+    pub(super) streams: Mutex<continuation::Ledger>,
+    /// Which index of the log this replica had applied when.
+    pub(super) progress: Mutex<continuation::Progress>,
 }
 
 impl std::fmt::Debug for Control {
@@ -103,6 +108,8 @@
             incarnation,
             route_table: Mutex::default(),
             polling_vms: Mutex::default(),
+            streams: Mutex::default(),
+            progress: Mutex::new(continuation::Progress::new()),
             vms_changed: ChangeNotifier::default(),
         });
         smol::spawn(Arc::clone(&control).receive_messages(inbound)).detach();
@@ -142,6 +149,12 @@
                 Inbound::Notice { topic: Topic::Membership, payload, .. } => {
                     self.merge_heartbeat_report(&payload)
                 }
+                Inbound::Notice { topic: Topic::Streams, payload, .. } => {
+                    self.merge_stream_records(&payload);
+                }
+                Inbound::Call { topic: Topic::Streams, payload, reply, .. } => {
+                    smol::spawn(Arc::clone(&self).serve_stream_query(payload, reply)).detach();
+                }
                 Inbound::Call { topic: Topic::Registry, payload, reply, .. } => {
                     smol::spawn(Arc::clone(&self).serve_update(payload, reply)).detach();
                 }
--- a/src/control/updates.rs
+++ b/src/control/updates.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -38,7 +38,14 @@
 #[derive(Debug, Default)]
 pub(super) struct ReadyTargetCounts {
     index: u64,
-    targets: BTreeMap<(String, String), u32>,
+    targets: BTreeMap<(String, String), ReadyTargets>,
+}
+
+/// The ready targets of one service in one region.
+#[derive(Clone, Debug, Default)]
+struct ReadyTargets {
+    count: u32,
+    software_versions: BTreeSet<String>,
 }
 
 impl Control {
@@ -252,7 +259,7 @@
         }
         let heartbeats = self.heartbeats();
         let loads = heartbeats.loads(now);
-        let region_load = |((region, service), ready_targets): (&(String, String), &u32)| {
+        let region_load = |((region, service), ready): (&(String, String), &ReadyTargets)| {
             let load = loads.get(&(region.as_str(), service.as_str()));
             let load = load.map(|load| (*load).clone()).unwrap_or_default();
             RegionLoad {
@@ -262,22 +269,31 @@
                 requests: load.requests,
                 min_backlog_ms: load.min_backlog_ms,
                 capacity_scarce: load.capacity_scarce,
-                ready_targets: *ready_targets,
+                ready_targets: ready.count,
+                software_versions: ready.software_versions.iter().cloned().collect(),
             }
         };
         RegionLoads { regions: counts.targets.iter().map(region_load).collect() }
     }
 
-    /// Counts the ready targets outside of drained zones, by region and service.
-    fn count_ready_targets(&self, group: &Group<StateMachine>) -> BTreeMap<(String, String), u32> {
-        let mut counts = BTreeMap::new();
+    /// The ready targets outside of drained zones, by region and service.
+    fn count_ready_targets(
+        &self,
+        group: &Group<StateMachine>,
+    ) -> BTreeMap<(String, String), ReadyTargets> {
+        let mut counts: BTreeMap<(String, String), ReadyTargets> = BTreeMap::new();
         group.read(|registry| {
             let drained: Vec<&str> = registry.drained_zones().collect();
             for record in registry.targets().filter(|record| record.state() == State::Ready) {
                 let zone = id::Zone::from(record.zone.as_str());
                 let region = self.settings.region_of(&zone);
                 if let Some(region) = region.filter(|_| !drained.contains(&record.zone.as_str())) {
-                    *counts.entry((region.to_string(), record.service.clone())).or_default() += 1;
+                    let key = (region.to_string(), record.service.clone());
+                    let ready = counts.entry(key).or_default();
+                    ready.count += 1;
+                    if !record.software_version.is_empty() {
+                        ready.software_versions.insert(record.software_version.clone());
+                    }
                 }
             }
         });
--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -41,6 +41,10 @@
 pub const LEFT_OUT: Event =
     Event { number: 512, severity: Severity::Info, text: "ordinary lines left out" };
 
+/// A caller takes up a stream, and the software version that began it is known.
+pub const TAKEN_UP: Event =
+    Event { number: 515, severity: Severity::Info, text: "stream taken up again" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -56,4 +60,5 @@
     RESUMED,
     TAKEN_OVER,
     LEFT_OUT,
+    TAKEN_UP,
 ];
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,8 +32,10 @@
 mod routed_request;
 mod serve;
 mod server;
+mod stream_records;
 mod streaming_body;
 mod target_tracker;
+mod version_binding;
 
 pub use self::{
     admission::{Admission, AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
@@ -47,6 +49,7 @@
     retry_budget::RetryBudget,
     server::{Gateway, RunningGateway},
     target_tracker::{InFlight, LoadReport},
+    version_binding::VersionBinding,
 };
 pub(crate) use self::{load_sharing::share_interval, target_tracker::SentRequest};
 pub use crate::throttle::Peers;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -5,7 +5,7 @@
 use smol::{Timer, future::or};
 
 use super::{
-    Attempts,
+    Attempts, VersionBinding,
     admission::{AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
     attempt::{AttemptOutcome, OpenResponse},
     balancer::{Pick, TargetQuery},
@@ -20,7 +20,7 @@
 use crate::{
     clock::within,
     http, id,
-    registry::{Mirror, Target, VmInfo},
+    registry::{Mirror, RegionLoad, Target, VmInfo},
     wire::{Header, ResponseHead},
 };
 
@@ -65,6 +65,8 @@
     pub(super) tried_targets: Vec<id::Target>,
     pub(super) tried_vms: Vec<String>,
     pub(super) attempts: Attempts,
+    /// The software version of targets that may serve the request.
+    pub(super) version_binding: VersionBinding,
     pub(super) rejections: u32,
     pub(super) unsent_attempts: u32,
     /// Whether any target has received the request.
@@ -87,7 +89,8 @@
     /// Sends the request to targets or VMs until one responds or no attempt is left.
     pub(super) async fn dispatch(self: &Arc<Self>, request: Arc<RoutedRequest>) -> Outcome {
         let attempts = Attempts::new(request.route.max_targets);
-        let mut state = DispatchState { attempts, ..DispatchState::default() };
+        let version_binding = request.version_binding.clone();
+        let mut state = DispatchState { attempts, version_binding, ..DispatchState::default() };
         let wait_deadline =
             self.clock.now() + request.route.latency_objective / TARGET_WAIT_DIVISOR;
         while state.may_continue() && !request.time_left(self.clock.now()).is_zero() {
@@ -212,6 +215,7 @@
                 request.route.allows(own_region) && region_of(target) == Some(own_region)
             })
             .filter(|target| only_target.is_none_or(|only_target| target.target == *only_target))
+            .filter(|target| state.version_binding.allows(target.software_version.as_ref()))
             .collect();
         let service = self.route_table().and_then(|table| table.service(&request.service).cloned());
         let peers = self.region_peers();
@@ -277,7 +281,17 @@
                 && request.route.allows(region)
                 && !self.handover_vms(region, state, mirror).is_empty()
         };
-        let remote_loads = mirror.loads(&request.service).map(|(load, received_at)| RemoteLoad {
+        let may_serve = |load: &RegionLoad| match &state.version_binding {
+            VersionBinding::Any => true,
+            // A replica of an older process tells no versions; the VM there decides then.
+            VersionBinding::Only(version) => {
+                load.software_versions.is_empty()
+                    || load.software_versions.iter().any(|other| other == version.as_str())
+            }
+            VersionBinding::Unknown => false,
+        };
+        let loads = mirror.loads(&request.service).filter(|(load, _)| may_serve(load));
+        let remote_loads = loads.map(|(load, received_at)| RemoteLoad {
             region: id::Region::from(load.region.as_str()),
             min_backlog_secs: f64::from(load.min_backlog_ms) / 1000.0,
             requests_per_slot: f64::from(load.requests) / f64::from(load.slots.max(1)),
@@ -388,9 +402,10 @@
     ) -> Option<Outcome> {
         let (status, headers) = (response.status, std::mem::take(&mut response.headers));
         let source = response.attempt.target.target.to_string();
+        let software_version = response.attempt.target.software_version.clone();
         let target_body = Box::new(TargetBody::from(response));
-        let response =
-            TargetResponse { status, headers, body: ResponseBody::Complete(Bytes::new()), source };
+        let body = ResponseBody::Complete(Bytes::new());
+        let response = TargetResponse { status, headers, body, source, software_version };
         self.start_response(request, response, BodySource::Target(target_body), state).await
     }
 
@@ -406,6 +421,10 @@
         let TargetResponse { status, source, .. } = &response;
         let time_left = request.time_left(self.clock.now());
         let is_stream = request.route.delivery_mode.is_stream() && status.is_success();
+        if is_stream && !state.version_binding.allows(response.software_version.as_ref()) {
+            let cause = format!("target `{source}`: another software version than the stream");
+            return self.record_unknown(request, cause, state);
+        }
         let start = within(time_left, self.read_body_start(&mut body_source, is_stream)).await;
         let body = match start {
             Some(Ok(BodyStart::Complete(bytes))) => ResponseBody::Complete(bytes),
@@ -416,7 +435,7 @@
                     source: source.clone(),
                     status: status.as_u16(),
                     head_received_at,
-                    software_version: body_source.software_version().cloned(),
+                    software_version: response.software_version.clone(),
                 };
                 let attempts = std::mem::take(&mut state.attempts);
                 let streaming_body = StreamingBody::new(
@@ -471,17 +490,19 @@
     }
 
     /// Makes one attempt to resume a stream after the event `last_event_id`, here or in another
-    /// region. Forbids further attempts if there is no destination or no retry budget.
+    /// region, at a target that `version_binding` allows. Forbids further attempts if there is no destination or no retry budget.
     pub(super) async fn resume_stream(
         self: &Arc<Self>,
         request: &Arc<RoutedRequest>,
         last_event_id: Option<u64>,
+        version_binding: &VersionBinding,
         tried_targets: &mut Vec<id::Target>,
         attempts: &mut Attempts,
     ) -> Option<BodySource> {
         let state = DispatchState {
             tried_targets: tried_targets.clone(),
             attempts: attempts.clone(),
+            version_binding: version_binding.clone(),
             ..DispatchState::default()
         };
         let destination = self.choose_destination(request, &state);
@@ -512,10 +533,14 @@
             }
             Destination::Vm(vm) => {
                 attempts.record_remote_run();
-                match self.send_to_vm(request, &vm, last_event_id, time_left).await {
+                let outcome =
+                    self.send_to_vm(request, &vm, last_event_id, version_binding, time_left).await;
+                match outcome {
                     HandoverOutcome::Responded(head, exchange) if starts_event_stream(&head) => {
                         let software_version = software_version(&head);
-                        Some(BodySource::Link { exchange, software_version })
+                        version_binding
+                            .allows(software_version.as_ref())
+                            .then_some(BodySource::Link { exchange, software_version })
                     }
                     _ => None,
                 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -9,6 +9,7 @@
 use smol::Timer;
 
 use super::{
+    VersionBinding,
     dispatch::DispatchState,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
     routed_request::RoutedRequest,
@@ -56,7 +57,10 @@
     ) -> Option<Outcome> {
         state.tried_vms.push(vm.vm.clone());
         let time_left = request.time_left(self.clock.now());
-        match self.send_to_vm(request, vm, request.last_event_id, time_left).await {
+        let outcome = self
+            .send_to_vm(request, vm, request.last_event_id, &state.version_binding, time_left)
+            .await;
+        match outcome {
             HandoverOutcome::Responded(head, exchange) => {
                 state.sent = true;
                 state.attempts.record_remote_run();
@@ -65,7 +69,14 @@
                 let body = ResponseBody::Complete(Bytes::new());
                 let software_version = software_version(&head);
                 let headers = decode_headers(head.headers);
-                let response = TargetResponse { status, headers, body, source: vm.vm.clone() };
+                let source = vm.vm.clone();
+                let response = TargetResponse {
+                    status,
+                    headers,
+                    body,
+                    source,
+                    software_version: software_version.clone(),
+                };
                 let body_source = BodySource::Link { exchange, software_version };
                 self.start_response(request, response, body_source, state).await
             }
@@ -102,12 +113,13 @@
     }
 
     /// Sends the request to a VM and waits at most `timeout` for the head of the response. A stream
-    /// starts after the event `last_event_id`.
+    /// starts after the event `last_event_id`, at a target that `version_binding` allows.
     pub(super) async fn send_to_vm(
         &self,
         request: &RoutedRequest,
         vm: &VmInfo,
         last_event_id: Option<u64>,
+        version_binding: &VersionBinding,
         timeout: Duration,
     ) -> HandoverOutcome {
         self.record_handover(request, vm);
@@ -115,7 +127,7 @@
         let (unshared_tokens, now) = (request.prompt.unshared_tokens(), self.clock.now());
         self.admission().record_handover(&region, &request.service, unshared_tokens, now);
         let Some(address) = vm.links_address() else { return HandoverOutcome::NotSent };
-        let handover = self.build_handover(request, last_event_id, timeout);
+        let handover = self.build_handover(request, last_event_id, version_binding, timeout);
         let Ok(mut exchange) = self.hub.hand_over(address, handover).await else {
             self.record_unreachable(request, vm);
             return HandoverOutcome::NotSent;
@@ -147,6 +159,7 @@
         &self,
         request: &RoutedRequest,
         last_event_id: Option<u64>,
+        version_binding: &VersionBinding,
         timeout: Duration,
     ) -> Handover {
         let timeout = timeout.saturating_sub(TRANSFER_ALLOWANCE);
@@ -164,6 +177,10 @@
             deadline_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
             plans_version: request.routes_version,
             need: Some(Need { service: request.service.to_string(), ..Need::default() }),
+            software_version: version_binding
+                .version()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
             ..Handover::default()
         }
     }
@@ -223,6 +240,13 @@
         let Ok(method) = Method::try_from(handover.method.as_str()) else {
             return refuse_handover("the method cannot be read");
         };
+        let version_binding = if !handover.software_version.is_empty() {
+            VersionBinding::Only(id::SoftwareVersion::from(handover.software_version))
+        } else if route.delivery_mode.is_stream() && self.continues_stream(&headers) {
+            return refuse_handover("the software version of the stream is not known");
+        } else {
+            VersionBinding::Any
+        };
         let prompt = self.parse_prompt(&headers);
         let last_event_id = self.parse_last_event_id(&headers);
         let request = RoutedRequest {
@@ -238,6 +262,10 @@
             deadline,
             received_at: self.clock.now(),
             last_event_id,
+            // The VM that received the request from its caller records the stream.
+            stream_key: None,
+            stream_deadline: deadline,
+            version_binding,
             handed_over: true,
         };
         self.dispatch(Arc::new(request)).await
@@ -287,11 +315,10 @@
     let head = ResponseHead {
         status: u32::from(response.status.as_u16()),
         headers: encode_headers(&response.headers),
-        software_version: match &response.body {
-            ResponseBody::Streaming(body) => body.software_version(),
-            ResponseBody::Complete(_) => None,
-        }
-        .map_or_else(String::new, ToString::to_string),
+        software_version: response
+            .software_version
+            .as_ref()
+            .map_or_else(String::new, ToString::to_string),
     };
     if exchange.send(Body::ResponseHead(head)).await.is_err() {
         return;
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -3,6 +3,7 @@
 use hyper::{HeaderMap, StatusCode, body::Bytes};
 
 use super::streaming_body::StreamingBody;
+use crate::id;
 
 /// The final result of a request, as reported to its caller.
 #[derive(Debug)]
@@ -24,6 +25,8 @@
     pub(super) body: ResponseBody,
     /// The target, or the VM that the request was handed to.
     pub(super) source: String,
+    /// The software version of the target, if it is known.
+    pub(super) software_version: Option<id::SoftwareVersion>,
 }
 
 /// The body of a response.
@@ -70,6 +73,8 @@
     DeadlinePassed,
     /// Targets crashed while they ran an identical request.
     CrashesTargets,
+    /// The request continues a stream, and the software version that began it is not known.
+    StreamUnknown,
 }
 
 impl Reason {
@@ -87,6 +92,7 @@
             Self::WouldBeLate => "busy",
             Self::DeadlinePassed => "late",
             Self::CrashesTargets => "crashing",
+            Self::StreamUnknown => "stream_unknown",
         }
     }
 
@@ -103,7 +109,8 @@
             | Self::TargetsLimited
             | Self::WouldBeLate
             | Self::DeadlinePassed
-            | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::CrashesTargets
+            | Self::StreamUnknown => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -30,6 +30,9 @@
             let vm = &replicas[index % replicas.len()];
             let polled = self.poll_replica(vm, LONG_POLL_WAIT).await;
             let is_fresh = matches!(polled, Some(true));
+            if is_fresh {
+                self.follow_replica(vm);
+            }
             let state = (vm.clone(), polled);
             if logged_state.as_ref() != Some(&state) {
                 let outcome = match polled {
@@ -199,6 +202,7 @@
             ready: self.is_ready(),
             incarnation: self.incarnation,
             loads: self.service_loads(),
+            records_streams: false,
         }
     }
 
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -5,8 +5,8 @@
 
 use hyper::{HeaderMap, Method, body::Bytes};
 
-use super::{Prompt, handover::host_without_port};
-use crate::{crash::Digest, id, route::Route};
+use super::{Prompt, VersionBinding, handover::host_without_port};
+use crate::{continuation, crash::Digest, id, route::Route};
 
 /// A caller's request and the route that it matched.
 #[derive(Clone, Debug)]
@@ -29,6 +29,13 @@
     pub(super) received_at: Instant,
     /// The ID of the last event that the caller has, if it resumes a stream.
     pub(super) last_event_id: Option<u64>,
+    /// Names the stream that the request begins or continues; set on routes with streams that may
+    /// be resumed.
+    pub(super) stream_key: Option<continuation::Key>,
+    /// When the caller stops taking the stream up again.
+    pub(super) stream_deadline: Instant,
+    /// The software version of targets that may serve the request.
+    pub(super) version_binding: VersionBinding,
     /// Whether another VM handed the request over.
     pub(super) handed_over: bool,
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 
 use super::{
-    Prompt,
+    Prompt, VersionBinding,
     handover::host_without_port,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
     routed_request::RoutedRequest,
@@ -17,12 +17,15 @@
 use crate::{
     clock::within,
     http::{self, Body, CollectError},
+    route::DeliveryMode,
 };
 
 /// The `Retry-After` of refusals whose cause is likely to pass soon.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The timeout of a request that names none; the route's timeout applies if it is shorter.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest time for which a caller is expected to take a stream up again, whatever it says.
+const MAX_STREAM_TIMEOUT: Duration = Duration::from_secs(600);
 
 impl Gateway {
     /// Serves a caller's request.
@@ -32,7 +35,11 @@
         let id = self
             .header_text(http_request.headers(), &self.header_names.request_id)
             .unwrap_or_default();
-        let outcome = match self.route_request(id.clone(), http_request).await {
+        let routed = match self.route_request(id.clone(), http_request).await {
+            Ok(request) => self.bind_to_stream(request).await,
+            Err(refusal) => Err(refusal),
+        };
+        let outcome = match routed {
             Ok(request) => {
                 let request = Arc::new(request);
                 self.retry_budget().record_request(&request.service, received_at);
@@ -40,6 +47,16 @@
                     DisconnectGuard { gateway: &self, request: &request, armed: true };
                 let outcome = self.dispatch(Arc::clone(&request)).await;
                 disconnect_guard.disarm();
+                if let Outcome::Responded(TargetResponse {
+                    status,
+                    body: ResponseBody::Complete(_),
+                    software_version,
+                    ..
+                }) = &outcome
+                    && status.is_success()
+                {
+                    self.record_stream_start(&request, software_version.as_ref());
+                }
                 self.record_end(&request, &outcome);
                 outcome
             }
@@ -86,7 +103,8 @@
         let requested_timeout = self.header_text(&head.headers, &self.header_names.timeout_ms);
         let requested_timeout =
             requested_timeout.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
-        let timeout = route.timeout.min(requested_timeout.unwrap_or(DEFAULT_TIMEOUT));
+        let caller_timeout = requested_timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let timeout = route.timeout.min(caller_timeout);
         let body = within(timeout, http::collect(body, table.limits.body_bytes))
             .await
             .unwrap_or(Err(CollectError::Incomplete))
@@ -110,6 +128,8 @@
                 SHORT_RETRY_AFTER,
             )
         })?;
+        let stream_key = (route.delivery_mode == DeliveryMode::Resumable)
+            .then(|| self.stream_key(&host, &path_and_query, &head.headers));
         Ok(RoutedRequest {
             id,
             method: head.method,
@@ -123,6 +143,10 @@
             service,
             deadline: received_at + timeout,
             received_at,
+            stream_key,
+            stream_deadline: received_at
+                + caller_timeout.clamp(timeout, MAX_STREAM_TIMEOUT.max(timeout)),
+            version_binding: VersionBinding::Any,
             handed_over: false,
         })
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -25,6 +25,7 @@
 };
 use crate::{
     clock::{Clock, within},
+    continuation,
     control::{ParseRoutes, lock},
     event::{self, Sampler},
     http::{self, Body, Limits, Stop},
@@ -66,6 +67,9 @@
     admission: Mutex<Admission>,
     retry_budget: Mutex<RetryBudget>,
     crash_suspects: Mutex<CrashSuspects>,
+    /// The software versions at which streams of this VM began.
+    stream_ledger: Mutex<continuation::Ledger>,
+    followed_replica: Mutex<Option<id::Vm>>,
     /// The incarnations of targets that are being checked for a crash.
     pub(super) crash_checks: Mutex<HashSet<(id::Target, u64)>>,
     /// Notifies the synchronization when there are records for the replicas.
@@ -149,6 +153,8 @@
                 bounds.retry_window,
             )),
             crash_suspects: Mutex::default(),
+            stream_ledger: Mutex::default(),
+            followed_replica: Mutex::default(),
             crash_checks: Mutex::default(),
             crash_records_changed: ChangeNotifier::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -163,6 +169,7 @@
         smol::spawn(Arc::clone(&gateway).receive_from_links(inbound)).detach();
         smol::spawn(Arc::clone(&gateway).sync_registry()).detach();
         smol::spawn(Arc::clone(&gateway).share_load()).detach();
+        smol::spawn(Arc::clone(&gateway).send_stream_records()).detach();
         if let Some(listener) = health_listener {
             smol::spawn(Arc::clone(&gateway).serve_health_checks(listener)).detach();
         }
@@ -263,6 +270,19 @@
         lock(&self.crash_suspects)
     }
 
+    pub(super) fn stream_ledger(&self) -> MutexGuard<'_, continuation::Ledger> {
+        lock(&self.stream_ledger)
+    }
+
+    /// The replica that last sent an update.
+    pub(super) fn followed_replica(&self) -> Option<id::Vm> {
+        lock(&self.followed_replica).clone()
+    }
+
+    pub(super) fn follow_replica(&self, vm: &id::Vm) {
+        *lock(&self.followed_replica) = Some(vm.clone());
+    }
+
     pub(super) fn random(&self) -> MutexGuard<'_, StdRng> {
         lock(&self.random)
     }
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Bytes, Frame, Incoming};
 
 use super::{
-    Attempts, EventSplitter,
+    Attempts, EventSplitter, VersionBinding,
     attempt::{ActiveAttempt, OpenResponse},
     connection_pool::{ConnectionLease, KeepAlive},
     record::{StreamEnd, software_text},
@@ -106,7 +106,7 @@
     pub(super) source: String,
     pub(super) status: u16,
     pub(super) head_received_at: Instant,
-    /// The software version of the first target, if it is known.
+    /// The software version of the target that responds, if it is known.
     pub(super) software_version: Option<id::SoftwareVersion>,
 }
 
@@ -281,15 +281,16 @@
         }
     }
 
-    /// The software version of the target that began the response, if it is known.
-    pub(super) fn software_version(&self) -> Option<&id::SoftwareVersion> {
-        self.origin.software_version.as_ref()
-    }
-
     /// Waits for the next chunk to send; `None` after the end of a complete body.
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, IncompleteBody>> {
         let chunk = self.next_chunk().await;
-        self.chunks_sent += u32::from(matches!(chunk, Some(Ok(_))));
+        if matches!(chunk, Some(Ok(_))) {
+            if self.chunks_sent == 0 {
+                let version = self.origin.software_version.as_ref();
+                self.gateway.record_stream_start(&self.request, version);
+            }
+            self.chunks_sent += 1;
+        }
         chunk
     }
 
@@ -372,6 +373,12 @@
             return false;
         }
         event_splitter.discard_partial();
+        let version_binding = match &self.request.version_binding {
+            VersionBinding::Any if self.chunks_sent > 0 => {
+                VersionBinding::of(self.origin.software_version.as_ref())
+            }
+            binding => binding.clone(),
+        };
         let last_event_id = event_splitter.last_id().or(self.request.last_event_id);
         while self.attempts.may_use_new_target() {
             let resumed = self
@@ -379,11 +386,12 @@
                 .resume_stream(
                     &self.request,
                     last_event_id,
+                    &version_binding,
                     &mut self.tried_targets,
                     &mut self.attempts,
                 )
                 .await;
-            let software_version = resumed.as_ref().and_then(BodySource::software_version);
+            let software_version = resumed.as_ref().and_then(BodySource::software_version).cloned();
             event::path::RESUMED.emit(
                 &self.gateway.logger,
                 &[
@@ -391,13 +399,14 @@
                     ("cause", &cause),
                     ("after", &last_event_id.unwrap_or_default()),
                     ("began_at", &software_text(self.origin.software_version.as_ref())),
-                    ("software", &software_text(software_version)),
+                    ("software", &software_text(software_version.as_ref())),
                     ("resumed", &resumed.is_some()),
                 ],
             );
             if let Some(source) = resumed {
                 self.delimiter = source.delimiter();
                 self.source = Some(source);
+                self.origin.software_version = software_version;
                 self.stall_detector = stall_detector(&self.request.route);
                 return true;
             }
--- a/src/registry/heartbeat_table.rs
+++ b/src/registry/heartbeat_table.rs
@@ -36,6 +36,9 @@
     /// Loads of the targets in the VM's region, as the VM sees them.
     #[prost(message, repeated, tag = "8")]
     pub loads: Vec<ServiceLoad>,
+    /// Whether the VM is a replica that keeps the software versions at which streams began.
+    #[prost(bool, tag = "9")]
+    pub records_streams: bool,
 }
 
 /// The load of one service in one region, as one VM sees it.
--- a/src/registry/update.rs
+++ b/src/registry/update.rs
@@ -175,6 +175,9 @@
     /// Number of ready targets.
     #[prost(uint32, tag = "7")]
     pub ready_targets: u32,
+    /// Software versions of the ready targets; empty if the replica does not tell.
+    #[prost(string, repeated, tag = "8")]
+    pub software_versions: Vec<String>,
 }
 
 /// A list of routes as the operator sent it.
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -71,6 +71,7 @@
             target_path: resolved.target_path.clone(),
             idempotency_key: resolved.idempotency_key.clone().unwrap_or_default(),
             batch: request.class == Class::Batch,
+            ..Handover::default()
         }
     }
 
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -153,6 +153,10 @@
     /// Whether the request is in the batch class.
     #[prost(bool, tag = "15")]
     pub batch: bool,
+    /// The only software version of targets that may serve the request, if it continues a stream;
+    /// empty if it continues none.
+    #[prost(string, tag = "16")]
+    pub software_version: String,
 }
 
 /// What a request requires of a target; an empty field sets no requirement.
--- a/src/wire/topic.rs
+++ b/src/wire/topic.rs
@@ -21,11 +21,15 @@
     Registry,
     /// A VM's requests in flight at the targets of its region: [`crate::gateway`].
     Loads,
+    /// The software versions at which streams began: [`crate::continuation`]. Only VMs that
+    /// [`crate::registry::VmInfo::records_streams`] names get it, as older processes close a link
+    /// on which an unknown topic arrives.
+    Streams,
 }
 
 impl Topic {
     /// All topics in the order of their numbers.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Consensus,
         Self::Membership,
         Self::Targets,
@@ -36,6 +40,7 @@
         Self::Orders,
         Self::Registry,
         Self::Loads,
+        Self::Streams,
     ];
 
     /// The number of the topic in a frame.
