--- a/src/continuation/query.rs
+++ b/src/continuation/query.rs
@@ -12,7 +12,8 @@
     /// The service of the stream's route.
     #[prost(string, tag = "2")]
     pub service: String,
-    /// Longest time from the start of a stream to the last time that it can be taken up.
+    /// Longest time from the withdrawal of a target to the last time at which a stream that began
+    /// there can be taken up. It covers how long a target serves after its withdrawal.
     #[prost(uint64, tag = "3")]
     pub horizon_ms: u64,
 }
--- a/src/emulator.rs
+++ b/src/emulator.rs
@@ -9,6 +9,7 @@
 mod pace;
 pub mod peak;
 mod prefix;
+pub mod release;
 mod scenario;
 mod traffic;
 mod world;
