Send records of streams at once

The first event was never further than the batch from the caller's next try, and each refusal brought the caller back.

Records now go to the replica when they are made; what gathers while a message is being written goes with the next one. At the size to design for a VM begins fewer streams a second than it sent batches.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -69,6 +69,8 @@
     crash_suspects: Mutex<CrashSuspects>,
     /// The software versions at which streams of this VM began.
     stream_ledger: Mutex<continuation::Ledger>,
+    /// Notifies the sender of records of streams.
+    pub(super) stream_records_changed: ChangeNotifier,
     followed_replica: Mutex<Option<id::Vm>>,
     /// The incarnations of targets that are being checked for a crash.
     pub(super) crash_checks: Mutex<HashSet<(id::Target, u64)>>,
@@ -154,6 +156,7 @@
             )),
             crash_suspects: Mutex::default(),
             stream_ledger: Mutex::default(),
+            stream_records_changed: ChangeNotifier::default(),
             followed_replica: Mutex::default(),
             crash_checks: Mutex::default(),
             crash_records_changed: ChangeNotifier::default(),
--- a/src/gateway/stream_records.rs
+++ b/src/gateway/stream_records.rs
@@ -19,8 +19,8 @@
     wire::Topic,
 };
 
-/// How often new records are sent to the replica.
-const SEND_INTERVAL: Duration = Duration::from_millis(100);
+/// The delay before records are sent again to a replica that was not reached.
+const RESEND_DELAY: Duration = Duration::from_millis(100);
 /// How long the replicas may take to tell at which software version a stream began.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long other replicas may take to contradict a record: a round trip between regions.
@@ -135,21 +135,37 @@
         let now = self.clock.now();
         let time_left = request.stream_deadline.saturating_duration_since(now);
         self.stream_ledger().record(key, version, time_left, now);
+        self.stream_records_changed.notify();
     }
 
-    /// Sends new records to the replica that this VM follows, for as long as the process runs.
+    /// Sends new records to the replica that this VM follows, for as long as the process runs. They
+    /// go at once, since those that wait are lost when the process is killed.
     pub(super) async fn send_stream_records(self: Arc<Self>) {
         loop {
-            Timer::after(SEND_INTERVAL).await;
-            let Some(address) = self.record_keeper() else { continue };
-            loop {
-                let batch = self.stream_ledger().take_unsent(self.clock.now());
-                let Some(batch) = batch else { break };
-                let payload = Bytes::from(batch.encode_to_vec());
-                if self.hub.notify(address, Topic::Streams, payload).await.is_err() {
-                    self.stream_ledger().mark_unsent(batch, self.clock.now());
-                    break;
+            let records_change = self.stream_records_changed.listen();
+            if !self.send_unsent_records().await {
+                Timer::after(RESEND_DELAY).await;
+                continue;
+            }
+            records_change.await;
+        }
+    }
+
+    /// Returns false if records remain unsent.
+    async fn send_unsent_records(&self) -> bool {
+        loop {
+            let batch = self.stream_ledger().take_unsent(self.clock.now());
+            let Some(batch) = batch else { return true };
+            let sent = match self.record_keeper() {
+                Some(address) => {
+                    let payload = Bytes::from(batch.encode_to_vec());
+                    self.hub.notify(address, Topic::Streams, payload).await.is_ok()
                 }
+                None => false,
+            };
+            if !sent {
+                self.stream_ledger().mark_unsent(batch, self.clock.now());
+                return false;
             }
         }
     }
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -669,6 +669,20 @@
     });
 }
 
+/// Guards against records that wait at a gateway and are lost when it is killed, so that streams that
+/// began just before cannot go on.
+#[test]
+fn streams_that_began_just_before_a_kill_go_on() {
+    smol::block_on(async {
+        let mut deployment = Deployment::start(&[(2, "jakarta"), (3, "jakarta")], &OF_V1).await;
+        deployment.add_targets(&MANY_OF_V2).await;
+        let mut streams = deployment.begin_some(2, 12).await;
+        deployment.gateways.remove(&2);
+        let completed = deployment.take_up_all(&[3], &mut streams).await;
+        assert!(completed >= 6, "{completed} of 12 went on");
+    });
+}
+
 /// Guards against streams that cannot go on after the death of the gateway that began them, or that go on
 /// at another software version.
 #[test]
