Send all records of streams to a replica that has none of them

A VM that follows another replica, or one that was started again, kept its records alone: if it was killed next, streams that it had begun could not go on.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Admission, Balancer, CrashSuspects, HeaderNames, RetryBudget, connection_pool::ConnectionPool,
-    metrics::Metrics, record::ROUTINE_LINES_PER_SEC,
+    metrics::Metrics, record::ROUTINE_LINES_PER_SEC, stream_records::RecordKeeper,
 };
 use crate::{
     clock::{Clock, within},
@@ -71,7 +71,7 @@
     stream_ledger: Mutex<continuation::Ledger>,
     /// Notifies the sender of records of streams.
     pub(super) stream_records_changed: ChangeNotifier,
-    followed_replica: Mutex<Option<id::Vm>>,
+    record_keeper: Mutex<Option<RecordKeeper>>,
     /// The incarnations of targets that are being checked for a crash.
     pub(super) crash_checks: Mutex<HashSet<(id::Target, u64)>>,
     /// Notifies the synchronization when there are records for the replicas.
@@ -157,7 +157,7 @@
             crash_suspects: Mutex::default(),
             stream_ledger: Mutex::default(),
             stream_records_changed: ChangeNotifier::default(),
-            followed_replica: Mutex::default(),
+            record_keeper: Mutex::default(),
             crash_checks: Mutex::default(),
             crash_records_changed: ChangeNotifier::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -277,13 +277,9 @@
         lock(&self.stream_ledger)
     }
 
-    /// The replica that last sent an update.
-    pub(super) fn followed_replica(&self) -> Option<id::Vm> {
-        lock(&self.followed_replica).clone()
-    }
-
-    pub(super) fn follow_replica(&self, vm: &id::Vm) {
-        *lock(&self.followed_replica) = Some(vm.clone());
+    /// The replica that gets this VM's records of streams.
+    pub(super) fn record_keeper(&self) -> MutexGuard<'_, Option<RecordKeeper>> {
+        lock(&self.record_keeper)
     }
 
     pub(super) fn random(&self) -> MutexGuard<'_, StdRng> {
--- a/src/gateway/stream_records.rs
+++ b/src/gateway/stream_records.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use hyper::HeaderMap;
@@ -156,7 +156,8 @@
         loop {
             let batch = self.stream_ledger().take_unsent(self.clock.now());
             let Some(batch) = batch else { return true };
-            let sent = match self.record_keeper() {
+            let keeper = self.record_keeper().as_ref().and_then(|keeper| keeper.links_address);
+            let sent = match keeper {
                 Some(address) => {
                     let payload = Bytes::from(batch.encode_to_vec());
                     self.hub.notify(address, Topic::Streams, payload).await.is_ok()
@@ -170,11 +171,38 @@
         }
     }
 
-    /// The links address of the replica that this VM follows, if it keeps records of streams.
-    fn record_keeper(&self) -> Option<std::net::SocketAddr> {
-        let followed = self.followed_replica()?;
-        let mirror = self.mirror();
-        let keeper = mirror.vms().iter().find(|vm| vm.vm == followed.as_str())?;
-        keeper.links_address().filter(|_| keeper.records_streams)
+    /// Follows a replica, and sends it all records if it has none of them: another replica, or
+    /// another process of the same one.
+    pub(super) fn follow_replica(&self, vm: &id::Vm) {
+        let keeper = {
+            let mirror = self.mirror();
+            let info = mirror.vms().iter().find(|info| info.vm == vm.as_str());
+            info.filter(|info| info.records_streams).cloned()
+        };
+        let Some(keeper) = keeper else { return };
+        let keeper = RecordKeeper::from(&keeper);
+        let previous = self.record_keeper().replace(keeper.clone());
+        if previous.as_ref() != Some(&keeper) {
+            self.stream_ledger().mark_all_unsent();
+            self.stream_records_changed.notify();
+        }
+    }
+}
+
+/// The process of a replica that keeps this VM's records of streams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct RecordKeeper {
+    vm: String,
+    incarnation: u64,
+    links_address: Option<SocketAddr>,
+}
+
+impl From<&VmInfo> for RecordKeeper {
+    fn from(info: &VmInfo) -> Self {
+        Self {
+            vm: info.vm.clone(),
+            incarnation: info.incarnation,
+            links_address: info.links_address(),
+        }
     }
 }
