Requests late in a stop end in silence (failing tests)

Callers on open connections saw them close without a byte: requests that became whole 0.5 to 1.2 s after a stop began were sent to targets that could not answer before its end, and nothing answered what was in flight then. A stopping VM also took such requests from others.

Three tests in gateway_requests, red: 'body after 500 ms: ""', an empty answer at the end of the grace, and 502 in place of 503.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1014,6 +1014,153 @@
     });
 }
 
+/// The bytes of a request that may run once, split inside its head and before its body.
+fn request_parts(id: &str, path: &str) -> [String; 3] {
+    [
+        format!("POST {path} HTTP/1.1\r\nhost: a.exa"),
+        format!("mple\r\nrequest: {id}\r\ntime-left: 6000\r\ncontent-length: 8\r\n\r\n"),
+        "the body".to_owned(),
+    ]
+}
+
+/// A caller's connection, on which a request is sent byte by byte as a test wants.
+struct CallerConnection(TcpStream);
+
+impl CallerConnection {
+    async fn open(callers: SocketAddr) -> Self {
+        Self(TcpStream::connect(callers).await.expect("a connection"))
+    }
+
+    async fn send(&mut self, bytes: &str) {
+        // A write to a connection that is closed already shows in what is read from it.
+        let _ = self.0.write_all(bytes.as_bytes()).await;
+    }
+
+    /// Reads what comes until the connection closes, in lower case.
+    async fn read_to_close(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let _ = clock::within(Duration::from_secs(5), self.0.read_to_end(&mut bytes)).await;
+        String::from_utf8_lossy(&bytes).to_lowercase()
+    }
+
+    /// Reads up to the end of a response whose body is `whole`.
+    async fn read_response(&mut self) {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"whole") {
+            let mut buffer = [0; 4096];
+            let length = self.0.read(&mut buffer).await.expect("a response");
+            assert!(length > 0, "closed after {:?}", String::from_utf8_lossy(&bytes));
+            bytes.extend_from_slice(&buffer[..length]);
+        }
+    }
+}
+
+/// Asserts that a response promises that the request has not run, and closes the connection.
+fn assert_refused(case: &str, response: &str) {
+    assert!(response.starts_with("http/1.1 503 "), "{case}: {response:?}");
+    assert!(response.contains("\r\nretry-after: "), "{case}: {response}");
+    assert!(response.contains("\r\nconnection: close\r\n"), "{case}: {response}");
+}
+
+/// Guards against requests that become whole so late in a stop that their answers cannot come any
+/// more, and whose connections then close in silence.
+#[test]
+fn request_that_becomes_whole_late_in_a_stop_is_refused_and_does_not_run() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/once/late", &[Behavior::Hang]);
+        let callers = deployment.callers_address();
+        let mut cases = Vec::new();
+        for (name, split) in [("body", 2), ("half of the head", 1)] {
+            for delay_ms in [500, 900, 1200] {
+                let id = format!("{name} after {delay_ms} ms");
+                let parts = request_parts(&id, "/once/late");
+                let mut connection = CallerConnection::open(callers).await;
+                connection.send(&parts[..split].concat()).await;
+                cases.push((id, connection, parts[split..].concat(), delay_ms));
+            }
+        }
+        let mut connection = CallerConnection::open(callers).await;
+        connection.send(&request_parts("before", "/safe/before").concat()).await;
+        connection.read_response().await;
+        let id = "whole request after 600 ms".to_owned();
+        let request = request_parts(&id, "/once/late").concat();
+        cases.push((id, connection, request, 600));
+        let Deployment { jakarta_gateway, targets, .. } = deployment;
+        let drain = smol::spawn(jakarta_gateway.drain());
+        let send_rest = |(id, mut connection, rest, delay_ms): (_, CallerConnection, String, _)| {
+            smol::spawn(async move {
+                Timer::after(Duration::from_millis(delay_ms)).await;
+                connection.send(&rest).await;
+                (id, connection.read_to_close().await)
+            })
+        };
+        let tasks: Vec<smol::Task<(String, String)>> = cases.into_iter().map(send_rest).collect();
+        for task in tasks {
+            let (id, response) = task.await;
+            assert_refused(&id, &response);
+            let runs: usize = targets.iter().map(|it| it.requests_with_id(&id).len()).sum();
+            assert_eq!(runs, 0, "{id}: it ran");
+        }
+        drain.await;
+    });
+}
+
+/// Guards against a stop that closes connections in silence on requests whose targets still run them.
+#[test]
+fn request_in_flight_at_the_end_of_a_stop_gets_an_answer_that_promises_nothing() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/once/hang", &[Behavior::Hang]);
+        deployment.set_behaviors("/stream/hang", &[Behavior::EventsThenComments(3)]);
+        let callers = deployment.callers_address();
+        let mut connections = Vec::new();
+        for id in ["once", "stream"] {
+            let mut connection = CallerConnection::open(callers).await;
+            connection.send(&request_parts(id, &format!("/{id}/hang")).concat()).await;
+            eventually("it runs", async || deployment.arrival_count(id) == 1).await;
+            connections.push(connection);
+        }
+        let Deployment { jakarta_gateway, .. } = deployment;
+        let drain = smol::spawn(jakarta_gateway.drain());
+        let response = connections[0].read_to_close().await;
+        assert!(response.starts_with("http/1.1 502 "), "{response:?}");
+        assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
+        assert!(response.ends_with('}'), "its body is whole: {response}");
+        let response = connections[1].read_to_close().await;
+        assert!(response.contains("data: 3\n\n"), "{response}");
+        assert!(!response.ends_with("\r\n0\r\n\r\n"), "it looks complete: {response}");
+        drain.await;
+    });
+}
+
+/// Guards against a stopping gateway that sends requests to targets for other gateways although
+/// their answers cannot come before its end.
+#[test]
+fn stopping_gateway_refuses_handed_over_requests_that_it_cannot_finish() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/far-stream/late", &[Behavior::Hang]);
+        let callers = deployment.callers_address();
+        let Deployment { jakarta_gateway, surabaya_gateway, targets, .. } = deployment;
+        let gateway = Arc::clone(surabaya_gateway.gateway());
+        let drain = smol::spawn(surabaya_gateway.drain());
+        eventually("it is stopping", async || !gateway.is_ready()).await;
+        let mut connection = CallerConnection::open(callers).await;
+        let parts = request_parts("late", "/far-stream/late");
+        connection.send(&parts.concat()).await;
+        let mut status = [0; 12];
+        let read = connection.0.read_exact(&mut status);
+        let read = clock::within(GRACE, read).await.expect("an answer within the grace");
+        read.expect("an answer");
+        assert_eq!(&status, b"HTTP/1.1 503");
+        let runs: usize = targets.iter().map(|it| it.requests_with_id("late").len()).sum();
+        assert_eq!(runs, 0, "it ran");
+        drain.await;
+        drop(jakarta_gateway);
+    });
+}
+
 #[test]
 fn request_head_above_the_size_limit_is_refused() {
     smol::block_on(async {
