Send on only what can be answered before a stop ends

Callers saw connections close without a byte: a VM that stops sent each request to a target, also when its body or head came whole 0.5 to 1.2 s into a grace of 2 s, and whatever other VMs handed over.

stop::Grace now decides, when the head has come, when the request is whole and before each send, by how long answers on the route took lately, or by the timeout without recent answers. What does not fit is refused with 503 'stopping', Retry-After 0.4 s and Connection: close. A handed-over request is refused as one that did not run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 mod decaying_rate;
 mod dispatch;
 mod event_splitter;
+mod grace;
 mod handover;
 mod header_names;
 mod load_sharing;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -79,6 +79,8 @@
     pub(super) limited_return: Option<Duration>,
     /// Set if the request has been found to crash targets.
     crash_refusal: Option<Refusal>,
+    /// Set if this VM stops and may end before an answer.
+    stop_refusal: Option<Refusal>,
     /// The latest server error of a target, which the caller gets if no other attempt succeeds.
     error_response: Option<TargetResponse>,
 }
@@ -88,27 +90,44 @@
     pub(super) async fn dispatch(self: &Arc<Self>, request: Arc<RoutedRequest>) -> Outcome {
         let attempts = Attempts::new(request.route.max_targets);
         let mut state = DispatchState { attempts, ..DispatchState::default() };
+        if let Some(outcome) = self.make_attempts(&request, &mut state).await {
+            return outcome;
+        }
+        self.final_outcome(&request, state)
+    }
+
+    /// Makes attempts until none may follow; returns an outcome if the last one decided it.
+    async fn make_attempts(
+        self: &Arc<Self>,
+        request: &Arc<RoutedRequest>,
+        state: &mut DispatchState,
+    ) -> Option<Outcome> {
         let wait_deadline =
             self.clock.now() + request.route.latency_objective / TARGET_WAIT_DIVISOR;
         while state.may_continue() && !request.time_left(self.clock.now()).is_zero() {
-            if let Some(refusal) = self.crash_refusal(&request) {
+            if let Some(refusal) = self.crash_refusal(request) {
                 state.crash_refusal = Some(refusal);
                 break;
             }
-            let destination = self.choose_destination(&request, &state);
+            let time_left = request.time_left(self.clock.now());
+            if let Some(refusal) = self.stop_refusal(&request.route, time_left) {
+                state.stop_refusal = Some(refusal);
+                break;
+            }
+            let destination = self.choose_destination(request, state);
             let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_));
-            if can_send && state.sent && !self.may_retry(&request) {
+            if can_send && state.sent && !self.may_retry(request) {
                 break;
             }
             match destination {
                 Destination::Target(pick) => {
-                    if let Some(outcome) = self.attempt_target(&request, &pick, &mut state).await {
-                        return outcome;
+                    if let Some(outcome) = self.attempt_target(request, &pick, state).await {
+                        return Some(outcome);
                     }
                 }
                 Destination::Vm(vm) => {
-                    if let Some(outcome) = self.attempt_handover(&request, &vm, &mut state).await {
-                        return outcome;
+                    if let Some(outcome) = self.attempt_handover(request, &vm, state).await {
+                        return Some(outcome);
                     }
                 }
                 Destination::Wait if self.clock.now() < wait_deadline => {
@@ -128,7 +147,7 @@
                 Destination::Wait | Destination::Nowhere => break,
             }
         }
-        self.final_outcome(&request, state)
+        None
     }
 
     /// The refusal of a request that has crashed the targets that ran it.
@@ -154,7 +173,7 @@
         if let Some(cause) = state.unknown_cause {
             return Outcome::Unknown(cause);
         }
-        if let Some(refusal) = state.crash_refusal {
+        if let Some(refusal) = state.crash_refusal.or(state.stop_refusal) {
             return Outcome::Refused(refusal);
         }
         let random_delay =
@@ -485,13 +504,14 @@
             ..DispatchState::default()
         };
         let destination = self.choose_destination(request, &state);
+        let time_left = request.time_left(self.clock.now());
         let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_))
-            && self.crash_refusal(request).is_none();
+            && self.crash_refusal(request).is_none()
+            && self.stop_refusal(&request.route, time_left).is_none();
         if !can_send || !self.may_retry(request) {
             attempts.exhaust();
             return None;
         }
-        let time_left = request.time_left(self.clock.now());
         match destination {
             Destination::Target(pick) => {
                 tried_targets.push(pick.target.target.clone());
--- /dev/null
+++ b/src/gateway/grace.rs
@@ -0,0 +1,45 @@
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use super::{
+    outcome::{Reason, Refusal},
+    server::Gateway,
+};
+use crate::{control::lock, route::Route, stop::Grace};
+
+/// The `Retry-After` of a request that this VM refuses because it stops; other VMs serve it.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+impl Gateway {
+    /// Begins to stop: every request must have ended within `length`.
+    pub(super) fn begin_grace(&self, length: Duration) -> Grace {
+        let grace = Grace::new(self.clock.now(), length);
+        *lock(&self.grace) = Some(grace);
+        self.is_stopping.store(true, Ordering::Relaxed);
+        drop(lock(&self.stop_sender).take());
+        grace
+    }
+
+    /// The refusal of a request that is not sent because this VM stops and its answer, which may
+    /// take `longest`, cannot be expected before the end.
+    pub(super) fn stop_refusal(&self, route: &Route, longest: Duration) -> Option<Refusal> {
+        let grace = (*lock(&self.grace))?;
+        let recent = lock(&self.answer_times);
+        if grace.admits(recent.get(&route.name), longest, self.clock.now()) {
+            return None;
+        }
+        let detail = "this VM stops and may end before an answer; use another one";
+        Some(Refusal::new(Reason::Stopping, detail, STOPPING_RETRY_AFTER))
+    }
+
+    /// Records how long a complete answer on this route took.
+    pub(super) fn record_answer_time(&self, route: &Route, time: Duration, now: Instant) {
+        let mut answer_times = lock(&self.answer_times);
+        if let Some(times) = answer_times.get_mut(&route.name) {
+            return times.record(time, now);
+        }
+        answer_times.entry(route.name.clone()).or_default().record(time, now);
+    }
+}
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -70,6 +70,8 @@
     DeadlinePassed,
     /// Targets crashed while they ran an identical request.
     CrashesTargets,
+    /// This VM stops, and its end may come before an answer.
+    Stopping,
 }
 
 impl Reason {
@@ -87,6 +89,7 @@
             Self::WouldBeLate => "busy",
             Self::DeadlinePassed => "late",
             Self::CrashesTargets => "crashing",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -103,7 +106,8 @@
             | Self::TargetsLimited
             | Self::WouldBeLate
             | Self::DeadlinePassed
-            | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::CrashesTargets
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -131,6 +131,9 @@
             }
             Outcome::Responded(response) => {
                 let label = if response.status.is_success() { "answered" } else { "failed" };
+                if response.status.is_success() {
+                    self.record_answer_time(&request.route, elapsed, now);
+                }
                 (label, response.status.as_str().to_owned(), response.source.clone())
             }
             Outcome::Refused(refusal) => {
@@ -169,6 +172,9 @@
             (None, false) => ("caller_left", "caller left".to_owned()),
         };
         self.metrics().record_end(&request.route.name, label, elapsed);
+        if label == "answered" {
+            self.record_answer_time(&request.route, elapsed, now);
+        }
         if label == "answered" && !self.sampler().passes(now) {
             return;
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -21,6 +21,9 @@
 
 /// The `Retry-After` of refusals whose cause is likely to pass soon.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// How long the body of a request is read that is refused for a stop: to close a connection with
+/// unread bytes may discard the response.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 /// The timeout of a request that names none; the route's timeout applies if it is shorter.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -87,21 +90,29 @@
         let requested_timeout =
             requested_timeout.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
         let timeout = route.timeout.min(requested_timeout.unwrap_or(DEFAULT_TIMEOUT));
-        let body = within(timeout, http::collect(body, table.limits.body_bytes))
-            .await
-            .unwrap_or(Err(CollectError::Incomplete))
-            .map_err(|incomplete| match incomplete {
-                CollectError::TooLarge => {
-                    let max_bytes = table.limits.body_bytes;
-                    let detail = format!("the body is larger than {max_bytes} bytes");
-                    Refusal::new(Reason::BodyTooLarge, detail, Duration::ZERO)
-                }
-                CollectError::Incomplete => Refusal::new(
-                    Reason::BodyIncomplete,
-                    "the body did not come whole",
-                    SHORT_RETRY_AFTER,
-                ),
-            })?;
+        let is_refused = self.stop_refusal(&route, timeout).is_some();
+        let read_timeout = if is_refused { timeout.min(REFUSED_BODY_TIMEOUT) } else { timeout };
+        let body = within(read_timeout, http::collect(body, table.limits.body_bytes));
+        let body = body.await;
+        let time_left = (received_at + timeout).saturating_duration_since(self.clock.now());
+        if let Some(refusal) = self.stop_refusal(&route, time_left) {
+            return Err(refusal);
+        }
+        let body =
+            body.unwrap_or(Err(CollectError::Incomplete)).map_err(
+                |incomplete| match incomplete {
+                    CollectError::TooLarge => {
+                        let max_bytes = table.limits.body_bytes;
+                        let detail = format!("the body is larger than {max_bytes} bytes");
+                        Refusal::new(Reason::BodyTooLarge, detail, Duration::ZERO)
+                    }
+                    CollectError::Incomplete => Refusal::new(
+                        Reason::BodyIncomplete,
+                        "the body did not come whole",
+                        SHORT_RETRY_AFTER,
+                    ),
+                },
+            )?;
         let split_draw: u64 = self.random().random();
         let service = route.split.pick(split_draw).cloned().ok_or_else(|| {
             Refusal::new(
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     convert::Infallible,
     path::PathBuf,
     sync::{
@@ -34,6 +34,7 @@
     registry::{Mirror, VmInfo},
     replica::change_notifier::ChangeNotifier,
     route::{self, Table},
+    stop::{AnswerTimes, Grace},
     throttle::{PeerMemory, Peers},
     wire::Topic,
 };
@@ -41,7 +42,8 @@
 /// How long a stopping VM still accepts requests, while others learn that it stops: the directory,
 /// whose answers callers cache, and the platform, which checks the VM's health once a second.
 const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(3500);
-/// The part of the shutdown grace that is reserved for the exit of the process.
+/// The part of the shutdown grace that is reserved for the exit of the process, after the last answer
+/// of a target.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
 /// that size fits and the buffer is never smaller than the HTTP server requires.
@@ -75,9 +77,13 @@
     sampler: Mutex<Sampler>,
     seeds: Mutex<Vec<id::Vm>>,
     settings_file: Option<PathBuf>,
-    is_stopping: AtomicBool,
+    pub(super) is_stopping: AtomicBool,
+    /// Set once the VM stops.
+    pub(super) grace: Mutex<Option<Grace>>,
+    /// How long complete answers took lately, by the name of their route.
+    pub(super) answer_times: Mutex<HashMap<String, AnswerTimes>>,
     /// Dropped when the VM begins to stop, which closes `stop_receiver`.
-    stop_sender: Mutex<Option<Sender<Infallible>>>,
+    pub(super) stop_sender: Mutex<Option<Sender<Infallible>>>,
     stop_receiver: Receiver<Infallible>,
     /// Cloned for each request in flight.
     in_flight_sender: Mutex<Option<Sender<Infallible>>>,
@@ -156,6 +162,8 @@
             sampler: Mutex::new(Sampler::new(ROUTINE_LINES_PER_SEC, started_at)),
             settings_file,
             is_stopping: AtomicBool::new(false),
+            grace: Mutex::default(),
+            answer_times: Mutex::default(),
             stop_sender: Mutex::new(Some(stop_sender)),
             stop_receiver,
             in_flight_sender: Mutex::new(Some(in_flight_sender)),
@@ -344,20 +352,18 @@
     }
 
     /// Stops within the shutdown grace: fails health checks at once, tells callers to close their
-    /// connections, and lets requests in flight end.
+    /// connections, refuses what it may not finish, and lets requests in flight end.
     pub async fn drain(self) {
         let Self { gateway, callers_server, stop_callers_server, in_flight_receiver } = self;
-        let grace = gateway.settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
-        let deadline = gateway.clock.now() + grace;
+        let length = gateway.settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
         event::path::STOPPING.emit(&gateway.logger, &[]);
-        gateway.is_stopping.store(true, Ordering::Relaxed);
-        drop(lock(&gateway.stop_sender).take());
+        let grace = gateway.begin_grace(length);
         // At least half of the grace is left for requests in flight. The server accepts requests
         // for some time after it is stopped.
-        let accept_period = DRAIN_ACCEPT_PERIOD.min(grace / 2);
+        let accept_period = DRAIN_ACCEPT_PERIOD.min(length / 2);
         Timer::after(accept_period.saturating_sub(http::STOP_LINGER)).await;
         stop_callers_server.stop();
-        let time_left = || deadline.saturating_duration_since(gateway.clock.now());
+        let time_left = || grace.ends_at().saturating_duration_since(gateway.clock.now());
         let _ = within(time_left(), callers_server).await;
         drop(lock(&gateway.in_flight_sender).take());
         let _ = within(time_left(), in_flight_receiver.recv()).await;
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -1,6 +1,11 @@
-//! Planned stops of targets, VMs, availability zones and regions, as announced by operators.
+//! Planned stops of targets, VMs, availability zones and regions, as announced by operators, and the
+//! time that a process has to stop.
 
+mod answer_times;
+mod grace;
 mod planned_stops;
 mod scope;
 
-pub use self::{planned_stops::PlannedStops, scope::Scope};
+pub use self::{
+    answer_times::AnswerTimes, grace::Grace, planned_stops::PlannedStops, scope::Scope,
+};
--- /dev/null
+++ b/src/stop/grace.rs
@@ -0,0 +1,58 @@
+use std::time::{Duration, Instant};
+
+use super::AnswerTimes;
+
+/// How long callers may count on being served by a VM that stops: until then they may not know of it.
+const NOTICE_PERIOD: Duration = Duration::from_millis(2800);
+/// In shorter graces, this part of them is used.
+const NOTICE_DIVISOR: u32 = 2;
+/// The share of recent answers that would have come in time, for a request to be sent within the
+/// notice period.
+const USUAL_SHARE: f64 = 0.9;
+
+/// The time within which a VM that stops must finish its requests.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use pomelogate::stop::{AnswerTimes, Grace};
+///
+/// let start = Instant::now();
+/// let grace = Grace::new(start, Duration::from_secs(8));
+/// let after = |secs| start + Duration::from_secs(secs);
+/// let timeout = Duration::from_secs(60);
+/// let mut times = AnswerTimes::default();
+/// assert!(!grace.admits(Some(&times), timeout, start), "its answer may take up to 60 s");
+/// for _ in 0..20 {
+///     times.record(Duration::from_secs(1), start);
+/// }
+/// times.record(Duration::from_secs(4), start);
+/// assert!(grace.admits(Some(&times), timeout, after(2)));
+/// assert!(!grace.admits(Some(&times), timeout, after(5)), "some answers take 4 s");
+/// assert!(grace.admits(None, Duration::from_secs(1), after(6)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grace {
+    ends_at: Instant,
+    notice_ends_at: Instant,
+}
+
+impl Grace {
+    /// The grace of a stop that begins at `now` and leaves requests this time.
+    pub fn new(now: Instant, length: Duration) -> Self {
+        let notice = NOTICE_PERIOD.min(length / NOTICE_DIVISOR);
+        Self { ends_at: now + length, notice_ends_at: now + notice }
+    }
+
+    /// When the last answer must have come.
+    pub fn ends_at(&self) -> Instant {
+        self.ends_at
+    }
+
+    /// Whether the answer to a request that is sent at `now` can be expected before the end of the
+    /// grace, given how long such answers took lately and how long it may take at most.
+    pub fn admits(&self, recent: Option<&AnswerTimes>, longest: Duration, now: Instant) -> bool {
+        let share = if now < self.notice_ends_at { USUAL_SHARE } else { 1.0 };
+        let recent = recent.and_then(|times| times.quantile(share, now));
+        now + recent.map_or(longest, |recent| recent.min(longest)) <= self.ends_at
+    }
+}
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1134,6 +1134,24 @@
     });
 }
 
+/// Guards against a stopping gateway that refuses requests although their answers come in time.
+#[test]
+fn stopping_gateway_serves_requests_whose_answers_usually_come_in_time() {
+    smol::block_on(async {
+        let mut deployment = Deployment::start().await;
+        let (status, ..) = deployment.send_with_id("before", Method::POST, "/once/quick").await;
+        assert_eq!(status, 200);
+        let spare = deployment.start_gateway(5, "jakarta").await;
+        let gateway = std::mem::replace(&mut deployment.jakarta_gateway, spare);
+        let stopping = Arc::clone(gateway.gateway());
+        let drain = smol::spawn(gateway.drain());
+        eventually("it is stopping", async || !stopping.is_ready()).await;
+        let (status, ..) = deployment.send_with_id("early", Method::POST, "/once/quick").await;
+        assert_eq!((status, deployment.arrival_count("early")), (200, 1));
+        drain.await;
+    });
+}
+
 /// Guards against a stopping gateway that sends requests to targets for other gateways although
 /// their answers cannot come before its end.
 #[test]
