Answer what is in flight at the end of a stop

Callers saw their connections close without a byte when a VM exited while a target still worked on their requests.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -90,8 +90,10 @@
     pub(super) async fn dispatch(self: &Arc<Self>, request: Arc<RoutedRequest>) -> Outcome {
         let attempts = Attempts::new(request.route.max_targets);
         let mut state = DispatchState { attempts, ..DispatchState::default() };
-        if let Some(outcome) = self.make_attempts(&request, &mut state).await {
-            return outcome;
+        match self.until_grace_ends(self.make_attempts(&request, &mut state)).await {
+            Some(Some(outcome)) => return outcome,
+            Some(None) => {}
+            None => state.record_grace_end(),
         }
         self.final_outcome(&request, state)
     }
@@ -571,6 +573,15 @@
         }
     }
 
+    /// Records that the grace of a stop ended before an answer.
+    fn record_grace_end(&mut self) {
+        let was_attempted = !self.tried_targets.is_empty() || !self.tried_vms.is_empty();
+        if self.unknown_cause.is_none() && (self.sent || was_attempted) {
+            let cause = "this VM stops and had no answer in time".to_owned();
+            self.unknown_cause = Some(cause);
+        }
+    }
+
     fn may_continue(&self) -> bool {
         self.attempts.may_attempt()
             && self.rejections < MAX_REJECTIONS
--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -1,8 +1,11 @@
 use std::{
+    pin::pin,
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
 
+use futures_util::future::{Either, select};
+
 use super::{
     outcome::{Reason, Refusal},
     server::Gateway,
@@ -22,6 +25,19 @@
         grace
     }
 
+    /// Ends the requests that are still in flight, each with an answer.
+    pub(super) fn end_grace(&self) {
+        drop(lock(&self.grace_sender).take());
+    }
+
+    /// Waits for `work`; `None` if the grace of a stop ends first.
+    pub(super) async fn until_grace_ends<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        match select(pin!(work), pin!(self.grace_receiver.recv())).await {
+            Either::Left((done, _)) => Some(done),
+            Either::Right(_) => None,
+        }
+    }
+
     /// The refusal of a request that is not sent because this VM stops and its answer, which may
     /// take `longest`, cannot be expected before the end.
     pub(super) fn stop_refusal(&self, route: &Route, longest: Duration) -> Option<Refusal> {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -45,6 +45,8 @@
 /// The part of the shutdown grace that is reserved for the exit of the process, after the last answer
 /// of a target.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
+/// The part of the exit reserve for the answers to requests that did not end in time.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
 /// that size fits and the buffer is never smaller than the HTTP server requires.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 8 * 1024;
@@ -82,6 +84,9 @@
     pub(super) grace: Mutex<Option<Grace>>,
     /// How long complete answers took lately, by the name of their route.
     pub(super) answer_times: Mutex<HashMap<String, AnswerTimes>>,
+    /// Dropped at the end of the grace, which closes `grace_receiver`.
+    pub(super) grace_sender: Mutex<Option<Sender<Infallible>>>,
+    pub(super) grace_receiver: Receiver<Infallible>,
     /// Dropped when the VM begins to stop, which closes `stop_receiver`.
     pub(super) stop_sender: Mutex<Option<Sender<Infallible>>>,
     stop_receiver: Receiver<Infallible>,
@@ -133,6 +138,7 @@
         let started_at = clock.now();
         let seed = incarnation ^ u64::from(settings.links_port) ^ hash(&settings.name);
         let (stop_sender, stop_receiver) = smol::channel::bounded(1);
+        let (grace_sender, grace_receiver) = smol::channel::bounded(1);
         let (in_flight_sender, in_flight_receiver) = smol::channel::bounded(1);
         let gateway = Arc::new(Self {
             seeds: Mutex::new(settings.seed_vms()),
@@ -164,6 +170,8 @@
             is_stopping: AtomicBool::new(false),
             grace: Mutex::default(),
             answer_times: Mutex::default(),
+            grace_sender: Mutex::new(Some(grace_sender)),
+            grace_receiver,
             stop_sender: Mutex::new(Some(stop_sender)),
             stop_receiver,
             in_flight_sender: Mutex::new(Some(in_flight_sender)),
@@ -352,9 +360,10 @@
     }
 
     /// Stops within the shutdown grace: fails health checks at once, tells callers to close their
-    /// connections, refuses what it may not finish, and lets requests in flight end.
+    /// connections, refuses what it may not finish, and lets requests in flight end. Those that have
+    /// not ended get an answer that promises nothing.
     pub async fn drain(self) {
-        let Self { gateway, callers_server, stop_callers_server, in_flight_receiver } = self;
+        let Self { gateway, mut callers_server, stop_callers_server, in_flight_receiver } = self;
         let length = gateway.settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
         event::path::STOPPING.emit(&gateway.logger, &[]);
         let grace = gateway.begin_grace(length);
@@ -364,9 +373,17 @@
         Timer::after(accept_period.saturating_sub(http::STOP_LINGER)).await;
         stop_callers_server.stop();
         let time_left = || grace.ends_at().saturating_duration_since(gateway.clock.now());
-        let _ = within(time_left(), callers_server).await;
+        let server_ended = within(time_left(), &mut callers_server).await.is_some();
         drop(lock(&gateway.in_flight_sender).take());
         let _ = within(time_left(), in_flight_receiver.recv()).await;
+        gateway.end_grace();
+        let flush = async {
+            if !server_ended {
+                callers_server.await;
+            }
+            let _ = in_flight_receiver.recv().await;
+        };
+        let _ = within(FLUSH_TIMEOUT, flush).await;
         gateway.hub.close();
         event::path::STOPPED.emit(&gateway.logger, &[]);
     }
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -303,7 +303,10 @@
                 self.stall_detector.as_ref().map_or(Duration::MAX, StallDetector::time_left);
             let Some(source) = &mut self.source else { break };
             let waits_since = self.gateway.clock.now();
-            let chunk = within(time_left.min(stall_time_left), source.next(&self.gateway)).await;
+            let next = within(time_left.min(stall_time_left), source.next(&self.gateway));
+            let Some(chunk) = self.gateway.until_grace_ends(next).await else {
+                return self.fail("this VM stops");
+            };
             if let Some(stall_detector) = &mut self.stall_detector {
                 let now = self.gateway.clock.now();
                 stall_detector.record_wait(now.saturating_duration_since(waits_since));
