--- a/tests/grace.rs
+++ b/tests/grace.rs
@@ -175,7 +175,6 @@
         assert!(all.lost_early * 20 <= all.early, "{vms} VMs: {all:?}");
         assert!(all.refused_early * 10 <= all.early, "{vms} VMs: {all:?}");
         assert!((all.refused_early + all.refused_late) * 50 <= all.served, "{vms} VMs: {all:?}");
-        println!("{vms} VMs: {all:?}");
     }
 }
 
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -6,13 +6,19 @@
 
 use hyper::Method;
 use pomelogate::{
+    clock::within,
     id, list,
     settings::Settings,
     standin::{Caller, Engine, Pace, Reporter, deployment, with_disks},
     vm::Directory,
 };
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use support::{
-    fleet::{Fleet, eventually, samples},
+    fleet::{Fleet, PATIENCE, eventually, samples},
     targets,
 };
 use tempfile::TempDir;
@@ -188,3 +194,39 @@
         setup.stop(&["announce", "target", "near"]).await;
     });
 }
+
+/// Guards against a stopping VM that closes connections on requests whose bodies end late.
+#[test]
+fn a_request_whose_body_ends_late_in_a_stop_gets_a_whole_answer() {
+    smol::block_on(async {
+        let setup = Setup::start().await;
+        let message = serde_json::json!({ "role": "user", "content": "Ready?" });
+        let body = serde_json::json!({ "model": "planner", "messages": [message] }).to_string();
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer \
+             {CUSTOMER_KEY}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let mut connection = TcpStream::connect(setup.fleet.callers(0)).await.unwrap();
+        connection.write_all(head.as_bytes()).await.unwrap();
+        connection.write_all(&body.as_bytes()[..10]).await.unwrap();
+        setup.fleet.vms[0].ask_to_stop();
+        eventually("the directory no longer names it", async || {
+            setup.directory(setup.fleet.callers(1)).await
+                == vm_ids(&["bandung-1", "jakarta-2", "surabaya-1"])
+        })
+        .await;
+        // It then closes idle connections.
+        eventually("it accepts no connections", async || {
+            TcpStream::connect(setup.fleet.callers(0)).await.is_err()
+        })
+        .await;
+        Timer::after(Duration::from_millis(500)).await;
+        connection.write_all(&body.as_bytes()[10..]).await.unwrap();
+        let mut response = Vec::new();
+        within(PATIENCE, connection.read_to_end(&mut response)).await.expect("closed").unwrap();
+        let response = String::from_utf8_lossy(&response).to_lowercase();
+        assert!(response.starts_with("http/1.1 200 "), "{response}");
+        assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
+    });
+}
