--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -75,6 +75,8 @@
     CrashesTargets,
     /// The request continues a stream, and the software version that began it is not known.
     StreamUnknown,
+    /// This VM stops, and its end may come before an answer.
+    Stopping,
 }
 
 impl Reason {
@@ -93,6 +95,7 @@
             Self::DeadlinePassed => "late",
             Self::CrashesTargets => "crashing",
             Self::StreamUnknown => "stream_unknown",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -110,7 +113,8 @@
             | Self::WouldBeLate
             | Self::DeadlinePassed
             | Self::CrashesTargets
-            | Self::StreamUnknown => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::StreamUnknown
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
