Refuse announcements with values that no target has

Another writer's check-in with a cold time of 1e22 ms made the thread that served it panic: its sender got no answer. Starts and sequence numbers of 2^64-1, port 0, addresses that cannot be connected to, 0 or 2^32-1 slots and names of 100 KB were confirmed.

Announcement::check bounds each field; such a check-in gets 400 and a line in the log, at most ten a second, with shortened texts. The bounds don't depend on the wall clock, which jumps on some VMs: a start ahead of it must not shut out sound targets.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -3,7 +3,7 @@
 use prost::{Message, bytes::Bytes};
 use smol::{Timer, channel::Sender};
 
-use super::{CommandError, Control, Outcome, replica::GROUP};
+use super::{CommandError, Control, Outcome, replica::GROUP, server::lock};
 use crate::{
     event, id,
     registry::{
@@ -32,6 +32,9 @@
 /// Number of times a drain is proposed if concurrent changes of the zone invalidate it.
 const MAX_DRAIN_ATTEMPTS: usize = 4;
 
+/// Maximum length of a text from outside in the log.
+const MAX_LOGGED_CHARS: usize = 256;
+
 impl Control {
     /// Publishes a list of routes.
     ///
@@ -92,9 +95,14 @@
     ///
     /// # Errors
     ///
-    /// If it changes what all VMs must know and no quorum confirmed it.
+    /// If no target can be as it says, or if it changes what all VMs must know and no quorum confirmed
+    /// it.
     pub async fn announce(&self, announcement: Announcement) -> Result<Outcome, CommandError> {
         let now = self.clock.now();
+        if let Err(error) = announcement.check() {
+            let cause = self.refuse_announcement(announcement.target.as_str(), &error.to_string());
+            return Err(CommandError::Invalid(cause));
+        }
         let group =
             self.group().ok_or_else(|| unconfirmed("the replica's folder cannot be used"))?;
         let record = announcement.record();
@@ -126,6 +134,21 @@
         result.map(|_| Outcome::Confirmed)
     }
 
+    /// Logs, at a bounded rate, an announcement that names no target. Returns the cause, shortened.
+    pub fn refuse_announcement(&self, target: &str, cause: &str) -> String {
+        let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+        let (target, cause) = (shorten(target), shorten(cause));
+        let mut sampler = lock(&self.refusal_sampler);
+        if sampler.passes(self.clock.now()) {
+            let left_out = sampler.take_left_out();
+            event::registry::NO_TARGET.emit(
+                &self.logger,
+                &[("target", &target), ("cause", &cause), ("left_out", &left_out)],
+            );
+        }
+        cause
+    }
+
     /// Marks a target as gone.
     ///
     /// # Errors
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::Clock,
     crash::{self, CrashTracker, PartSettings, PartTracker},
-    event,
+    event::{self, Sampler},
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
     registry::{BlockedRequests, HeartbeatTable, StateMachine},
@@ -25,6 +25,9 @@
 /// exchange heartbeats once a second.
 const VM_TIMEOUT: Duration = Duration::from_millis(3500);
 
+/// Lines of the log per second on announcements that are refused.
+const REFUSAL_LINES_PER_SEC: u32 = 10;
+
 /// Parses and validates the text of a list of routes.
 pub type ParseRoutes = fn(&[u8]) -> Result<Table, TableError>;
 
@@ -36,6 +39,8 @@
     pub(super) hub: Arc<Hub>,
     pub(super) group: Mutex<Option<Arc<Group<StateMachine>>>>,
     pub(super) heartbeats: Mutex<HeartbeatTable>,
+    /// Bounds the lines on announcements that are refused.
+    pub(super) refusal_sampler: Mutex<Sampler>,
     /// Time at which this replica first saw each target record, by target and `changed_index`. The
     /// remaining cold time is counted from it.
     pub(super) records_seen_at: Mutex<HashMap<(String, u64), Instant>>,
@@ -83,14 +88,16 @@
     ) -> Result<Arc<Self>, Error> {
         let Links { hub, inbound, incarnation } = Links::open(&settings, &*clock, &logger).await?;
         let links_address = settings.links_address();
+        let started_at = clock.now();
         let control = Arc::new(Self {
-            started_at: clock.now(),
+            started_at,
             settings,
             clock,
             logger,
             hub,
             group: Mutex::default(),
             heartbeats: Mutex::new(HeartbeatTable::new(VM_TIMEOUT)),
+            refusal_sampler: Mutex::new(Sampler::new(REFUSAL_LINES_PER_SEC, started_at)),
             records_seen_at: Mutex::default(),
             ready_target_counts: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(crash::Settings::for_routes())),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,4 +1,9 @@
-use std::{fmt, io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    io::ErrorKind,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use smol::{Task, net::TcpStream};
@@ -105,6 +110,13 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
+/// Whether a connection to the address can succeed.
+pub(crate) fn is_connectable(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 fn request_error(written: &WriteFlag, cause: &str) -> RequestError {
     if written.is_set() {
         RequestError::OutcomeUnknown(cause.to_owned())
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -13,6 +13,7 @@
 //! The [`MembershipController`] adds replicas to the group and removes them.
 
 mod announcement;
+mod announcement_error;
 mod command;
 mod heartbeat_table;
 mod membership_controller;
@@ -24,6 +25,7 @@
 
 pub use self::{
     announcement::Announcement,
+    announcement_error::AnnouncementError,
     command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
     heartbeat_table::{
         HeartbeatReport, HeartbeatTable, LastAnnouncement, ServiceLoad, TargetHeartbeat,
