Let live targets take over from silent records that keep them out

An announcement with a later start or a higher number, from another writer, at the address or under the identifier of a sound target held the place for good: the sound target's announcements were answered 200 and never entered the registry. A target that had been replaced at its address was taken for a withdrawn one.

The replica that hears such a target for 10 s, each announcement newer than the last and none in a burst (ContestTracker), proposes a TakeOver if no replica has heard the blocking records' versions for 10 s. The command names those versions and has no effect if one has changed. Late announcements don't go on, and their successors are heard. A withdrawn incarnation never returns; records say by whom they were replaced.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use prost::{Message, bytes::Bytes};
 use smol::{Timer, channel::Sender};
@@ -7,10 +10,10 @@
 use crate::{
     event, id,
     registry::{
-        Announcement, Command, Drain, Operation, Publish, Reply, State, StateMachine, TargetRecord,
-        Withdraw,
+        Announcement, Command, Drain, Operation, Publish, Reply, State, StateMachine, TakeOver,
+        TargetRecord, Withdraw,
     },
-    replica::{ForwardOutcome, ForwardReply, ForwardRequest, RequestError},
+    replica::{ForwardOutcome, ForwardReply, ForwardRequest, Group, RequestError},
     wire::Topic,
 };
 
@@ -111,10 +114,15 @@
         if known.as_ref().is_none_or(|known| known.incarnation <= record.incarnation) {
             self.heartbeats().record_announcement(&announcement, now);
         }
-        if !is_change {
+        let is_outdated = known.as_ref().is_some_and(|known| record.is_outdated_by(known));
+        let take_over =
+            if is_change || is_outdated { self.take_over(&group, &record, now) } else { None };
+        if !is_change && take_over.is_none() {
             return Ok(Outcome::Confirmed);
         }
-        let result = self.propose(Operation::Announce(record.clone()), ANNOUNCE_TIMEOUT).await;
+        let operation =
+            take_over.map_or_else(|| Operation::Announce(record.clone()), Operation::TakeOver);
+        let result = self.propose(operation, ANNOUNCE_TIMEOUT).await;
         let state = format!("{:?}", record.state());
         let outcome = outcome_text(&result);
         event::registry::TARGET.emit(
@@ -134,6 +142,42 @@
         result.map(|_| Outcome::Confirmed)
     }
 
+    /// The command for an announcement that silent records keep out of the registry, if its sender is
+    /// alive.
+    fn take_over(
+        &self,
+        group: &Group<StateMachine>,
+        record: &TargetRecord,
+        now: Instant,
+    ) -> Option<TakeOver> {
+        let blocking: Vec<TargetRecord> =
+            group.read(|registry| registry.blocking(record).cloned().collect());
+        let withdrawn = |known: &TargetRecord| {
+            known.target == record.target && known.is_withdrawn(record.incarnation)
+        };
+        if blocking.is_empty() || blocking.iter().any(withdrawn) {
+            return None;
+        }
+        let is_alive = lock(&self.contests).record(record, now);
+        let heartbeats = self.heartbeats();
+        if !is_alive || !blocking.iter().all(|known| heartbeats.is_silent(known, now)) {
+            return None;
+        }
+        drop(heartbeats);
+        let displaced = blocking.iter().map(TargetRecord::version).collect();
+        let names: Vec<&str> = blocking.iter().map(|known| known.target.as_str()).collect();
+        event::registry::TAKEN_OVER.emit(
+            &self.logger,
+            &[
+                ("target", &record.target),
+                ("address", &record.address),
+                ("born", &record.incarnation),
+                ("displaced", &names.join(" ")),
+            ],
+        );
+        Some(TakeOver { record: record.clone(), displaced })
+    }
+
     /// Logs, at a bounded rate, an announcement that names no target. Returns the cause, shortened.
     pub fn refuse_announcement(&self, target: &str, cause: &str) -> String {
         let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
@@ -161,8 +205,9 @@
             .read_barrier(ANNOUNCE_TIMEOUT)
             .await
             .map_err(|cause| unconfirmed(&cause.to_string()))?;
+        lock(&self.contests).forget(target.as_str());
         let known = group.read(|registry| registry.target(target.as_str()).cloned());
-        let Some(known) = known.filter(|known| known.state() != State::Gone) else {
+        let Some(known) = known.filter(|known| !known.is_withdrawn(known.incarnation)) else {
             return Ok(Outcome::Confirmed);
         };
         let withdraw = Withdraw { target: known.target, incarnation: known.incarnation };
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -14,7 +14,7 @@
     event::{self, Sampler},
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
-    registry::{BlockedRequests, HeartbeatTable, StateMachine},
+    registry::{BlockedRequests, ContestTracker, HeartbeatTable, StateMachine},
     replica::{Group, change_notifier::ChangeNotifier},
     route::{Table, TableError},
     wire::Topic,
@@ -39,6 +39,8 @@
     pub(super) hub: Arc<Hub>,
     pub(super) group: Mutex<Option<Arc<Group<StateMachine>>>>,
     pub(super) heartbeats: Mutex<HeartbeatTable>,
+    /// The targets that newer records keep out of the registry.
+    pub(super) contests: Mutex<ContestTracker>,
     /// Bounds the lines on announcements that are refused.
     pub(super) refusal_sampler: Mutex<Sampler>,
     /// Time at which this replica first saw each target record, by target and `changed_index`. The
@@ -97,6 +99,7 @@
             hub,
             group: Mutex::default(),
             heartbeats: Mutex::new(HeartbeatTable::new(VM_TIMEOUT)),
+            contests: Mutex::default(),
             refusal_sampler: Mutex::new(Sampler::new(REFUSAL_LINES_PER_SEC, started_at)),
             records_seen_at: Mutex::default(),
             ready_target_counts: Mutex::default(),
--- a/src/event/registry.rs
+++ b/src/event/registry.rs
@@ -34,6 +34,12 @@
 /// The settings could not be read again; the former ones hold.
 pub const NOT_RELOADED: Event =
     Event { number: 710, severity: Severity::Warning, text: "settings not read again" };
+/// A target took the place of records that nobody renews.
+pub const TAKEN_OVER: Event = Event {
+    number: 711,
+    severity: Severity::Warning,
+    text: "target took over from silent records",
+};
 
 /// Every event of this part.
 pub const ALL: &[Event] = &[
@@ -48,4 +54,5 @@
     IN_FORCE,
     SEEDS,
     NOT_RELOADED,
+    TAKEN_OVER,
 ];
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -15,6 +15,7 @@
 mod announcement;
 mod announcement_error;
 mod command;
+mod contest_tracker;
 mod heartbeat_table;
 mod membership_controller;
 mod mirror;
@@ -23,10 +24,15 @@
 mod update;
 mod vm_set;
 
+use std::time::Duration;
+
 pub use self::{
     announcement::Announcement,
     announcement_error::AnnouncementError,
-    command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
+    command::{
+        Command, Drain, Establish, Operation, Publish, RecordVersion, Reply, TakeOver, Withdraw,
+    },
+    contest_tracker::ContestTracker,
     heartbeat_table::{
         HeartbeatReport, HeartbeatTable, LastAnnouncement, ServiceLoad, TargetHeartbeat,
         VmHeartbeat, VmInfo,
@@ -41,3 +47,7 @@
     },
     vm_set::VmSet,
 };
+
+/// Longest time for which an announcement is delayed on its way. Targets announce themselves several
+/// times in it.
+const MAX_LATENESS: Duration = Duration::from_secs(10);
--- a/src/registry/announcement.rs
+++ b/src/registry/announcement.rs
@@ -92,6 +92,7 @@
             cold_remaining_ms: u64::try_from(self.cold_remaining.as_millis()).unwrap_or(u64::MAX),
             changed_index: 0,
             software_version: self.software_version.to_string(),
+            replaced_by: String::new(),
         }
     }
 }
--- a/src/registry/command.rs
+++ b/src/registry/command.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Command {
     /// The change.
-    #[prost(oneof = "Operation", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Operation", tags = "1, 2, 3, 4, 5, 6")]
     pub operation: Option<Operation>,
 }
 
@@ -29,6 +29,9 @@
     /// Marks a target as gone.
     #[prost(message, tag = "5")]
     Withdraw(Withdraw),
+    /// Adds a target in the place of the records that keep it out.
+    #[prost(message, tag = "6")]
+    TakeOver(TakeOver),
 }
 
 /// The size of the first complete group of replicas.
@@ -76,6 +79,29 @@
     pub incarnation: u64,
 }
 
+/// Adds a target that is alive although newer records keep it out.
+#[derive(Clone, PartialEq, Message)]
+pub struct TakeOver {
+    /// The target.
+    #[prost(message, required, tag = "1")]
+    pub record: TargetRecord,
+    /// The records that the proposer knew to be silent. The command has no effect if others keep
+    /// the target out, so that a delayed command does not undo a later change.
+    #[prost(message, repeated, tag = "2")]
+    pub displaced: Vec<RecordVersion>,
+}
+
+/// One version of the record of a target.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct RecordVersion {
+    /// The target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Log index at which the record last changed.
+    #[prost(uint64, tag = "2")]
+    pub changed_index: u64,
+}
+
 /// Result of applying a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
 #[repr(i32)]
--- a/src/registry/heartbeat_table.rs
+++ b/src/registry/heartbeat_table.rs
@@ -6,7 +6,7 @@
 
 use prost::Message;
 
-use super::{Announcement, VmSet};
+use super::{Announcement, MAX_LATENESS, TargetRecord, VmSet};
 use crate::crash;
 
 /// What a VM reports about itself.
@@ -87,6 +87,10 @@
     /// Number of the last announcement.
     #[prost(uint64, tag = "5")]
     pub sequence: u64,
+    /// Milliseconds since the announcement with this sequence number; `None` from a replica that
+    /// does not tell it from `age_ms`.
+    #[prost(uint64, optional, tag = "6")]
+    pub version_age_ms: Option<u64>,
 }
 
 /// A message between replicas: the heartbeats that the sender received directly from VMs and
@@ -136,6 +140,8 @@
     /// Incarnation and sequence number of the announcement, in this order. Announcements that
     /// arrive late have a lower version.
     pub version: (u64, u64),
+    /// Time at which a replica last received an announcement of this version.
+    pub version_received_at: Instant,
 }
 
 impl HeartbeatTable {
@@ -178,8 +184,9 @@
         let version = (announcement.incarnation, announcement.sequence);
         let received = LastAnnouncement {
             received_at,
-            cold_until: received_at + announcement.cold_remaining,
+            cold_until: received_at.checked_add(announcement.cold_remaining).unwrap_or(received_at),
             version,
+            version_received_at: received_at,
         };
         self.record_target(announcement.target.as_str(), received);
         self.unreported.insert(announcement.target.to_string());
@@ -187,12 +194,27 @@
 
     fn record_target(&mut self, target: &str, received: LastAnnouncement) {
         match self.targets.get_mut(target) {
-            Some(known) if known.version > received.version => {
+            // A late announcement is not that late: a version that is higher for longer is not of
+            // this target.
+            Some(known)
+                if known.version > received.version
+                    && received
+                        .received_at
+                        .saturating_duration_since(known.version_received_at)
+                        < MAX_LATENESS =>
+            {
                 known.received_at = known.received_at.max(received.received_at)
             }
             Some(known) => {
+                let same = known.version == received.version;
+                let known_at = known.version_received_at;
                 *known = LastAnnouncement {
                     received_at: known.received_at.max(received.received_at),
+                    version_received_at: if same {
+                        known_at.max(received.version_received_at)
+                    } else {
+                        received.version_received_at
+                    },
                     ..received
                 }
             }
@@ -213,7 +235,15 @@
             let (age_ms, cold_remaining_ms) =
                 (elapsed_ms(known.received_at, now), elapsed_ms(now, known.cold_until));
             let (incarnation, sequence) = known.version;
-            Some(TargetHeartbeat { target, age_ms, cold_remaining_ms, incarnation, sequence })
+            let version_age_ms = Some(elapsed_ms(known.version_received_at, now));
+            Some(TargetHeartbeat {
+                target,
+                age_ms,
+                cold_remaining_ms,
+                incarnation,
+                sequence,
+                version_age_ms,
+            })
         };
         let targets = targets.filter_map(heartbeat).collect();
         HeartbeatReport { vms, targets, crashes: None }
@@ -227,13 +257,15 @@
             }
         }
         for heartbeat in report.targets {
-            let received_at =
-                now.checked_sub(Duration::from_millis(heartbeat.age_ms)).unwrap_or(now);
-            let cold_until = now + Duration::from_millis(heartbeat.cold_remaining_ms);
+            let at = |age_ms| now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
+            let received_at = at(heartbeat.age_ms);
+            let cold_remaining = Duration::from_millis(heartbeat.cold_remaining_ms);
+            let cold_until = now.checked_add(cold_remaining).unwrap_or(now);
             let received = LastAnnouncement {
                 received_at,
                 cold_until,
                 version: (heartbeat.incarnation, heartbeat.sequence),
+                version_received_at: at(heartbeat.version_age_ms.unwrap_or(heartbeat.age_ms)),
             };
             self.record_target(&heartbeat.target, received);
         }
@@ -251,6 +283,16 @@
         self.targets.get(target).copied()
     }
 
+    /// Whether no announcement as new as a record has been received for longer than announcements
+    /// are delayed.
+    pub fn is_silent(&self, record: &TargetRecord, now: Instant) -> bool {
+        let version = (record.incarnation, record.sequence);
+        let last = self.targets.get(&record.target).filter(|last| last.version >= version);
+        last.is_none_or(|last| {
+            now.saturating_duration_since(last.version_received_at) >= MAX_LATENESS
+        })
+    }
+
     /// The load of each service in each region, keyed by region and service. Each comes from the VM
     /// of the region that was heard last.
     pub fn loads(&self, now: Instant) -> BTreeMap<(&str, &str), &ServiceLoad> {
--- a/src/registry/state_machine.rs
+++ b/src/registry/state_machine.rs
@@ -5,7 +5,7 @@
 
 use prost::{Message, bytes::Bytes};
 
-use super::{Command, Drain, Operation, Publish, Reply, State, TargetRecord, Withdraw};
+use super::{Command, Drain, Operation, Publish, Reply, State, TakeOver, TargetRecord, Withdraw};
 use crate::replica::{self, change_notifier::ChangeNotifier};
 
 /// Number of records of gone targets that are kept to reject late announcements; the oldest are
@@ -107,6 +107,17 @@
         self.targets.get(target)
     }
 
+    /// The records that keep an announcement from changing anything: a newer one of the target, and
+    /// those of targets that started later at the same address.
+    pub fn blocking(&self, record: &TargetRecord) -> impl Iterator<Item = &TargetRecord> {
+        self.targets.values().filter(|known| {
+            if known.target == record.target {
+                return record.is_outdated_by(known);
+            }
+            known.address == record.address && known.incarnation > record.incarnation
+        })
+    }
+
     /// The zones whose targets receive no requests.
     pub fn drained_zones(&self) -> impl Iterator<Item = &str> {
         self.zones.values().filter(|zone| zone.drained).map(|zone| zone.zone.as_str())
@@ -145,6 +156,7 @@
             Operation::Drain(drain) => self.set_drain(index, drain),
             Operation::Announce(record) => self.announce(index, record),
             Operation::Withdraw(withdraw) => self.withdraw(index, &withdraw),
+            Operation::TakeOver(take_over) => self.take_over(index, take_over),
         }
     }
 
@@ -172,12 +184,44 @@
     }
 
     fn announce(&mut self, index: u64, record: TargetRecord) -> Reply {
-        if self.is_outdated(&record) {
+        if self.blocking(&record).next().is_some() {
             return Reply::Stands;
         }
         let leaving = self.targets.get(&record.target).is_some_and(|known| {
             known.incarnation == record.incarnation && known.state() == State::Leaving
         });
+        let state = if leaving { State::Leaving } else { record.state() };
+        self.store(index, record, state);
+        Reply::Changed
+    }
+
+    fn take_over(&mut self, index: u64, TakeOver { record, displaced }: TakeOver) -> Reply {
+        let blocking: Vec<TargetRecord> = self.blocking(&record).cloned().collect();
+        let may_take_over = |known: &TargetRecord| {
+            let withdrawn = known.target == record.target && known.is_withdrawn(record.incarnation);
+            !withdrawn && displaced.contains(&known.version())
+        };
+        if !blocking.iter().all(may_take_over) {
+            return Reply::Stands;
+        }
+        for known in blocking.into_iter().filter(|known| known.target != record.target) {
+            // The start of the record may be absurd and must not block the target again.
+            self.put(TargetRecord {
+                incarnation: 0,
+                sequence: 0,
+                state: State::Gone.into(),
+                replaced_by: record.target.clone(),
+                changed_index: index,
+                ..known
+            });
+        }
+        let state = record.state();
+        self.store(index, record, state);
+        Reply::Changed
+    }
+
+    /// Stores the record of a target that holds its address from now on.
+    fn store(&mut self, index: u64, record: TargetRecord, state: State) {
         // Two processes cannot listen on one address, so any other target that held it is gone.
         let replaced: Vec<String> = self
             .targets
@@ -187,34 +231,18 @@
             .map(|known| known.target.clone())
             .collect();
         for target in replaced {
-            self.mark_gone(index, &target);
+            self.mark_gone(index, &target, &record.target);
         }
-        let state = if leaving { State::Leaving } else { record.state() };
         self.put(TargetRecord { state: state.into(), changed_index: index, ..record });
-        Reply::Changed
-    }
-
-    /// Whether the registry holds a newer record of the target, or one of a target that started
-    /// later at the same address.
-    fn is_outdated(&self, record: &TargetRecord) -> bool {
-        if let Some(known) = self.targets.get(&record.target) {
-            let late = known.incarnation == record.incarnation
-                && (known.state() == State::Gone || record.sequence <= known.sequence);
-            if known.incarnation > record.incarnation || late {
-                return true;
-            }
-        }
-        let mut others = self.targets.values().filter(|known| known.target != record.target);
-        others
-            .any(|known| known.address == record.address && known.incarnation > record.incarnation)
     }
 
     fn withdraw(&mut self, index: u64, withdraw: &Withdraw) -> Reply {
         match self.targets.get(&withdraw.target) {
             Some(known)
-                if known.incarnation == withdraw.incarnation && known.state() != State::Gone =>
+                if known.incarnation == withdraw.incarnation
+                    && !known.is_withdrawn(withdraw.incarnation) =>
             {
-                self.mark_gone(index, &withdraw.target);
+                self.mark_gone(index, &withdraw.target, "");
                 Reply::Changed
             }
             _ => Reply::Stands,
@@ -229,12 +257,13 @@
         self.targets.insert(record.target.clone(), record);
     }
 
-    /// Marks a target as gone, and drops the oldest record of a gone target if there are too many.
-    fn mark_gone(&mut self, index: u64, target: &str) {
+    /// Marks a target as gone, replaced by another one unless that is empty, and drops the oldest record of a gone target if there are too many.
+    fn mark_gone(&mut self, index: u64, target: &str, replaced_by: &str) {
         if let Some(record) = self.targets.get(target) {
             self.put(TargetRecord {
                 state: State::Gone.into(),
                 changed_index: index,
+                replaced_by: replaced_by.to_owned(),
                 ..record.clone()
             });
         }
--- a/src/registry/target_record.rs
+++ b/src/registry/target_record.rs
@@ -1,5 +1,6 @@
 use prost::{Enumeration, Message};
 
+use super::RecordVersion;
 use crate::id;
 
 /// State of a target.
@@ -50,9 +51,33 @@
     /// Version of the software that the target runs; empty if it is unknown.
     #[prost(string, tag = "11")]
     pub software_version: String,
+    /// The target that took over the address of this one; empty if none did. Otherwise a gone target
+    /// has been withdrawn.
+    #[prost(string, tag = "12")]
+    pub replaced_by: String,
 }
 
 impl TargetRecord {
+    /// The record's version.
+    pub fn version(&self) -> RecordVersion {
+        RecordVersion { target: self.target.clone(), changed_index: self.changed_index }
+    }
+
+    /// Whether the target of this record is the one of `known`, which has said the same or something
+    /// newer.
+    pub fn is_outdated_by(&self, known: &Self) -> bool {
+        let late = known.incarnation == self.incarnation
+            && (known.state() == State::Gone || self.sequence <= known.sequence);
+        known.target == self.target && (known.incarnation > self.incarnation || late)
+    }
+
+    /// Whether this incarnation of the target has been withdrawn, so that it never returns.
+    pub fn is_withdrawn(&self, incarnation: u64) -> bool {
+        self.incarnation == incarnation
+            && self.state() == State::Gone
+            && self.replaced_by.is_empty()
+    }
+
     /// Version of the software that the target runs; `None` if a process that did not know it wrote
     /// the record.
     pub fn software_version(&self) -> Option<id::SoftwareVersion> {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -5,9 +5,9 @@
 use pomelogate::{
     id,
     registry::{
-        Announcement, ColdTarget, ColdTargets, Command, Drain, HeartbeatTable, Mirror, Operation,
-        Publish, Reply, ServiceLoad, State, StateMachine, TargetRecord, Update, VmChanges, VmInfo,
-        Withdraw,
+        Announcement, ColdTarget, ColdTargets, Command, ContestTracker, Drain, HeartbeatTable,
+        Mirror, Operation, Publish, Reply, ServiceLoad, State, StateMachine, TakeOver,
+        TargetRecord, Update, VmChanges, VmInfo, Withdraw,
     },
     replica::StateMachine as _,
 };
@@ -330,3 +330,129 @@
     other.record_announcement(&announcement(6, Duration::ZERO), now + second * 2);
     assert!(!is_cold(&other, now + second * 2));
 }
+
+/// The command with which `record` takes the place of all records that keep it out.
+fn take_over(registry: &Registry, record: &TargetRecord) -> Operation {
+    let displaced = registry.state_machine.blocking(record).map(TargetRecord::version).collect();
+    Operation::TakeOver(TakeOver { record: record.clone(), displaced })
+}
+
+/// A sound target stayed out of the registry for good because of a record with a later start.
+#[test]
+fn a_target_takes_its_address_back_and_vms_see_it() {
+    let engines = id::Service::from("engines");
+    let mut registry = Registry::new();
+    registry.announce(record("sound", 100, 1, 8080, false));
+    registry.announce(record("odd", u64::MAX, u64::MAX, 8080, false));
+    let mut mirror = Mirror::default();
+    mirror.apply(fresh_update(&registry.state_machine, 0), Instant::now());
+    let sound = record("sound", 100, 2, 8080, false);
+    assert_eq!(registry.announce(sound.clone()), Reply::Stands);
+    let take_over = take_over(&registry, &sound);
+    assert_eq!(registry.apply(take_over), Reply::Changed);
+    assert_eq!((registry.state("sound"), registry.state("odd")), (State::Ready, State::Gone));
+    mirror.apply(fresh_update(&registry.state_machine, mirror.index()), Instant::now());
+    let targets: Vec<_> = mirror.targets(&engines).iter().map(|it| it.target.as_str()).collect();
+    assert_eq!(targets, ["sound"]);
+    // The record that was displaced keeps out no later change.
+    let leaving = record("sound", 100, 3, 8080, true);
+    assert_eq!(registry.announce(leaving), Reply::Changed);
+    assert_eq!(registry.state("sound"), State::Leaving);
+}
+
+/// A start or a sequence number of another writer held the identifier of a sound target for good.
+#[test]
+fn a_target_takes_its_identifier_back() {
+    for (incarnation, sequence) in [(u64::MAX, 1), (100, u64::MAX)] {
+        let mut registry = Registry::new();
+        registry.announce(record("sound", incarnation, sequence, 9090, false));
+        let sound = record("sound", 100, 2, 8080, false);
+        assert_eq!(registry.announce(sound.clone()), Reply::Stands);
+        let take_over = take_over(&registry, &sound);
+        assert_eq!(registry.apply(take_over), Reply::Changed);
+        assert_eq!(registry.announce(record("sound", 100, 3, 8081, false)), Reply::Changed);
+    }
+}
+
+#[test]
+fn a_delayed_take_over_undoes_no_later_change() {
+    let mut registry = Registry::new();
+    registry.announce(record("newer", 200, 1, 8080, false));
+    let older = record("older", 100, 9, 8080, false);
+    let delayed = take_over(&registry, &older);
+    // The newer target announces a change after the command was proposed.
+    registry.announce(TargetRecord { slots: 32, ..record("newer", 200, 2, 8080, false) });
+    assert_eq!(registry.apply(delayed), Reply::Stands);
+    assert_eq!(registry.state("newer"), State::Ready);
+}
+
+#[test]
+fn a_withdrawn_target_takes_nothing_over() {
+    let mut registry = Registry::new();
+    registry.announce(record("one", 100, 1, 8080, false));
+    let withdraw = Withdraw { target: "one".to_owned(), incarnation: 100 };
+    registry.apply(Operation::Withdraw(withdraw.clone()));
+    let late = record("one", 100, 2, 8080, false);
+    let operation = take_over(&registry, &late);
+    assert_eq!(registry.apply(operation), Reply::Stands);
+    assert_eq!(registry.state("one"), State::Gone);
+    // Also if it was withdrawn after another one had taken its address.
+    registry.announce(record("two", 100, 1, 9090, false));
+    registry.announce(record("odd", 900, 1, 9090, false));
+    let withdraw = Withdraw { target: "two".to_owned(), ..withdraw };
+    assert_eq!(registry.apply(Operation::Withdraw(withdraw)), Reply::Changed);
+    let late = record("two", 100, 2, 9090, false);
+    let operation = take_over(&registry, &late);
+    assert_eq!(registry.apply(operation), Reply::Stands);
+}
+
+/// Late announcements come for a time, those of a live target go on; a burst is no proof.
+#[test]
+fn only_announcements_that_go_on_show_that_a_target_is_alive() {
+    let start = Instant::now();
+    let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
+    let announced = |sequence| record("one", 100, sequence, 8080, false);
+    let mut tracker = ContestTracker::default();
+    let mut burst = (0..100).map(|sequence| (sequence, at(0.01 * sequence as f64)));
+    assert!(!burst.any(|(sequence, at)| tracker.record(&announced(sequence), at)));
+    // The same one again and again is not newer, and a long pause starts anew.
+    assert!(!(1..20).any(|second| tracker.record(&announced(99), at(f64::from(second)))));
+    assert!(!(40..50).any(|second| tracker.record(&announced(second), at(second as f64))));
+    assert!(tracker.record(&announced(50), at(50.0)));
+    tracker.forget("one");
+    assert!(!tracker.record(&announced(51), at(51.0)));
+}
+
+/// The last announcement of another writer held a target's number, and with it the target's content.
+#[test]
+fn a_number_that_nobody_repeats_is_forgotten() {
+    let start = Instant::now();
+    let announcement = |sequence, cold_remaining| Announcement {
+        target: "one".into(),
+        incarnation: 100,
+        sequence,
+        service: "engines".into(),
+        address: ([10, 0, 0, 9], 8080).into(),
+        zone: "jakarta-a".into(),
+        slots: 64,
+        leaving: false,
+        cold_remaining,
+        software_version: id::SoftwareVersion::from("v1"),
+    };
+    let second = Duration::from_secs(1);
+    let (mut one, mut other) = (HeartbeatTable::new(second * 3), HeartbeatTable::new(second * 3));
+    let odd = record("one", 100, u64::MAX, 8080, false);
+    one.record_announcement(&announcement(u64::MAX, Duration::MAX), start);
+    for sequence in 1..=11 {
+        let now = start + second * sequence;
+        one.record_announcement(&announcement(sequence.into(), Duration::ZERO), now);
+        other.merge(one.report(|_| true, now), now);
+        let lasts = sequence >= 10;
+        assert_eq!((one.is_silent(&odd, now), other.is_silent(&odd, now)), (lasts, lasts));
+    }
+    let now = start + second * 11;
+    for table in [one, other] {
+        let last = table.last_announcement("one").expect("heard");
+        assert_eq!((last.version, last.cold_until), ((100, 11), now));
+    }
+}
