Leave out targets that other VMs tell of without a usable address

On the path of models a target's own announcement was checked for port 0 and unspecified addresses, but not the reports of other VMs.

odd_gossip_is_left_out failed before: "odd at 10.0.0.9:0". That the highest incarnation of another writer holds an identifier only for the lease held before; it has its test now.

--- a/src/target/view.rs
+++ b/src/target/view.rs
@@ -7,7 +7,7 @@
     Announcement, Capacity, Gossip, Index, Line, Load, Need, Nonsense, Offer, Renewal, Renewals,
     Report, Sent, Settings, Summary, message::millis,
 };
-use crate::id;
+use crate::{http::is_connectable, id};
 
 /// Summaries of a region that seem to be written within this time count as one: the time that each
 /// copy spends on its way makes it look later than it is.
@@ -98,7 +98,8 @@
         let mut left = Vec::new();
         for sent in &gossip.reports {
             let Some(report) = sent.decode(now) else { continue };
-            if report.announcement.region == self.region {
+            let Announcement { region, address, .. } = &report.announcement;
+            if *region == self.region && is_connectable(*address) {
                 let target = report.announcement.target.clone();
                 if self.learn(report) {
                     left.push(target);
@@ -385,7 +386,7 @@
             return Err(Nonsense::Name(name));
         }
         let address = announcement.address;
-        if address.ip().is_unspecified() || address.ip().is_multicast() || address.port() == 0 {
+        if !is_connectable(address) {
             return Err(Nonsense::Address(address));
         }
         if announcement.region != self.region {
--- a/tests/target_view.rs
+++ b/tests/target_view.rs
@@ -6,7 +6,7 @@
 
 use pomelogate::{
     id,
-    target::{Announcement, Gossip, Load, Need, Nonsense, Offer, Settings, View},
+    target::{Announcement, Gossip, Load, Need, Nonsense, Offer, Settings, Summary, View},
 };
 use proptest::prelude::*;
 use support::targets::{announcement, model, service};
@@ -274,3 +274,55 @@
     }
     assert_eq!(told, [0, 200, 600]);
 }
+
+/// An announcement of another writer with the highest incarnation must not hold a target's
+/// identifier for longer than its lease.
+#[test]
+fn a_sound_target_is_back_after_the_lease_of_an_odd_announcement() {
+    let lease = Settings::default().lease;
+    let mut now = Instant::now();
+    let mut view = view("one", "jakarta");
+    let max = u32::MAX;
+    let load = Load { running: max, waiting: max, slots: max, waiting_tokens: max };
+    let odd = Announcement { load, models: max, offers: vec![service("odd")], ..engine(u64::MAX) };
+    view.announce(odd, now).expect("announced");
+    assert!(!serves(&view, now));
+    let end = now + lease * 4;
+    while !serves(&view, now) && now < end {
+        view.announce(engine(1), now).expect("announced");
+        let before = now;
+        now += lease / 8;
+        view.expire(before, now);
+    }
+    assert!(serves(&view, now));
+}
+
+/// Messages of other VMs are data: odd ones are left out, and sums of loads don't overflow.
+#[test]
+fn odd_gossip_is_left_out() {
+    let now = Instant::now();
+    let (mut one, mut other) = (view("one", "jakarta"), view("other", "jakarta"));
+    let max = u32::MAX;
+    let load = Load { running: 0, waiting: max, slots: max, waiting_tokens: max };
+    for target in ["engine", "second"] {
+        let announcement = Announcement { target: target.into(), load, ..engine(1) };
+        one.announce(announcement, now).expect("announced");
+    }
+    let sound = one.sent(&"engine".into(), now).expect("known");
+    let odd_addresses = ["10.0.0.9:0", "0.0.0.0:1", "10.0.0.9:65536", "nowhere"].map(|address| {
+        let mut report = sound.clone();
+        (report.target, report.address) = (format!("odd at {address}"), address.to_owned());
+        report
+    });
+    let mut old = sound.clone();
+    (old.target, old.age_ms) = ("old".to_owned(), u64::MAX);
+    let mut reports = odd_addresses.to_vec();
+    reports.extend([old, sound, one.sent(&"second".into(), now).expect("known")]);
+    let summary = Summary { region: "mars".to_owned(), age_ms: u64::MAX, lines: Vec::new() };
+    other.merge(&Gossip { reports, summaries: vec![summary], ..Gossip::default() }, now);
+    assert!(serves(&other, now));
+    for report in ["odd at 10.0.0.9:0", "odd at 0.0.0.0:1", "odd at nowhere"] {
+        assert!(other.sent(&report.into(), now).is_none(), "{report}");
+    }
+    let _ = other.summary(now, |_| true);
+}
