Read odd records of the registry as data

Records that an older process wrote before announcements were checked may hold any number. Mirrors leave out those without a usable address and log each once; times and sums of slots are checked or saturate.

--- a/src/event/registry.rs
+++ b/src/event/registry.rs
@@ -40,6 +40,9 @@
     severity: Severity::Warning,
     text: "target took over from silent records",
 };
+/// A record of the registry names a target that no request can be sent to.
+pub const UNUSABLE: Event =
+    Event { number: 712, severity: Severity::Warning, text: "target has no usable address" };
 
 /// Every event of this part.
 pub const ALL: &[Event] = &[
@@ -55,4 +58,5 @@
     SEEDS,
     NOT_RELOADED,
     TAKEN_OVER,
+    UNUSABLE,
 ];
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -380,7 +380,7 @@
                 continue;
             }
             let tracker = self.tracker(target, now);
-            load.slots += target.slots;
+            load.slots = load.slots.saturating_add(target.slots);
             load.requests += tracker.in_flight(now).requests;
             load.min_backlog_secs = load.min_backlog_secs.min(tracker.backlog_secs(now));
         }
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -149,6 +149,11 @@
         for TargetIncarnation { target, incarnation } in self.mirror().take_ended_incarnations() {
             self.record_crash(&target, incarnation);
         }
+        let unusable_targets = self.mirror().take_unusable_targets();
+        for (target, address) in unusable_targets {
+            event::registry::UNUSABLE
+                .emit(&self.logger, &[("target", &target), ("address", &address)]);
+        }
         if let Some(routes) = routes.filter(|_| applied) {
             self.apply_routes(routes.version, &routes.text);
         }
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -5,7 +5,7 @@
 };
 
 use super::{ColdTarget, RegionLoad, State, TargetRecord, Update, VmChanges, VmInfo};
-use crate::id;
+use crate::{http::is_connectable, id};
 
 /// Time after the end of a zone's drain for which its targets count as cold. They may have become
 /// cold during the drain and say so only in their next announcement. Covers two announcements.
@@ -55,6 +55,8 @@
     cold_digest: u64,
     services: BTreeMap<id::Service, Vec<Target>>,
     ended_incarnations: Vec<TargetIncarnation>,
+    /// Targets without a usable address, each with whether it has been reported.
+    unusable_targets: BTreeMap<String, (String, bool)>,
     vms: Vec<VmInfo>,
     vms_digest: u64,
     loads: Vec<RegionLoad>,
@@ -123,7 +125,8 @@
             self.records.values_mut().for_each(|(_, cold_until)| *cold_until = now);
             for ColdTarget { target, remaining_ms } in cold.targets {
                 if let Some((_, cold_until)) = self.records.get_mut(&target) {
-                    *cold_until = now + Duration::from_millis(remaining_ms);
+                    let remaining = Duration::from_millis(remaining_ms);
+                    *cold_until = now.checked_add(remaining).unwrap_or(now);
                 }
             }
         }
@@ -152,6 +155,16 @@
         std::mem::take(&mut self.ended_incarnations)
     }
 
+    /// Returns the targets that no request can be sent to, with their addresses, each once.
+    pub fn take_unusable_targets(&mut self) -> Vec<(String, String)> {
+        let new = self.unusable_targets.iter_mut().filter(|(_, (_, reported))| !reported);
+        new.map(|(target, (address, reported))| {
+            *reported = true;
+            (target.clone(), address.clone())
+        })
+        .collect()
+    }
+
     fn apply_vm_changes(&mut self, changes: VmChanges, fresh: bool) {
         let VmChanges { digest, full, present, removed } = changes;
         // A replica that is cut off or has just started does not hear from all VMs, so it cannot
@@ -199,11 +212,18 @@
     fn rebuild_services(&mut self, now: Instant) {
         self.undrained_cold_until.retain(|_, until| *until > now);
         self.services.clear();
+        let mut known_unusable = std::mem::take(&mut self.unusable_targets);
         for (record, cold_until) in self.records.values() {
             if record.state() != State::Ready || self.drained_zones.contains(&record.zone) {
                 continue;
             }
-            let Ok(address) = record.address.parse() else { continue };
+            let Some(address) = record.address.parse().ok().filter(|at| is_connectable(*at)) else {
+                let known = known_unusable.remove(&record.target);
+                let known = known.filter(|(address, _)| *address == record.address);
+                let known = known.unwrap_or_else(|| (record.address.clone(), false));
+                self.unusable_targets.insert(record.target.clone(), known);
+                continue;
+            };
             let zone_cold_until =
                 self.undrained_cold_until.get(&record.zone).copied().unwrap_or(*cold_until);
             let target = Target {
--- a/src/vm/routing_decision.rs
+++ b/src/vm/routing_decision.rs
@@ -203,11 +203,12 @@
     ) -> bool {
         let loads =
             || candidates.iter().map(|candidate| candidate.load).filter(|load| load.slots > 0);
-        let slots: u32 = loads().map(|load| load.slots).sum();
-        let used_slots: u32 = loads().map(|load| load.running.saturating_add(load.waiting)).sum();
-        let free_slots = f64::from(slots) - f64::from(used_slots);
-        let reserved_slots = self.settings.placement.reserve * f64::from(slots);
-        request.handovers_between_regions > 0 && slots > 0 && free_slots - 1.0 < reserved_slots
+        let slots: f64 = loads().map(|load| f64::from(load.slots)).sum();
+        let used_slots: f64 =
+            loads().map(|load| f64::from(load.running) + f64::from(load.waiting)).sum();
+        let free_slots = slots - used_slots;
+        let reserved_slots = self.settings.placement.reserve * slots;
+        request.handovers_between_regions > 0 && slots > 0.0 && free_slots - 1.0 < reserved_slots
     }
 
     fn log_decision(&self, request: &path::Request<Admitted>, decision: &Decision) {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -456,3 +456,28 @@
         assert_eq!((last.version, last.cold_until), ((100, 11), now));
     }
 }
+
+/// Records that an older process wrote stopped the VMs that read them.
+#[test]
+fn a_record_without_a_usable_address_is_left_out_and_reported_once() {
+    let now = Instant::now();
+    let sound = record("sound", 100, 1, 8080, false);
+    let addresses = ["10.0.0.9:0", "0.0.0.0:80", "224.0.0.1:80", "10.0.0.9:65536", "nowhere", ""];
+    let odd = addresses.iter().enumerate().map(|(number, address)| TargetRecord {
+        target: format!("odd-{number}"),
+        address: (*address).to_owned(),
+        slots: u32::MAX,
+        cold_remaining_ms: u64::MAX,
+        ..sound.clone()
+    });
+    let cold = ColdTarget { target: "sound".to_owned(), remaining_ms: u64::MAX };
+    let cold_targets = Some(ColdTargets { digest: 1, targets: vec![cold] });
+    let targets = odd.chain([sound.clone()]).collect();
+    let update = Update { index: 1, targets, cold_targets, fresh: true, ..Update::default() };
+    let mut mirror = Mirror::default();
+    assert!(mirror.apply(update, now));
+    assert_eq!(mirror.targets(&"engines".into()).len(), 1);
+    assert_eq!(mirror.take_unusable_targets().len(), addresses.len());
+    assert!(mirror.apply(Update { index: 2, fresh: true, ..Update::default() }, now));
+    assert_eq!(mirror.take_unusable_targets(), []);
+}
