--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -1,16 +1,19 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use prost::{Message, bytes::Bytes};
 use smol::{Timer, channel::Sender};
 
-use super::{CommandError, Control, Outcome, replica::GROUP};
+use super::{CommandError, Control, Outcome, replica::GROUP, server::lock};
 use crate::{
     event, id,
     registry::{
-        Announcement, Command, Drain, Operation, Publish, Reply, State, StateMachine, TargetRecord,
-        Withdraw,
+        Announcement, Command, Drain, Operation, Publish, Reply, State, StateMachine, TakeOver,
+        TargetRecord, Withdraw,
     },
-    replica::{ForwardOutcome, ForwardReply, ForwardRequest, RequestError},
+    replica::{ForwardOutcome, ForwardReply, ForwardRequest, Group, RequestError},
     wire::Topic,
 };
 
@@ -32,6 +35,9 @@
 /// Number of times a drain is proposed if concurrent changes of the zone invalidate it.
 const MAX_DRAIN_ATTEMPTS: usize = 4;
 
+/// Maximum length of a text from outside in the log.
+const MAX_LOGGED_CHARS: usize = 256;
+
 impl Control {
     /// Publishes a list of routes.
     ///
@@ -92,9 +98,14 @@
     ///
     /// # Errors
     ///
-    /// If it changes what all VMs must know and no quorum confirmed it.
+    /// If no target can be as it says, or if it changes what all VMs must know and no quorum confirmed
+    /// it.
     pub async fn announce(&self, announcement: Announcement) -> Result<Outcome, CommandError> {
         let now = self.clock.now();
+        if let Err(error) = announcement.check() {
+            let cause = self.refuse_announcement(announcement.target.as_str(), &error.to_string());
+            return Err(CommandError::Invalid(cause));
+        }
         let group =
             self.group().ok_or_else(|| unconfirmed("the replica's folder cannot be used"))?;
         let record = announcement.record();
@@ -103,10 +114,15 @@
         if known.as_ref().is_none_or(|known| known.incarnation <= record.incarnation) {
             self.heartbeats().record_announcement(&announcement, now);
         }
-        if !is_change {
+        let is_outdated = known.as_ref().is_some_and(|known| record.is_outdated_by(known));
+        let take_over =
+            if is_change || is_outdated { self.take_over(&group, &record, now) } else { None };
+        if !is_change && take_over.is_none() {
             return Ok(Outcome::Confirmed);
         }
-        let result = self.propose(Operation::Announce(record.clone()), ANNOUNCE_TIMEOUT).await;
+        let operation =
+            take_over.map_or_else(|| Operation::Announce(record.clone()), Operation::TakeOver);
+        let result = self.propose(operation, ANNOUNCE_TIMEOUT).await;
         let state = format!("{:?}", record.state());
         let outcome = outcome_text(&result);
         event::registry::TARGET.emit(
@@ -126,6 +142,57 @@
         result.map(|_| Outcome::Confirmed)
     }
 
+    /// The command for an announcement that silent records keep out of the registry, if its sender is
+    /// alive.
+    fn take_over(
+        &self,
+        group: &Group<StateMachine>,
+        record: &TargetRecord,
+        now: Instant,
+    ) -> Option<TakeOver> {
+        let blocking: Vec<TargetRecord> =
+            group.read(|registry| registry.blocking(record).cloned().collect());
+        let withdrawn = |known: &TargetRecord| {
+            known.target == record.target && known.is_withdrawn(record.incarnation)
+        };
+        if blocking.is_empty() || blocking.iter().any(withdrawn) {
+            return None;
+        }
+        let is_alive = lock(&self.contests).record(record, now);
+        let heartbeats = self.heartbeats();
+        if !is_alive || !blocking.iter().all(|known| heartbeats.is_silent(known, now)) {
+            return None;
+        }
+        drop(heartbeats);
+        let displaced = blocking.iter().map(TargetRecord::version).collect();
+        let names: Vec<&str> = blocking.iter().map(|known| known.target.as_str()).collect();
+        event::registry::TAKEN_OVER.emit(
+            &self.logger,
+            &[
+                ("target", &record.target),
+                ("address", &record.address),
+                ("born", &record.incarnation),
+                ("displaced", &names.join(" ")),
+            ],
+        );
+        Some(TakeOver { record: record.clone(), displaced })
+    }
+
+    /// Logs, at a bounded rate, an announcement that names no target. Returns the cause, shortened.
+    pub fn refuse_announcement(&self, target: &str, cause: &str) -> String {
+        let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+        let (target, cause) = (shorten(target), shorten(cause));
+        let mut sampler = lock(&self.refusal_sampler);
+        if sampler.passes(self.clock.now()) {
+            let left_out = sampler.take_left_out();
+            event::registry::NO_TARGET.emit(
+                &self.logger,
+                &[("target", &target), ("cause", &cause), ("left_out", &left_out)],
+            );
+        }
+        cause
+    }
+
     /// Marks a target as gone.
     ///
     /// # Errors
@@ -138,8 +205,9 @@
             .read_barrier(ANNOUNCE_TIMEOUT)
             .await
             .map_err(|cause| unconfirmed(&cause.to_string()))?;
+        lock(&self.contests).forget(target.as_str());
         let known = group.read(|registry| registry.target(target.as_str()).cloned());
-        let Some(known) = known.filter(|known| known.state() != State::Gone) else {
+        let Some(known) = known.filter(|known| !known.is_withdrawn(known.incarnation)) else {
             return Ok(Outcome::Confirmed);
         };
         let withdraw = Withdraw { target: known.target, incarnation: known.incarnation };
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -13,7 +13,9 @@
 //! The [`MembershipController`] adds replicas to the group and removes them.
 
 mod announcement;
+mod announcement_error;
 mod command;
+mod contest_tracker;
 mod heartbeat_table;
 mod membership_controller;
 mod mirror;
@@ -23,9 +25,15 @@
 mod version_ends;
 mod vm_set;
 
+use std::time::Duration;
+
 pub use self::{
     announcement::Announcement,
-    command::{Command, Drain, Establish, Operation, Publish, Reply, Withdraw},
+    announcement_error::AnnouncementError,
+    command::{
+        Command, Drain, Establish, Operation, Publish, RecordVersion, Reply, TakeOver, Withdraw,
+    },
+    contest_tracker::ContestTracker,
     heartbeat_table::{
         HeartbeatReport, HeartbeatTable, LastAnnouncement, ServiceLoad, TargetHeartbeat,
         VmHeartbeat, VmInfo,
@@ -40,3 +48,7 @@
     },
     vm_set::VmSet,
 };
+
+/// Longest time for which an announcement is delayed on its way. Targets announce themselves several
+/// times in it.
+const MAX_LATENESS: Duration = Duration::from_secs(10);
