Prove a sole version over the time that a caller has, not only its route's

A caller with more time than twice its route's timeout could take a stream up after all records were lost and the older version had left: the newer one counted as sole after the route's timeout and 10 s, and the stream was joined from both.

--- a/src/gateway/stream_records.rs
+++ b/src/gateway/stream_records.rs
@@ -25,8 +25,11 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long other replicas may take to contradict a record: a round trip between regions.
 const CONFLICT_TIMEOUT: Duration = Duration::from_millis(200);
-/// For this much longer than its route's timeout, a stream may still go on at a target that was
-/// withdrawn, or that a VM with an old view believes to serve.
+/// A caller is assumed to take a stream up within this many times the longer of its route's timeout
+/// and the time that it has left.
+const CALLER_TIMEOUTS: u32 = 2;
+/// How long a stream may still begin at a target that was withdrawn: the target serves for a while,
+/// and VMs with an old view go on sending to it.
 const HORIZON_MARGIN: Duration = Duration::from_secs(10);
 /// A longer name of a stream is cut off in the log.
 const MAX_NAME_CHARS: usize = 64;
@@ -91,7 +94,9 @@
 
     /// Asks all replicas at which software version a stream began.
     async fn look_up_stream(&self, request: &RoutedRequest) -> Resolution {
-        let horizon = request.route.timeout + HORIZON_MARGIN;
+        let now = self.clock.now();
+        let time_left = request.stream_deadline.saturating_duration_since(now);
+        let horizon = CALLER_TIMEOUTS * time_left.max(request.route.timeout) + HORIZON_MARGIN;
         let query = Query {
             key: request.stream_key.map_or(0, Key::get),
             service: request.service.to_string(),
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -194,6 +194,8 @@
     targets: Vec<FakeTarget>,
     behaviors: Behaviors,
     route_timeout: Duration,
+    /// The time that callers name in each request.
+    callers_time: Duration,
     data: TempDir,
 }
 
@@ -277,6 +279,7 @@
             targets: Vec::new(),
             behaviors: Behaviors::default(),
             route_timeout,
+            callers_time: TIME_BUDGET,
             data,
         };
         let publish = format!("publish {}", route_timeout.as_millis());
@@ -396,7 +399,7 @@
         id: &str,
         headers: &[(&'static str, HeaderValue)],
     ) -> (u16, HeaderMap, String, bool) {
-        send_to(self.callers_address(vm), path, id, headers).await
+        send_to(self.callers_address(vm), self.callers_time, path, id, headers).await
     }
 
     fn callers_address(&self, vm: u8) -> SocketAddr {
@@ -420,7 +423,7 @@
             assert!(tasks.len() < 20 * busy.len(), "requests reach each target");
             let (path, sent_id) = (path.clone(), id.clone());
             tasks.push(smol::spawn(async move {
-                send_to(callers, &path, &sent_id, &[]).await;
+                send_to(callers, TIME_BUDGET, &path, &sent_id, &[]).await;
             }));
             let arrived =
                 || busy.iter().map(|busy| busy.requests_with_id(&id).len()).sum::<usize>();
@@ -497,6 +500,7 @@
 
 async fn send_to(
     callers: SocketAddr,
+    time: Duration,
     path: &str,
     id: &str,
     headers: &[(&'static str, HeaderValue)],
@@ -504,12 +508,12 @@
     let mut request = Request::post(path)
         .header("host", "a.example")
         .header("request", id)
-        .header("time-left", TIME_BUDGET.as_millis().to_string());
+        .header("time-left", time.as_millis().to_string());
     for (name, value) in headers {
         request = request.header(*name, value);
     }
     let request = request.body(http::full("the body")).expect("a request");
-    let timeout = TIME_BUDGET + Duration::from_secs(4);
+    let timeout = time + Duration::from_secs(4);
     let result = http::send_request(callers, request, timeout, timeout).await;
     let Ok((response, _driver)) = result else {
         return (0, HeaderMap::new(), String::new(), false);
@@ -809,6 +813,28 @@
 }
 
 /// Guards against two faults once everything was killed: that a version is taken for the only one before it
+/// Guards against the conclusion that a stream began at the only version of today, where its caller has
+/// more time than the route's timeout and the older version left meanwhile.
+#[test]
+fn caller_with_more_time_than_its_route_gets_no_stream_of_two_versions() {
+    smol::block_on(async {
+        let gateways = [(2, "jakarta"), (3, "jakarta")];
+        let timeout = Duration::from_millis(1500);
+        let mut deployment = Deployment::start_with(&gateways, &OF_V1, timeout).await;
+        let mut streams = deployment.begin_some(2, 2).await;
+        deployment.add_targets(&MANY_OF_V2[..2]).await;
+        for (name, _) in OF_V1 {
+            deployment.withdraw(name).await;
+        }
+        deployment.restart_all(true).await;
+        let end = Instant::now() + Duration::from_secs(16);
+        while Instant::now() < end {
+            assert_eq!(deployment.take_up_all(&[2, 3], &mut streams).await, 0);
+            Timer::after(Duration::from_millis(500)).await;
+        }
+    });
+}
+
 /// has served alone for longer than any stream lasts, and that streams are refused for ever after.
 #[test]
 fn version_counts_as_the_only_one_only_after_it_has_served_alone_for_long() {
@@ -816,6 +842,7 @@
         let gateways = [(2, "jakarta"), (3, "jakarta")];
         let timeout = Duration::from_millis(1500);
         let mut deployment = Deployment::start_with(&gateways, &OF_V1, timeout).await;
+        deployment.callers_time = 2 * timeout;
         let mut streams = deployment.begin_some(2, 2).await;
         deployment.restart_all(true).await;
         assert_eq!(deployment.take_up_all(&[2, 3], &mut streams).await, 0, "none is proven");
