--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -15,6 +15,9 @@
 /// The `Retry-After` of a request that this VM refuses because it stops; other VMs serve it.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Number of routes whose answer times are kept.
+const MAX_TIMED_ROUTES: usize = 4096;
+
 impl Gateway {
     /// Begins to stop: every request must have ended within `length`.
     pub(super) fn begin_grace(&self, length: Duration) -> Grace {
@@ -56,6 +59,10 @@
         if let Some(times) = answer_times.get_mut(&route.name) {
             return times.record(time, now);
         }
+        // Bounds the memory, as routes come and go.
+        if answer_times.len() >= MAX_TIMED_ROUTES {
+            answer_times.clear();
+        }
         answer_times.entry(route.name.clone()).or_default().record(time, now);
     }
 }
