Stops go by answers from before targets slowed (failing test)

Callers of a VM that stops get streams that are cut, and 502, though the VM could know: stop::AnswerTimes holds answers that have ended, so that targets that became slow leave only the quick answers of before. What is in flight, and how long already, counts for nothing.

Red: 'stream late: "http/1.1 200 ok' without its last chunk; with the cases in the other order 'once late: "http/1.1 502'.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1134,6 +1134,49 @@
     });
 }
 
+/// Guards against a stop that goes by the answers of the time before its targets became slow: what
+/// is in flight has taken longer already than the rest of the grace.
+#[test]
+fn request_late_in_a_stop_is_refused_if_those_in_flight_already_take_longer_than_is_left() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        deployment.set_behaviors("/once/hang", &[Behavior::Hang]);
+        deployment.set_behaviors("/stream/hang", &[Behavior::EventsThenComments(3)]);
+        deployment.set_behaviors("/stream/quick", &[Behavior::AllEvents]);
+        let callers = deployment.callers_address();
+        let mut connections = Vec::new();
+        for kind in ["stream", "once"] {
+            for number in 0..5 {
+                let (id, path) = (format!("{kind} quick {number}"), format!("/{kind}/quick"));
+                assert_eq!(deployment.send_with_id(&id, Method::POST, &path).await.0, 200, "{id}");
+            }
+            let slow = format!("{kind} slow");
+            let mut in_flight = CallerConnection::open(callers).await;
+            in_flight.send(&request_parts(&slow, &format!("/{kind}/hang")).concat()).await;
+            eventually("it runs", async || deployment.arrival_count(&slow) == 1).await;
+            let late = format!("{kind} late");
+            let mut connection = CallerConnection::open(callers).await;
+            connection.send(&request_parts(&late, &format!("/{kind}/hang"))[..2].concat()).await;
+            connections.push((late, in_flight, connection));
+        }
+        Timer::after(GRACE / 2).await;
+        let Deployment { jakarta_gateway, targets, .. } = deployment;
+        let drain = smol::spawn(jakarta_gateway.drain());
+        // The notice period and the time for which connections are accepted have passed.
+        Timer::after(Duration::from_millis(800)).await;
+        for (_, _, connection) in &mut connections {
+            connection.send("the body").await;
+        }
+        for (late, _in_flight, mut connection) in connections {
+            let response = connection.read_to_close().await;
+            assert_refused(&late, &response);
+            let runs: usize = targets.iter().map(|it| it.requests_with_id(&late).len()).sum();
+            assert_eq!(runs, 0, "{late}: it ran");
+        }
+        drain.await;
+    });
+}
+
 /// Guards against a stopping gateway that refuses requests although their answers come in time.
 #[test]
 fn stopping_gateway_serves_requests_whose_answers_usually_come_in_time() {
