Stops cut streams longer than the deadline (failing test)

On the path of models, callers of long streams see them cut when their VM stops: the deadline bounds the first part of an answer, the drain lasts as long as the deadline, and then drops the server with all its connections.

Red: 'the stream in flight was cut off'; the same stream before the stop is whole.

--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -40,13 +40,17 @@
 
 impl Setup {
     async fn start() -> Self {
+        Self::start_with_deadline(Settings::default().deadline_ms).await
+    }
+
+    async fn start_with_deadline(deadline_ms: u64) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         fs::write(folder.path().join("operator.key"), OPERATOR_KEY).expect("the key written");
         let settings = deployment(&samples(), &[("jakarta", 2), ("surabaya", 1), ("bandung", 1)]);
         let operators = vec![list::hash_key(OPERATOR_KEY)];
         let settings = with_disks(settings, folder.path())
             .into_iter()
-            .map(|settings| Settings { operators: operators.clone(), ..settings })
+            .map(|settings| Settings { operators: operators.clone(), deadline_ms, ..settings })
             .collect();
         let fleet = Fleet::with(settings).await;
         let (jakarta, surabaya) = ([fleet.callers(1)], [fleet.callers(2)]);
@@ -230,3 +234,16 @@
         assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
     });
 }
+
+/// Guards against a stopping VM that cuts streams which last longer than a request may take to its
+/// first event. Nothing else bounds them, as the stream before the stop shows.
+#[test]
+fn a_vm_told_to_stop_completes_a_stream_that_lasts_longer_than_its_deadline() {
+    smol::block_on(async {
+        let setup = Setup::start_with_deadline(2000).await;
+        assert!(setup.stream().await.await, "a stream without a stop was cut off");
+        let stream = setup.stream().await;
+        setup.fleet.vms[0].ask_to_stop();
+        assert!(stream.await, "the stream in flight was cut off");
+    });
+}
