Count requests in flight in the decision of a stop

A VM that stops judged by answers that had ended. When targets had just become slow, those were the quick ones before: a request that became whole 0.8 s into a grace of 1.3 s was sent while one in flight had taken over 1 s; its stream was cut, and a request that may run once got 502 instead of a refusal (LOST).

--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -46,7 +46,9 @@
     pub(super) fn stop_refusal(&self, route: &Route, longest: Duration) -> Option<Refusal> {
         let grace = (*lock(&self.grace))?;
         let recent = lock(&self.answer_times);
-        if grace.admits(recent.get(&route.name), longest, self.clock.now()) {
+        let in_flight = lock(&self.in_flight_ages);
+        let (times, now) = (recent.get(&route.name), self.clock.now());
+        if grace.admits(times, &in_flight, &route.name, longest, now) {
             return None;
         }
         let detail = "this VM stops and may end before an answer; use another one";
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -12,7 +12,7 @@
     VersionBinding,
     dispatch::DispatchState,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
-    routed_request::RoutedRequest,
+    routed_request::{Flight, RoutedRequest},
     server::Gateway,
     streaming_body::{BodySource, StreamingBody},
 };
@@ -249,6 +249,8 @@
         };
         let prompt = self.parse_prompt(&headers);
         let last_event_id = self.parse_last_event_id(&headers);
+        let received_at = self.clock.now();
+        let flight = Flight::begin(&self.in_flight_ages, &route, received_at);
         let request = RoutedRequest {
             id: handover.request_id,
             method,
@@ -260,13 +262,14 @@
             service,
             prompt,
             deadline,
-            received_at: self.clock.now(),
+            received_at,
             last_event_id,
             // The VM that received the request from its caller records the stream.
             stream_key: None,
             stream_deadline: deadline,
             version_binding,
             handed_over: true,
+            _flight: flight,
         };
         self.dispatch(Arc::new(request)).await
     }
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -1,15 +1,15 @@
 use std::{
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use hyper::{HeaderMap, Method, body::Bytes};
 
 use super::{Prompt, VersionBinding, handover::host_without_port};
-use crate::{continuation, crash::Digest, id, route::Route};
+use crate::{continuation, control::lock, crash::Digest, id, route::Route, stop::InFlight};
 
 /// A caller's request and the route that it matched.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct RoutedRequest {
     /// The request ID that the caller sent.
     pub(super) id: String,
@@ -38,6 +38,34 @@
     pub(super) version_binding: VersionBinding,
     /// Whether another VM handed the request over.
     pub(super) handed_over: bool,
+    /// Counts the request as in flight.
+    pub(super) _flight: Flight,
+}
+
+/// Counts a request among those in flight on its route until this is dropped.
+#[derive(Debug)]
+pub(super) struct Flight {
+    in_flight: Arc<Mutex<InFlight>>,
+    route: Arc<Route>,
+    began_at: Instant,
+}
+
+impl Flight {
+    /// Begins to count a request.
+    pub(super) fn begin(
+        in_flight: &Arc<Mutex<InFlight>>,
+        route: &Arc<Route>,
+        began_at: Instant,
+    ) -> Self {
+        lock(in_flight).begin(&route.name, began_at);
+        Self { in_flight: Arc::clone(in_flight), route: Arc::clone(route), began_at }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        lock(&self.in_flight).end(&self.route.name, self.began_at);
+    }
 }
 
 impl RoutedRequest {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,7 @@
     Prompt, VersionBinding,
     handover::host_without_port,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
-    routed_request::RoutedRequest,
+    routed_request::{Flight, RoutedRequest},
     server::Gateway,
 };
 use crate::{
@@ -141,6 +141,7 @@
         })?;
         let stream_key = (route.delivery_mode == DeliveryMode::Resumable)
             .then(|| self.stream_key(&host, &path_and_query, &head.headers));
+        let flight = Flight::begin(&self.in_flight_ages, &route, self.clock.now());
         Ok(RoutedRequest {
             id,
             method: head.method,
@@ -159,6 +160,7 @@
                 + caller_timeout.clamp(timeout, MAX_STREAM_TIMEOUT.max(timeout)),
             version_binding: VersionBinding::Any,
             handed_over: false,
+            _flight: flight,
         })
     }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -35,7 +35,7 @@
     registry::{Mirror, VmInfo},
     replica::change_notifier::ChangeNotifier,
     route::{self, Table},
-    stop::{AnswerTimes, Grace},
+    stop::{AnswerTimes, Grace, InFlight},
     throttle::{PeerMemory, Peers},
     wire::Topic,
 };
@@ -90,6 +90,8 @@
     pub(super) grace: Mutex<Option<Grace>>,
     /// How long complete answers took lately, by the name of their route.
     pub(super) answer_times: Mutex<HashMap<String, AnswerTimes>>,
+    /// When the requests in flight began, by the name of their route.
+    pub(super) in_flight_ages: Arc<Mutex<InFlight>>,
     /// Dropped at the end of the grace, which closes `grace_receiver`.
     pub(super) grace_sender: Mutex<Option<Sender<Infallible>>>,
     pub(super) grace_receiver: Receiver<Infallible>,
@@ -179,6 +181,7 @@
             is_stopping: AtomicBool::new(false),
             grace: Mutex::default(),
             answer_times: Mutex::default(),
+            in_flight_ages: Arc::default(),
             grace_sender: Mutex::new(Some(grace_sender)),
             grace_receiver,
             stop_sender: Mutex::new(Some(stop_sender)),
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -3,9 +3,11 @@
 
 mod answer_times;
 mod grace;
+mod in_flight;
 mod planned_stops;
 mod scope;
 
 pub use self::{
-    answer_times::AnswerTimes, grace::Grace, planned_stops::PlannedStops, scope::Scope,
+    answer_times::AnswerTimes, grace::Grace, in_flight::InFlight, planned_stops::PlannedStops,
+    scope::Scope,
 };
--- a/src/stop/grace.rs
+++ b/src/stop/grace.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::AnswerTimes;
+use super::{AnswerTimes, InFlight};
 
 /// How long callers may count on being served by a VM that stops: until then they may not know of it.
 const NOTICE_PERIOD: Duration = Duration::from_millis(2800);
@@ -14,21 +14,24 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use pomelogate::stop::{AnswerTimes, Grace};
+/// use pomelogate::stop::{AnswerTimes, Grace, InFlight};
 ///
 /// let start = Instant::now();
 /// let grace = Grace::new(start, Duration::from_secs(8));
 /// let after = |secs| start + Duration::from_secs(secs);
 /// let timeout = Duration::from_secs(60);
 /// let mut times = AnswerTimes::default();
-/// assert!(!grace.admits(Some(&times), timeout, start), "its answer may take up to 60 s");
+/// let mut in_flight = InFlight::default();
+/// assert!(!grace.admits(Some(&times), &in_flight, "chat", timeout, start), "its answer may take up to 60 s");
 /// for _ in 0..20 {
 ///     times.record(Duration::from_secs(1), start);
 /// }
 /// times.record(Duration::from_secs(4), start);
-/// assert!(grace.admits(Some(&times), timeout, after(2)));
-/// assert!(!grace.admits(Some(&times), timeout, after(5)), "some answers take 4 s");
-/// assert!(grace.admits(None, Duration::from_secs(1), after(6)));
+/// assert!(grace.admits(Some(&times), &in_flight, "chat", timeout, after(2)));
+/// assert!(!grace.admits(Some(&times), &in_flight, "chat", timeout, after(5)), "some answers take 4 s");
+/// assert!(grace.admits(None, &in_flight, "chat", Duration::from_secs(1), after(6)));
+/// in_flight.begin("chat", start);
+/// assert!(!grace.admits(Some(&times), &in_flight, "chat", timeout, after(5)), "one takes longer");
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grace {
@@ -49,10 +52,25 @@
     }
 
     /// Whether the answer to a request that is sent at `now` can be expected before the end of the
-    /// grace, given how long such answers took lately and how long it may take at most.
-    pub fn admits(&self, recent: Option<&AnswerTimes>, longest: Duration, now: Instant) -> bool {
-        let share = if now < self.notice_ends_at { USUAL_SHARE } else { 1.0 };
+    /// grace, given how long such answers took lately, how long those in flight on `route` have
+    /// taken so far, and how long it may take at most.
+    pub fn admits(
+        &self,
+        recent: Option<&AnswerTimes>,
+        in_flight: &InFlight,
+        route: &str,
+        longest: Duration,
+        now: Instant,
+    ) -> bool {
+        let is_notice = now < self.notice_ends_at;
+        let share = if is_notice { USUAL_SHARE } else { 1.0 };
+        let age = if is_notice {
+            in_flight.median_age(route, now)
+        } else {
+            in_flight.oldest_age(route, now)
+        };
         let recent = recent.and_then(|times| times.quantile(share, now));
-        now + recent.map_or(longest, |recent| recent.min(longest)) <= self.ends_at
+        let expected = recent.map_or(longest, |recent| recent.max(age.unwrap_or_default()));
+        now + expected.min(longest) <= self.ends_at
     }
 }
--- a/tests/grace.rs
+++ b/tests/grace.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use pomelogate::stop::{AnswerTimes, Grace};
+use pomelogate::stop::{AnswerTimes, Grace, InFlight};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
@@ -134,7 +134,13 @@
         let is_early = elapsed < NOTICE;
         self.outcomes.early += u32::from(is_early);
         let grace = Grace::new(stops_at, GRACE);
-        let count = if !grace.admits(Some(&self.answer_times[vm as usize]), ROUTE_TIMEOUT, now) {
+        let count = if !grace.admits(
+            Some(&self.answer_times[vm as usize]),
+            &InFlight::default(),
+            "route",
+            ROUTE_TIMEOUT,
+            now,
+        ) {
             self.push(now + RETRY_AFTER, Event::Head);
             if is_early {
                 &mut self.outcomes.refused_early
@@ -183,10 +189,16 @@
 fn request_without_recent_answers_is_admitted_only_if_its_timeout_ends_in_time() {
     let now = Instant::now();
     let grace = Grace::new(now, GRACE);
-    assert!(grace.admits(None, 7 * SECOND, now));
-    assert!(!grace.admits(None, 8 * SECOND, now));
-    assert!(!grace.admits(None, 7 * SECOND, now + SECOND));
-    assert!(!grace.admits(None, Duration::ZERO, now + GRACE + MILLISECOND));
+    assert!(grace.admits(None, &InFlight::default(), "route", 7 * SECOND, now));
+    assert!(!grace.admits(None, &InFlight::default(), "route", 8 * SECOND, now));
+    assert!(!grace.admits(None, &InFlight::default(), "route", 7 * SECOND, now + SECOND));
+    assert!(!grace.admits(
+        None,
+        &InFlight::default(),
+        "route",
+        Duration::ZERO,
+        now + GRACE + MILLISECOND
+    ));
 }
 
 /// Guards against one slow answer that makes a stop refuse all requests at its beginning, and against
@@ -200,6 +212,18 @@
         times.record(SECOND, now);
     }
     times.record(LONGEST_ANSWER, now);
-    assert!(grace.admits(Some(&times), ROUTE_TIMEOUT, now + NOTICE / 2));
-    assert!(!grace.admits(Some(&times), ROUTE_TIMEOUT, now + NOTICE));
+    assert!(grace.admits(
+        Some(&times),
+        &InFlight::default(),
+        "route",
+        ROUTE_TIMEOUT,
+        now + NOTICE / 2
+    ));
+    assert!(!grace.admits(
+        Some(&times),
+        &InFlight::default(),
+        "route",
+        ROUTE_TIMEOUT,
+        now + NOTICE
+    ));
 }
