--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -511,7 +511,8 @@
     }
 
     /// Makes one attempt to resume a stream after the event `last_event_id`, here or in another
-    /// region, at a target that `version_binding` allows. Forbids further attempts if there is no destination or no retry budget.
+    /// region, at a target that `version_binding` allows. Forbids further attempts if there is no
+    /// destination or no retry budget.
     pub(super) async fn resume_stream(
         self: &Arc<Self>,
         request: &Arc<RoutedRequest>,
