Tell VMs that a target is cold as soon as a replica hears it

What callers saw: a target that became cold again while it served got the whole load, in the operators' words N requests in a second, and fell over.

Cause: that a target is cold is its own word with a time, and was spread like something to agree on. VMs heard of it after a commit and a batch of updates, or not at all while there was no quorum; what could not be committed was not proposed again, because the replica compared with what it had heard itself; a list of cold targets left out each target whose record was not cold when it was written, and its digest held no times, so that a cold period that became longer was not told.

Change: LastAnnouncements, a last-writer-wins register by incarnation and sequence without I/O, on replicas and VMs. The replica that hears a change tells the VMs of the region and the other replicas at once, VMs tell each other for a second, and each answer to a poll that names another digest holds the list. Ends are told too, early or late. The log keeps the cold time for replicas that start and compares with the record alone. Event 713 says when and from whom a VM heard it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,6 +3,7 @@
 //! It accepts targets and operators, sends updates of the registry to the VMs that accept callers,
 //! and tells callers which of those VMs to use.
 
+mod cold_targets;
 mod directory;
 mod metrics;
 mod outcome;
--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -112,7 +112,10 @@
         let known = group.read(|registry| registry.target(&record.target).cloned());
         let is_change = self.is_change(&record, known.as_ref());
         if known.as_ref().is_none_or(|known| known.incarnation <= record.incarnation) {
-            self.heartbeats().record_announcement(&announcement, now);
+            let is_cold_change = self.heartbeats().record_announcement(&announcement, now);
+            if is_cold_change {
+                self.spread_cold_period(&announcement, now);
+            }
         }
         let is_outdated = known.as_ref().is_some_and(|known| record.is_outdated_by(known));
         let take_over =
@@ -225,7 +228,8 @@
         if record.sequence <= known.sequence {
             return false;
         }
-        let known_remaining = Duration::from_millis(self.cold_remaining_ms(known));
+        // What this replica heard does not count here: it may not have been committed.
+        let known_remaining = Duration::from_millis(self.recorded_cold_ms(known, self.clock.now()));
         known.state() != record.state() && known.state() != State::Leaving
             || (&known.address, &known.service, &known.zone, known.slots)
                 != (&record.address, &record.service, &record.zone, record.slots)
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -241,9 +241,12 @@
                 }
                 let mut heartbeats = self.heartbeats();
                 let known = heartbeats.vm_set().digest();
-                heartbeats.merge(report, now);
+                let has_cold_change = heartbeats.merge(report, now);
                 let changed = heartbeats.vm_set().digest() != known;
                 drop(heartbeats);
+                if has_cold_change {
+                    self.record_cold_change();
+                }
                 if changed {
                     self.vms_changed.notify();
                 }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,6 +1,9 @@
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64},
+    },
     time::{Duration, Instant},
 };
 
@@ -44,6 +47,10 @@
     pub(super) contests: Mutex<ContestTracker>,
     /// Bounds the lines on announcements that are refused.
     pub(super) refusal_sampler: Mutex<Sampler>,
+    /// How often the cold period of a target changed since the start.
+    pub(super) cold_changes: AtomicU64,
+    /// Notifies tasks when the cold period of a target changes.
+    pub(super) cold_targets_changed: ChangeNotifier,
     /// Time at which this replica first saw each target record, by target and `changed_index`. The
     /// remaining cold time is counted from it.
     pub(super) records_seen_at: Mutex<HashMap<(String, u64), Instant>>,
@@ -106,6 +113,8 @@
             heartbeats: Mutex::new(HeartbeatTable::new(VM_TIMEOUT)),
             contests: Mutex::default(),
             refusal_sampler: Mutex::new(Sampler::new(REFUSAL_LINES_PER_SEC, started_at)),
+            cold_changes: AtomicU64::new(0),
+            cold_targets_changed: ChangeNotifier::default(),
             records_seen_at: Mutex::default(),
             ready_target_counts: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(crash::Settings::for_routes())),
--- a/src/control/updates.rs
+++ b/src/control/updates.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -12,8 +12,8 @@
 use crate::{
     crash, event, id,
     registry::{
-        BlockedRequests, ColdTarget, ColdTargets, RegionLoad, RegionLoads, SilentTargets, State,
-        StateMachine, TargetRecord, Update, UpdateRequest, VmChanges, VmInfo,
+        BlockedRequests, RegionLoad, RegionLoads, SilentTargets, State, StateMachine, TargetRecord,
+        Update, UpdateRequest, VmChanges, VmInfo,
     },
     replica::Group,
 };
@@ -86,7 +86,14 @@
         let timer = async {
             Timer::after(wait).await;
         };
+        let cold_change = self.cold_targets_changed.listen();
+        let ready = self.ready_targets(group, &request.sender.region);
+        let cold_differs =
+            self.cold_targets(&ready, self.clock.now()).digest != request.cold_digest;
         let change = async {
+            if cold_differs {
+                return;
+            }
             loop {
                 let registry_change = group.read(StateMachine::listen);
                 let vm_change = self.vms_changed.listen();
@@ -104,7 +111,7 @@
                 or(registry_change, or(vm_change, blocks_change)).await;
             }
         };
-        or(change, timer).await;
+        or(or(change, cold_change), timer).await;
         if !wait.is_zero() {
             Timer::after(UPDATE_DELAY).await;
         }
@@ -130,20 +137,25 @@
         }
     }
 
+    /// The ready targets that VMs in `region` need to know.
+    fn ready_targets(&self, group: &Group<StateMachine>, region: &str) -> Vec<TargetRecord> {
+        let is_ready = |record: &&TargetRecord| {
+            record.state() == State::Ready && self.is_relevant(record, region)
+        };
+        group.read(|registry| registry.targets().filter(is_ready).cloned().collect())
+    }
+
     fn update(&self, group: &Group<StateMachine>, request: &UpdateRequest) -> Update {
         let now = self.clock.now();
         let is_relevant = |record: &TargetRecord| self.is_relevant(record, &request.sender.region);
         let mut update =
             group.read(|registry| Update::since(registry, request.since_index, is_relevant));
-        let is_ready =
-            |record: &&TargetRecord| record.state() == State::Ready && is_relevant(record);
-        let ready: Vec<TargetRecord> =
-            group.read(|registry| registry.targets().filter(is_ready).cloned().collect());
+        let ready = self.ready_targets(group, &request.sender.region);
         let status = group.status().consensus;
         update.fresh =
             status.since_leader_contact.is_some_and(|elapsed| elapsed < LEADER_CONTACT_TIMEOUT);
         update.cold_targets =
-            Some(self.cold_targets(&ready)).filter(|cold| cold.digest != request.cold_digest);
+            Some(self.cold_targets(&ready, now)).filter(|cold| cold.digest != request.cold_digest);
         update.silent_targets = Some(self.silent_targets(&ready, now))
             .filter(|silent| silent.digest != request.silent_digest);
         update.vm_changes = self.vm_changes(request.vms_digest);
@@ -155,25 +167,6 @@
         update
     }
 
-    fn cold_targets(&self, ready: &[TargetRecord]) -> ColdTargets {
-        let cold = ready.iter().filter(|record| record.cold_remaining_ms > 0);
-        let cold = cold
-            .map(|record| (record, self.cold_remaining_ms(record)))
-            .filter(|(_, remaining_ms)| *remaining_ms > 0);
-        let cold: Vec<(&TargetRecord, u64)> = cold.collect();
-        let names =
-            cold.iter().map(|(record, _)| format!("{} {}", record.target, record.changed_index));
-        let digest = digest(names);
-        let cold = cold.into_iter();
-        let targets = cold
-            .map(|(record, remaining_ms)| ColdTarget {
-                target: record.target.clone(),
-                remaining_ms,
-            })
-            .collect();
-        ColdTargets { digest, targets }
-    }
-
     /// Merges what a VM or another replica knows of crashes.
     pub(super) fn merge_crashes(&self, record_set: &crash::RecordSet) {
         let now = self.clock.now();
@@ -299,31 +292,9 @@
         });
         counts
     }
-
-    /// Milliseconds for which the target of a record remains cold.
-    pub(super) fn cold_remaining_ms(&self, record: &TargetRecord) -> u64 {
-        let now = self.clock.now();
-        let mut seen_at = lock(&self.records_seen_at);
-        // Bounds the memory. A record that is still in use then counts from now again.
-        if seen_at.len() > 4096 {
-            *seen_at = HashMap::new();
-        }
-        let at = *seen_at.entry((record.target.clone(), record.changed_index)).or_insert(now);
-        drop(seen_at);
-        // A replica that has just started does not know the age of the record. The target's last
-        // announcement holds the right time.
-        if let Some(last) =
-            self.heartbeats().last_announcement(&record.target).filter(|last| last.received_at > at)
-        {
-            let remaining = last.cold_until.saturating_duration_since(now);
-            return u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        }
-        let elapsed_ms = u64::try_from(now.saturating_duration_since(at).as_millis());
-        record.cold_remaining_ms.saturating_sub(elapsed_ms.unwrap_or(u64::MAX))
-    }
 }
 
 /// Digest of a list of names. It is never 0, which an update request sends for "nothing known".
-fn digest(names: impl Iterator<Item = String>) -> u64 {
+pub(super) fn digest(names: impl Iterator<Item = String>) -> u64 {
     xxh3_64(names.collect::<Vec<_>>().join("\n").as_bytes()).max(1)
 }
--- a/src/event/registry.rs
+++ b/src/event/registry.rs
@@ -44,6 +44,10 @@
 pub const UNUSABLE: Event =
     Event { number: 712, severity: Severity::Warning, text: "target has no usable address" };
 
+/// The cold period of a target began, or ends later or earlier than was known.
+pub const COLD: Event =
+    Event { number: 713, severity: Severity::Info, text: "cold period of a target changed" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     NO_REPLICA,
@@ -59,4 +63,5 @@
     NOT_RELOADED,
     TAKEN_OVER,
     UNUSABLE,
+    COLD,
 ];
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -4,7 +4,12 @@
 use smol::Timer;
 
 use super::{PromptPart, SentPrompt, server::Gateway, target_tracker};
-use crate::{id, registry::Target, throttle::Notice, wire::Topic};
+use crate::{
+    id,
+    registry::{ColdTarget, Target},
+    throttle::Notice,
+    wire::Topic,
+};
 
 /// How often the VMs of a region send each other their load. It is short because a target
 /// prefills a prompt in tens to hundreds of milliseconds.
@@ -13,6 +18,10 @@
 /// sends less often.
 const MAX_MESSAGES_PER_INTERVAL: u32 = 8;
 
+/// VMs tell each other what they heard of cold targets for this long, which is about two messages
+/// in the largest regions.
+const COLD_NEWS_AGE: Duration = Duration::from_millis(1000);
+
 /// The interval at which a VM sends its load to the `other_vms` other VMs of its region.
 pub(crate) fn share_interval(other_vms: u32) -> Duration {
     SHARE_INTERVAL * (other_vms / MAX_MESSAGES_PER_INTERVAL + 1)
@@ -26,11 +35,14 @@
     /// The limits that targets have named to the sender.
     #[prost(message, repeated, tag = "2")]
     limits: Vec<Notice>,
+    /// What was heard of cold targets lately.
+    #[prost(message, repeated, tag = "3")]
+    cold_targets: Vec<ColdTarget>,
 }
 
 impl LoadMessage {
     fn is_empty(&self) -> bool {
-        self.targets.is_empty() && self.limits.is_empty()
+        self.targets.is_empty() && self.limits.is_empty() && self.cold_targets.is_empty()
     }
 }
 
@@ -72,19 +84,16 @@
             }
             let payload = Bytes::from(message.encode_to_vec());
             for address in addresses {
-                let hub = Arc::clone(&self.hub);
-                let payload = payload.clone();
-                smol::spawn(async move {
-                    let _ = hub.notify(address, Topic::Loads, payload).await;
-                })
-                .detach();
+                self.hub.notify_detached(address, Topic::Loads, payload.clone());
             }
             last_message = message;
         }
     }
 
     fn load_message(&self) -> LoadMessage {
-        let peers = self.region_peers();
+        let (peers, now) = (self.region_peers(), self.clock.now());
+        let cold_since = now.checked_sub(COLD_NEWS_AGE).unwrap_or(now);
+        let cold_targets = self.mirror().cold_targets_since(cold_since, now);
         let mut balancer = self.balancer();
         let limits = balancer.limit_notices(&peers, self.clock.now());
         let mut loads: HashMap<id::Target, TargetLoad> = HashMap::new();
@@ -104,7 +113,7 @@
         let targets = loads
             .into_iter()
             .map(|(target, load)| TargetLoad { target: target.to_string(), ..load });
-        LoadMessage { targets: targets.collect(), limits }
+        LoadMessage { targets: targets.collect(), limits, cold_targets }
     }
 
     fn peer_addresses(&self) -> Vec<SocketAddr> {
@@ -126,6 +135,9 @@
             let change = self.balancer().record_limit_notice(notice, now);
             self.record_limit_change(&id::Target::from(notice.target.as_str()), change, from);
         }
+        if !message.cold_targets.is_empty() {
+            self.record_cold_targets(message.cold_targets.clone(), from);
+        }
         let loads: HashMap<&str, &TargetLoad> =
             message.targets.iter().map(|load| (load.target.as_str(), load)).collect();
         let mirror = self.mirror();
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -7,7 +7,9 @@
 use super::server::Gateway;
 use crate::{
     event, id,
-    registry::{ServiceLoad, TargetIncarnation, Update, UpdateRequest, VmInfo},
+    registry::{
+        ColdTarget, ColdTargets, ServiceLoad, TargetIncarnation, Update, UpdateRequest, VmInfo,
+    },
     wire::Topic,
 };
 
@@ -105,7 +107,7 @@
         let Some(reply) = reply else { return Some(true) };
         let update = Update::decode(reply.ok()?).ok()?;
         let is_fresh = update.fresh;
-        self.apply_update(update);
+        self.apply_update(update, vm);
         Some(is_fresh)
     }
 
@@ -133,7 +135,7 @@
     }
 
     /// Applies an update to the local copy and to everything that depends on it.
-    fn apply_update(&self, update: Update) {
+    fn apply_update(&self, update: Update, replica: &id::Vm) {
         let now = self.clock.now();
         let routes = update.routes.clone();
         if let Some(blocked) = &update.blocked_requests {
@@ -148,6 +150,7 @@
             }
         }
         let applied = self.mirror().apply(update, now);
+        self.log_cold_changes(replica);
         self.update_region_peers();
         for TargetIncarnation { target, incarnation } in self.mirror().take_ended_incarnations() {
             self.record_crash(&target, incarnation);
@@ -172,6 +175,40 @@
         self.connection_pool.sweep(|address| target_addresses.contains(address), now);
     }
 
+    /// Records what a replica tells of the cold periods of targets as soon as it hears of them.
+    pub(super) fn receive_cold_targets(&self, from: &id::Vm, payload: &Bytes) {
+        match ColdTargets::decode(payload.clone()) {
+            Ok(cold) => self.record_cold_targets(cold.targets, from),
+            Err(cause) => event::registry::UNREADABLE.emit(&self.logger, &[("cause", &cause)]),
+        }
+    }
+
+    /// Records what the VM `from` heard of cold targets.
+    pub(super) fn record_cold_targets(&self, cold: Vec<ColdTarget>, from: &id::Vm) {
+        let now = self.clock.now();
+        if self.mirror().record_cold_targets(cold, now) {
+            self.log_cold_changes(from);
+        }
+    }
+
+    /// Logs the cold periods that this VM did not know before `heard_from` told it.
+    fn log_cold_changes(&self, heard_from: &id::Vm) {
+        let changes = self.mirror().take_cold_changes();
+        for cold in changes {
+            event::registry::COLD.emit(
+                &self.logger,
+                &[
+                    ("target", &cold.target),
+                    ("born", &cold.incarnation),
+                    ("sequence", &cold.sequence),
+                    ("cold_ms", &cold.remaining_ms),
+                    ("age_ms", &cold.age_ms.unwrap_or_default()),
+                    ("heard_from", heard_from),
+                ],
+            );
+        }
+    }
+
     /// The replicas to poll, in this order: known replicas in this region, other known replicas,
     /// seeds.
     fn replicas(&self) -> Vec<id::Vm> {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -218,6 +218,9 @@
                 Inbound::Notice { from, topic: Topic::Loads, payload } => {
                     self.receive_load(&from, &payload);
                 }
+                Inbound::Notice { from, topic: Topic::Registry, payload } => {
+                    self.receive_cold_targets(&from, &payload);
+                }
                 _ => {}
             }
         }
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -140,6 +140,15 @@
         Ok(())
     }
 
+    /// Sends a message without a reply in the background; it is dropped if the VM cannot be reached.
+    pub fn notify_detached(self: &Arc<Self>, to: SocketAddr, topic: Topic, payload: Bytes) {
+        let hub = Arc::clone(self);
+        smol::spawn(async move {
+            let _ = hub.notify(to, topic, payload).await;
+        })
+        .detach();
+    }
+
     /// Sends a message and waits for its reply.
     ///
     /// # Errors
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -5,10 +5,13 @@
 //! date with a long poll to a replica: an [`UpdateRequest`] names the log index that the VM already
 //! has, and the [`Update`] holds what changed after it.
 //!
-//! Consensus covers only what every VM must know about a target: that it exists, is cold, leaves
-//! or is gone. Repeated announcements of a target do not go through the log, nor does the state of
-//! the VMs that accept callers. For both, replicas exchange the time since each was last heard
-//! ([`HeartbeatTable`]).
+//! Consensus covers only what VMs must agree on: that a target exists, leaves or is gone. Repeated
+//! announcements of a target do not go through the log, nor does the state of the VMs that accept
+//! callers. For both, replicas exchange the time since each was last heard ([`HeartbeatTable`]).
+//!
+//! That a target is cold is its own word, which needs no agreement: whoever heard it tells others at
+//! once, and the newest announcement counts ([`LastAnnouncements`]). The log holds it for replicas
+//! that start.
 //!
 //! The [`MembershipController`] adds replicas to the group and removes them.
 
@@ -17,6 +20,7 @@
 mod command;
 mod contest_tracker;
 mod heartbeat_table;
+mod last_announcements;
 mod membership_controller;
 mod mirror;
 mod state_machine;
@@ -35,9 +39,9 @@
     },
     contest_tracker::ContestTracker,
     heartbeat_table::{
-        HeartbeatReport, HeartbeatTable, LastAnnouncement, ServiceLoad, TargetHeartbeat,
-        VmHeartbeat, VmInfo,
+        HeartbeatReport, HeartbeatTable, ServiceLoad, TargetHeartbeat, VmHeartbeat, VmInfo,
     },
+    last_announcements::{LastAnnouncement, LastAnnouncements},
     membership_controller::{MembershipAction, MembershipController},
     mirror::{Mirror, Target, TargetIncarnation},
     state_machine::StateMachine,
--- a/src/registry/heartbeat_table.rs
+++ b/src/registry/heartbeat_table.rs
@@ -6,7 +6,10 @@
 
 use prost::Message;
 
-use super::{Announcement, MAX_LATENESS, TargetRecord, VmSet};
+use super::{
+    Announcement, ColdTarget, LastAnnouncement, LastAnnouncements, MAX_LATENESS, TargetRecord,
+    VmSet, last_announcements::elapsed_ms,
+};
 use crate::crash;
 
 /// What a VM reports about itself.
@@ -128,25 +131,11 @@
     vm_timeout: Duration,
     vms: BTreeMap<String, (VmInfo, Instant)>,
     vm_set: VmSet,
-    targets: BTreeMap<String, LastAnnouncement>,
+    targets: LastAnnouncements,
     /// Targets that announced themselves to this replica since its last report.
     unreported: BTreeSet<String>,
 }
 
-/// The newest announcement of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LastAnnouncement {
-    /// Time at which a replica last received any announcement of the target.
-    pub received_at: Instant,
-    /// Time at which the target stops being cold.
-    pub cold_until: Instant,
-    /// Incarnation and sequence number of the announcement, in this order. Announcements that
-    /// arrive late have a lower version.
-    pub version: (u64, u64),
-    /// Time at which a replica last received an announcement of this version.
-    pub version_received_at: Instant,
-}
-
 impl HeartbeatTable {
     /// Creates an empty table. A VM that has not been heard for `vm_timeout` counts as down.
     pub fn new(vm_timeout: Duration) -> Self {
@@ -154,7 +143,7 @@
             vm_timeout,
             vms: BTreeMap::new(),
             vm_set: VmSet::default(),
-            targets: BTreeMap::new(),
+            targets: LastAnnouncements::default(),
             unreported: BTreeSet::new(),
         }
     }
@@ -181,48 +170,17 @@
         self.vms.get(vm).map(|(info, _)| info)
     }
 
-    /// Records an announcement that this replica received. One that arrives late shows that the
-    /// target is alive, but does not replace the content of a newer one.
-    pub fn record_announcement(&mut self, announcement: &Announcement, received_at: Instant) {
+    /// Records an announcement that this replica received. Returns whether the target is cold for
+    /// longer or shorter than was known.
+    pub fn record_announcement(
+        &mut self,
+        announcement: &Announcement,
+        received_at: Instant,
+    ) -> bool {
         let version = (announcement.incarnation, announcement.sequence);
-        let received = LastAnnouncement {
-            received_at,
-            cold_until: received_at.checked_add(announcement.cold_remaining).unwrap_or(received_at),
-            version,
-            version_received_at: received_at,
-        };
-        self.record_target(announcement.target.as_str(), received);
+        let received = LastAnnouncement::new(version, announcement.cold_remaining, received_at);
         self.unreported.insert(announcement.target.to_string());
-    }
-
-    fn record_target(&mut self, target: &str, received: LastAnnouncement) {
-        match self.targets.get_mut(target) {
-            // A late announcement is not that late: a version that is higher for longer is not of
-            // this target.
-            Some(known)
-                if known.version > received.version
-                    && received
-                        .received_at
-                        .saturating_duration_since(known.version_received_at)
-                        < MAX_LATENESS =>
-            {
-                known.received_at = known.received_at.max(received.received_at)
-            }
-            Some(known) => {
-                let same = known.version == received.version;
-                let known_at = known.version_received_at;
-                *known = LastAnnouncement {
-                    received_at: known.received_at.max(received.received_at),
-                    version_received_at: if same {
-                        known_at.max(received.version_received_at)
-                    } else {
-                        received.version_received_at
-                    },
-                    ..received
-                }
-            }
-            None => drop(self.targets.insert(target.to_owned(), received)),
-        }
+        self.targets.record(announcement.target.as_str(), received)
     }
 
     /// Returns what this replica heard itself, for the other replicas, and clears the list of
@@ -233,45 +191,34 @@
             .map(|(info, at)| VmHeartbeat { info: info.clone(), age_ms: elapsed_ms(at, now) })
             .collect();
         let targets = std::mem::take(&mut self.unreported).into_iter();
-        let heartbeat = |target: String| {
-            let known = self.targets.get(&target)?;
-            let (age_ms, cold_remaining_ms) =
-                (elapsed_ms(known.received_at, now), elapsed_ms(now, known.cold_until));
-            let (incarnation, sequence) = known.version;
-            let version_age_ms = Some(elapsed_ms(known.version_received_at, now));
-            Some(TargetHeartbeat {
-                target,
-                age_ms,
-                cold_remaining_ms,
-                incarnation,
-                sequence,
-                version_age_ms,
-            })
-        };
-        let targets = targets.filter_map(heartbeat).collect();
+        let targets = targets.filter_map(|target| self.target_heartbeat(&target, now)).collect();
         HeartbeatReport { vms, targets, crashes: None }
     }
 
-    /// Merges the report of another replica, received at `now`.
-    pub fn merge(&mut self, report: HeartbeatReport, now: Instant) {
+    /// The newest announcement of a target, for the other replicas.
+    pub fn target_heartbeat(&self, target: &str, now: Instant) -> Option<TargetHeartbeat> {
+        let known = self.targets.get(target)?;
+        let (incarnation, sequence) = known.version;
+        Some(TargetHeartbeat {
+            target: target.to_owned(),
+            age_ms: elapsed_ms(known.received_at, now),
+            cold_remaining_ms: elapsed_ms(now, known.cold_until),
+            incarnation,
+            sequence,
+            version_age_ms: Some(elapsed_ms(known.version_received_at, now)),
+        })
+    }
+
+    /// Merges the report of another replica, received at `now`. Returns whether a target is cold for
+    /// longer or shorter than was known.
+    pub fn merge(&mut self, report: HeartbeatReport, now: Instant) -> bool {
         for heartbeat in report.vms {
             if let Some(received_at) = now.checked_sub(Duration::from_millis(heartbeat.age_ms)) {
                 self.record_vm(heartbeat.info, received_at);
             }
         }
-        for heartbeat in report.targets {
-            let at = |age_ms| now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
-            let received_at = at(heartbeat.age_ms);
-            let cold_remaining = Duration::from_millis(heartbeat.cold_remaining_ms);
-            let cold_until = now.checked_add(cold_remaining).unwrap_or(now);
-            let received = LastAnnouncement {
-                received_at,
-                cold_until,
-                version: (heartbeat.incarnation, heartbeat.sequence),
-                version_received_at: at(heartbeat.version_age_ms.unwrap_or(heartbeat.age_ms)),
-            };
-            self.record_target(&heartbeat.target, received);
-        }
+        let changes = report.targets.iter().filter(|it| self.targets.merge_heartbeat(it, now));
+        changes.count() > 0
     }
 
     /// The VMs that were heard within the timeout, each with the time of its last heartbeat.
@@ -286,6 +233,12 @@
         self.targets.get(target).copied()
     }
 
+    /// What VMs must know of the cold period of a target; nothing if it has never said that it would
+    /// be cold now.
+    pub fn cold_target(&self, target: &str, now: Instant) -> Option<ColdTarget> {
+        self.targets.cold_target(target, now)
+    }
+
     /// Whether no announcement as new as a record has been received for longer than announcements
     /// are delayed.
     pub fn is_silent(&self, record: &TargetRecord, now: Instant) -> bool {
@@ -320,8 +273,7 @@
         }
         let retention = self.vm_timeout * 10;
         self.vms.retain(|_, (_, at)| now.saturating_duration_since(*at) < retention);
-        self.targets
-            .retain(|_, known| now.saturating_duration_since(known.received_at) < retention);
+        self.targets.sweep(retention, now);
     }
 }
 
@@ -336,8 +288,3 @@
         self.links_address.parse().ok()
     }
 }
-
-/// Milliseconds from `start` to `end`; 0 if `end` is earlier.
-fn elapsed_ms(start: Instant, end: Instant) -> u64 {
-    u64::try_from(end.saturating_duration_since(start).as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -4,13 +4,19 @@
     time::{Duration, Instant},
 };
 
-use super::{ColdTarget, RegionLoad, State, TargetRecord, Update, VmChanges, VmInfo};
+use super::{
+    ColdTarget, ColdTargets, LastAnnouncements, RegionLoad, State, TargetRecord, Update, VmChanges,
+    VmInfo,
+};
 use crate::{http::is_connectable, id};
 
 /// Time after the end of a zone's drain for which its targets count as cold. They may have become
 /// cold during the drain and say so only in their next announcement. Covers two announcements.
 const COLD_AFTER_DRAIN: Duration = Duration::from_millis(2500);
 
+/// How long an announcement is kept after the cold period that it named, to tell it from older ones.
+const ANNOUNCEMENT_RETENTION: Duration = Duration::from_secs(30);
+
 /// A target as a VM sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -45,8 +51,12 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     index: u64,
-    /// The record of each target, and the time at which the target stops being cold.
-    records: BTreeMap<String, (TargetRecord, Instant)>,
+    records: BTreeMap<String, TargetRecord>,
+    /// What targets announced of their cold periods, as replicas and other VMs heard it.
+    announcements: LastAnnouncements,
+    /// The ends of cold periods that the last list of a replica took from records only.
+    recorded_cold_until: BTreeMap<String, Instant>,
+    cold_changes: Vec<ColdTarget>,
     drained_zones: BTreeSet<String>,
     /// Zones whose drain ended, each with the time until which its targets count as cold.
     undrained_cold_until: BTreeMap<String, Instant>,
@@ -90,7 +100,7 @@
     }
 
     /// Applies an update that was received at `now`. Returns `false` if the update's index is lower
-    /// than the mirror's; only VMs and loads are taken from such an update.
+    /// than the mirror's; only VMs, loads and what was heard of targets are taken from such an update.
     pub fn apply(&mut self, update: Update, now: Instant) -> bool {
         let accept_loads = update.fresh || self.vms.is_empty();
         if let Some(vm_changes) = update.vm_changes {
@@ -100,37 +110,42 @@
             self.loads = loads.regions;
             self.loads_received_at = Some(now);
         }
+        // What was heard of targets does not depend on the index.
+        let (mut recorded, mut has_cold_changes) = (None, false);
+        if let Some(ColdTargets { digest, targets }) = update.cold_targets {
+            self.cold_digest = digest;
+            let until =
+                |cold: &ColdTarget| now.checked_add(Duration::from_millis(cold.remaining_ms));
+            let unheard = targets.iter().filter(|cold| cold.age_ms.is_none());
+            let unheard = unheard.map(|cold| (cold.target.clone(), until(cold).unwrap_or(now)));
+            recorded = Some(unheard.collect());
+            has_cold_changes = self.merge_cold_targets(targets, now);
+        }
         if update.index < self.index {
+            if has_cold_changes {
+                self.rebuild_services(now);
+            }
             return false;
         }
         self.index = update.index;
+        if let Some(recorded) = recorded {
+            self.recorded_cold_until = recorded;
+        }
         if update.full {
             self.records.clear();
         }
         for record in update.targets {
             let (incarnation, state) = (record.incarnation, record.state());
-            let previous = self.records.insert(record.target.clone(), (record, now));
+            let previous = self.records.insert(record.target.clone(), record);
             let has_ended = |previous: &TargetRecord| {
                 previous.state() == State::Ready
                     && (previous.incarnation < incarnation || state == State::Gone)
             };
-            self.ended_incarnations.extend(
-                previous
-                    .filter(|(previous, _)| has_ended(previous))
-                    .map(|(previous, _)| incarnation_of(&previous)),
-            );
+            self.ended_incarnations
+                .extend(previous.filter(has_ended).map(|previous| incarnation_of(&previous)));
         }
-        if let Some(cold) = update.cold_targets {
-            self.cold_digest = cold.digest;
-            self.records.values_mut().for_each(|(_, cold_until)| *cold_until = now);
-            for ColdTarget { target, remaining_ms } in cold.targets {
-                if let Some((_, cold_until)) = self.records.get_mut(&target) {
-                    let remaining = Duration::from_millis(remaining_ms);
-                    *cold_until = now.checked_add(remaining).unwrap_or(now);
-                }
-            }
-        }
-        self.records.retain(|_, (record, _)| record.state() != State::Gone);
+        self.announcements.sweep(ANNOUNCEMENT_RETENTION, now);
+        self.records.retain(|_, record| record.state() != State::Gone);
         let drained: BTreeSet<String> = update.drained_zones.into_iter().collect();
         for zone in self.drained_zones.difference(&drained) {
             self.undrained_cold_until.insert(zone.clone(), now + COLD_AFTER_DRAIN);
@@ -142,13 +157,43 @@
             let newly_silent = silent
                 .difference(&self.silent_targets)
                 .filter_map(|target| self.records.get(target));
-            self.ended_incarnations.extend(newly_silent.map(|(record, _)| incarnation_of(record)));
+            self.ended_incarnations.extend(newly_silent.map(incarnation_of));
             self.silent_targets = silent;
         }
         self.rebuild_services(now);
         true
     }
 
+    /// Records what a replica or another VM heard of cold targets. Returns whether that changed what is
+    /// known.
+    pub fn record_cold_targets(&mut self, cold: Vec<ColdTarget>, now: Instant) -> bool {
+        let has_changed = self.merge_cold_targets(cold, now);
+        if has_changed {
+            self.rebuild_services(now);
+        }
+        has_changed
+    }
+
+    fn merge_cold_targets(&mut self, cold: Vec<ColdTarget>, now: Instant) -> bool {
+        let known_changes = self.cold_changes.len();
+        for cold in cold {
+            if self.announcements.merge_cold_target(&cold, now) {
+                self.cold_changes.push(cold);
+            }
+        }
+        self.cold_changes.len() > known_changes
+    }
+
+    /// Returns and clears the cold periods that were not known before, or were other ones.
+    pub fn take_cold_changes(&mut self) -> Vec<ColdTarget> {
+        std::mem::take(&mut self.cold_changes)
+    }
+
+    /// What was heard of cold targets at `since` or later, for the other VMs of the region.
+    pub fn cold_targets_since(&self, since: Instant, now: Instant) -> Vec<ColdTarget> {
+        self.announcements.cold_targets_since(since, now)
+    }
+
     /// Returns and clears the incarnations that ended without having announced that they leave,
     /// and those that became silent.
     pub fn take_ended_incarnations(&mut self) -> Vec<TargetIncarnation> {
@@ -189,7 +234,7 @@
 
     /// Whether an incarnation of a target in this VM's region is ready, which one that leaves is not.
     pub fn is_ready(&self, target: &id::Target, incarnation: u64) -> bool {
-        let record = self.records.get(target.as_str()).map(|(record, _)| record);
+        let record = self.records.get(target.as_str());
         record.is_some_and(|it| it.incarnation == incarnation && it.state() == State::Ready)
     }
 
@@ -213,7 +258,7 @@
         self.undrained_cold_until.retain(|_, until| *until > now);
         self.services.clear();
         let mut known_unusable = std::mem::take(&mut self.unusable_targets);
-        for (record, cold_until) in self.records.values() {
+        for record in self.records.values() {
             if record.state() != State::Ready || self.drained_zones.contains(&record.zone) {
                 continue;
             }
@@ -224,15 +269,20 @@
                 self.unusable_targets.insert(record.target.clone(), known);
                 continue;
             };
+            let cold_until = self
+                .announcements
+                .cold_until(&record.target, record.incarnation)
+                .or_else(|| self.recorded_cold_until.get(&record.target).copied())
+                .unwrap_or(now);
             let zone_cold_until =
-                self.undrained_cold_until.get(&record.zone).copied().unwrap_or(*cold_until);
+                self.undrained_cold_until.get(&record.zone).copied().unwrap_or(cold_until);
             let target = Target {
                 target: id::Target::from(record.target.as_str()),
                 incarnation: record.incarnation,
                 address,
                 zone: id::Zone::from(record.zone.as_str()),
                 slots: record.slots,
-                cold_until: zone_cold_until.max(*cold_until),
+                cold_until: zone_cold_until.max(cold_until),
                 silent: self.silent_targets.contains(&record.target),
                 software_version: record.software_version(),
             };
--- a/src/registry/update.rs
+++ b/src/registry/update.rs
@@ -128,7 +128,10 @@
     pub regions: Vec<RegionLoad>,
 }
 
-/// All cold targets; targets that are not listed are not cold.
+/// Targets that are cold, or would be by an earlier announcement of theirs.
+///
+/// A list in an [`Update`] is complete. Processes that do not read the versions of the announcements
+/// take targets that are not listed for warm.
 #[derive(Clone, PartialEq, Message)]
 pub struct ColdTargets {
     /// Digest of the list.
@@ -139,7 +142,7 @@
     pub targets: Vec<ColdTarget>,
 }
 
-/// A target that is still slow after its start.
+/// A target that is cold, or said that it would be.
 #[derive(Clone, PartialEq, Message)]
 pub struct ColdTarget {
     /// The target.
@@ -148,6 +151,16 @@
     /// Milliseconds for which it remains cold.
     #[prost(uint64, tag = "2")]
     pub remaining_ms: u64,
+    /// Incarnation of the target in the announcement that said so.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Sequence number of that announcement.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Milliseconds since that announcement was received; `None` if the sender knows the target only
+    /// from its record, or is a process that tells no versions.
+    #[prost(uint64, optional, tag = "5")]
+    pub age_ms: Option<u64>,
 }
 
 /// The load of one service in one region, as the VMs of the region report it.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -282,7 +282,7 @@
     let mut registry = Registry::new();
     registry
         .announce(TargetRecord { cold_remaining_ms: 3000, ..record("one", 100, 1, 8080, false) });
-    let cold = ColdTarget { target: "one".to_owned(), remaining_ms: 3000 };
+    let cold = ColdTarget { target: "one".to_owned(), remaining_ms: 3000, ..ColdTarget::default() };
     let cold_targets = Some(ColdTargets { digest: 1, targets: vec![cold] });
     let mut mirror = Mirror::default();
     mirror.apply(Update { cold_targets, ..fresh_update(&registry.state_machine, 0) }, now);
@@ -470,7 +470,8 @@
         cold_remaining_ms: u64::MAX,
         ..sound.clone()
     });
-    let cold = ColdTarget { target: "sound".to_owned(), remaining_ms: u64::MAX };
+    let cold =
+        ColdTarget { target: "sound".to_owned(), remaining_ms: u64::MAX, ..ColdTarget::default() };
     let cold_targets = Some(ColdTargets { digest: 1, targets: vec![cold] });
     let targets = odd.chain([sound.clone()]).collect();
     let update = Update { index: 1, targets, cold_targets, fresh: true, ..Update::default() };
