Spare targets after a suspension until there is news

What callers saw: a VM that stood still for two seconds sent 41 requests to a cold target in one or two milliseconds as it went on: those that had queued meanwhile, by what it had known before.

Cause: nothing in a VM notices that its process did not run, so that its view of the targets counts as current.

Change: SuspensionDetector, a state machine without I/O, sees a gap in a clock that is read at regular intervals. Until an update that was asked for after the gap, for a second at most, the VM sends each target no more than a cold one bears; it polls its replica at once. Event 714 names the suspension.

--- a/src/emulator/peak/place.rs
+++ b/src/emulator/peak/place.rs
@@ -76,6 +76,7 @@
             tried: &[],
             cold_requests_per_sec: 0.0,
             cache_capacity_tokens: self.site.pace.memory.into(),
+            may_be_outdated: false,
             peers: &state.peers,
         };
         let pick = state.board.choose(query, now);
--- a/src/event/registry.rs
+++ b/src/event/registry.rs
@@ -48,6 +48,10 @@
 pub const COLD: Event =
     Event { number: 713, severity: Severity::Info, text: "cold period of a target changed" };
 
+/// The process goes on after it was suspended.
+pub const RESUMED: Event =
+    Event { number: 714, severity: Severity::Warning, text: "process was suspended" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     NO_REPLICA,
@@ -64,4 +68,5 @@
     TAKEN_OVER,
     UNUSABLE,
     COLD,
+    RESUMED,
 ];
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,6 +35,7 @@
 mod server;
 mod stream_records;
 mod streaming_body;
+mod suspension_detector;
 mod target_tracker;
 mod version_binding;
 
@@ -49,6 +50,7 @@
     prompt::{Prompt, PromptPart},
     retry_budget::RetryBudget,
     server::{Gateway, RunningGateway},
+    suspension_detector::SuspensionDetector,
     target_tracker::{InFlight, LoadReport},
     version_binding::VersionBinding,
 };
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -69,6 +69,8 @@
     pub peers: &'a throttle::Peers,
     /// The prompt tokens that the memory of one target holds; zero if they are unknown.
     pub cache_capacity_tokens: u64,
+    /// Whether any target may have become cold without this VM having heard of it.
+    pub may_be_outdated: bool,
 }
 
 /// The parts of a prompt that a VM sent to a target.
@@ -158,7 +160,8 @@
         let sample = self.sample(untried, &preferred, query.peers, now);
         let mut best: Option<(f64, Pick)> = None;
         for target in sample {
-            if self.is_cold(target, now) && !self.is_below_cold_limit(target, query, now) {
+            if self.may_be_cold(target, query, now) && !self.is_below_cold_limit(target, query, now)
+            {
                 continue;
             }
             if !all_unavailable && self.is_unavailable(target, now) {
@@ -408,8 +411,10 @@
         self.throttle.permission(&target.target, target.incarnation, query.peers, now)
     }
 
-    fn is_cold(&mut self, target: &Target, now: Instant) -> bool {
-        target.cold_until > now || self.tracker(target, now).may_have_restarted(now)
+    fn may_be_cold(&mut self, target: &Target, query: TargetQuery<'_>, now: Instant) -> bool {
+        query.may_be_outdated
+            || target.cold_until > now
+            || self.tracker(target, now).may_have_restarted(now)
     }
 
     /// Whether this VM may send one more request to a cold target.
@@ -434,7 +439,7 @@
         let is_suitable = |target: &&Target| {
             !self.is_unavailable(target, now)
                 && !self.is_limited(target)
-                && !self.is_cold(target, now)
+                && !self.may_be_cold(target, query, now)
                 && !target.silent
         };
         let mut targets: Vec<&Target> = query.targets.iter().copied().filter(is_suitable).collect();
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -30,7 +30,9 @@
         loop {
             let replicas = self.replicas();
             let vm = &replicas[index % replicas.len()];
-            let polled = self.poll_replica(vm, LONG_POLL_WAIT).await;
+            // A replica waits for changes, and there may be none since a suspension.
+            let wait = if self.may_be_outdated() { Duration::ZERO } else { LONG_POLL_WAIT };
+            let polled = self.poll_replica(vm, wait).await;
             let is_fresh = matches!(polled, Some(true));
             if is_fresh {
                 self.follow_replica(vm);
@@ -83,13 +85,15 @@
     async fn poll_replica(&self, vm: &id::Vm, wait: Duration) -> Option<bool> {
         let address = self.settings.links_address_of(vm)?;
         let was_stopping = self.is_stopping();
+        let asked_at = self.clock.now();
         let records_change = self.crash_records_changed.listen();
+        let resumed = self.resumed.listen();
         let update_request = self.update_request(wait);
         let sends_crash_records = update_request.crashes.is_some();
         let payload = Bytes::from(update_request.encode_to_vec());
         let call = self.hub.call(address, Topic::Registry, payload, wait + REPLY_ALLOWANCE);
         // A VM that begins to stop, or that learns of a crash, reports it at once, not after the end
-        // of this poll.
+        // of this poll. One that was suspended asks again.
         let stop_begins = async {
             if was_stopping {
                 std::future::pending::<()>().await;
@@ -97,7 +101,7 @@
             self.wait_until_stopping().await;
         };
         let interruption = async {
-            or(stop_begins, records_change).await;
+            or(stop_begins, or(records_change, resumed)).await;
             None
         };
         let reply = or(async { Some(call.await) }, interruption).await;
@@ -108,6 +112,7 @@
         let update = Update::decode(reply.ok()?).ok()?;
         let is_fresh = update.fresh;
         self.apply_update(update, vm);
+        self.record_news(asked_at);
         Some(is_fresh)
     }
 
@@ -119,6 +124,7 @@
             let mut suspects = self.crash_suspects();
             (suspects.take_unsent_records(now), suspects.blocked_digest())
         };
+        let may_be_outdated = self.may_be_outdated();
         let mirror = self.mirror();
         let loads_age = mirror.loads_received_at().map(|at| now.saturating_duration_since(at));
         UpdateRequest {
@@ -127,7 +133,8 @@
             vms_digest: mirror.vms_digest(),
             max_wait_ms: millis(wait),
             loads_age_ms: loads_age.map(millis),
-            cold_digest: mirror.cold_digest(),
+            // What was on its way during a suspension names ends that are too late.
+            cold_digest: if may_be_outdated { 0 } else { mirror.cold_digest() },
             silent_digest: mirror.silent_digest(),
             crashes,
             blocked_digest,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -20,8 +20,9 @@
 };
 
 use super::{
-    Admission, Balancer, CrashSuspects, HeaderNames, RetryBudget, connection_pool::ConnectionPool,
-    metrics::Metrics, record::ROUTINE_LINES_PER_SEC, stream_records::RecordKeeper,
+    Admission, Balancer, CrashSuspects, HeaderNames, RetryBudget, SuspensionDetector,
+    connection_pool::ConnectionPool, load_sharing::share_interval, metrics::Metrics,
+    record::ROUTINE_LINES_PER_SEC, stream_records::RecordKeeper,
 };
 use crate::{
     clock::{Clock, within},
@@ -52,6 +53,8 @@
 /// that size fits and the buffer is never smaller than the HTTP server requires.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 8 * 1024;
 const MAX_HEADERS: usize = 100;
+/// A process that runs sends its load at regular intervals, late by no more than this.
+const SUSPENSION_ALLOWANCE: Duration = Duration::from_millis(500);
 
 /// A VM that accepts callers: the state shared by all of its tasks.
 pub struct Gateway {
@@ -80,6 +83,9 @@
     pub(super) crash_checks: Mutex<HashSet<(id::Target, u64)>>,
     /// Notifies the synchronization when there are records for the replicas.
     pub(super) crash_records_changed: ChangeNotifier,
+    suspension: Mutex<SuspensionDetector>,
+    /// Notifies the synchronization when the process goes on after a suspension.
+    pub(super) resumed: ChangeNotifier,
     random: Mutex<StdRng>,
     metrics: Mutex<Metrics>,
     sampler: Mutex<Sampler>,
@@ -174,6 +180,8 @@
             record_keeper: Mutex::default(),
             crash_checks: Mutex::default(),
             crash_records_changed: ChangeNotifier::default(),
+            suspension: Mutex::new(SuspensionDetector::new(started_at)),
+            resumed: ChangeNotifier::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
             metrics: Mutex::default(),
             sampler: Mutex::new(Sampler::new(ROUTINE_LINES_PER_SEC, started_at)),
@@ -320,6 +328,25 @@
         lock(&self.seeds).clone()
     }
 
+    /// Records that this process runs. Returns whether it was suspended and has not heard since which
+    /// targets are cold.
+    pub(super) fn may_be_outdated(&self) -> bool {
+        let now = self.clock.now();
+        let other_vms = self.region_peers().vm_count() - 1;
+        let max_gap = share_interval(other_vms) + SUSPENSION_ALLOWANCE;
+        let mut suspension = lock(&self.suspension);
+        if let Some(gap) = suspension.observe(now, max_gap) {
+            event::registry::RESUMED.emit(&self.logger, &[("suspended_ms", &gap.as_millis())]);
+            self.resumed.notify();
+        }
+        suspension.is_in_doubt(now)
+    }
+
+    /// Records an update that was asked for at `asked_at`.
+    pub(super) fn record_news(&self, asked_at: Instant) {
+        lock(&self.suspension).record_news(asked_at);
+    }
+
     /// The VMs of this region that accept callers or did so lately, including this one.
     pub(super) fn region_peers(&self) -> Peers {
         lock(&self.peer_memory).peers(self.settings.vm().as_str())
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -38,6 +38,7 @@
         tried: &[],
         cold_requests_per_sec: 3.0,
         cache_capacity_tokens: 0,
+        may_be_outdated: false,
         peers: &ALONE,
     }
 }
