Treat a target that refused a connection as possibly restarted until it announces itself

What callers saw: a target that starts again under its identifier is cold, and a VM sent it all requests from its first answer on, up to a heartbeat before the target was announced.

Cause: the first answer cleared the doubt, though it comes from the new process.

Change: a refused connection shows that the process has ended.

Result: a_target_that_may_have_restarted_counts_as_cold_until_it_has_announced_itself has 3 requests in the second after the first answer.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -171,6 +171,10 @@
                         "all of its {max_connections} connections are in use"
                     ));
                 }
+                Err(AcquireError::Refused(cause)) => {
+                    self.balancer().record_refused_connection(target, self.clock.now());
+                    return AttemptOutcome::NotSent(cause.to_string());
+                }
                 Err(AcquireError::Connect(cause)) => {
                     self.balancer().record_failure(target, self.clock.now());
                     return AttemptOutcome::NotSent(cause.to_string());
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -337,7 +337,12 @@
 
     /// Records that a target responded, with a server error or not.
     pub fn record_response(&mut self, target: &Target, failed: bool, now: Instant) {
-        self.tracker(target, now).record_response(failed);
+        self.tracker(target, now).record_response(failed, now);
+    }
+
+    /// Records that no process listened at a target's address.
+    pub fn record_refused_connection(&mut self, target: &Target, now: Instant) {
+        self.tracker(target, now).record_refused_connection(now);
     }
 
     /// Records that a target was unreachable or broke off a response.
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     control::lock,
-    http::{self, Body, HeadGuard, HeadState, RequestError},
+    http::{self, Body, ConnectError, HeadGuard, HeadState, RequestError},
 };
 
 /// The timeout for connecting to a target of the region. The network there takes a millisecond, and
@@ -35,10 +35,21 @@
 pub(super) enum AcquireError {
     /// This VM has opened its share of the connections that the target accepts.
     Full,
+    /// No process listens at the target's address.
+    Refused(RequestError),
     /// No connection could be opened.
     Connect(RequestError),
 }
 
+impl From<ConnectError> for AcquireError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Refused(_) => Self::Refused(error.into()),
+            ConnectError::Failed(_) => Self::Connect(error.into()),
+        }
+    }
+}
+
 /// A connection to a target, which is closed when this is dropped.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -79,8 +90,7 @@
             return Ok(self.lease(connection, address, true));
         }
         let open_token = self.open_token(address, max_open).ok_or(AcquireError::Full)?;
-        let stream =
-            http::connect(address, CONNECT_TIMEOUT).await.map_err(AcquireError::Connect)?;
+        let stream = http::connect(address, CONNECT_TIMEOUT).await?;
         let (stream, head) = HeadGuard::new(stream);
         let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
             .await
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -17,11 +17,16 @@
             return;
         }
         let (gateway, address) = (Arc::clone(self), target.address);
+        let checked_target = target.clone();
         smol::spawn(async move {
             Timer::after(CHECK_DELAY).await;
             let refuses_connections = http::refuses_connections(address).await;
             lock(&gateway.crash_checks).remove(&key);
             let (target, incarnation) = key;
+            if refuses_connections {
+                let now = gateway.clock.now();
+                gateway.balancer().record_refused_connection(&checked_target, now);
+            }
             // A target that announced its departure ends as planned.
             if refuses_connections && gateway.mirror().is_ready(&target, incarnation) {
                 gateway.record_crash(&target, incarnation);
--- a/src/gateway/target_tracker.rs
+++ b/src/gateway/target_tracker.rs
@@ -81,6 +81,11 @@
     backoff_until: Option<Instant>,
     /// Until when the target is treated as cold because it was unreachable.
     possible_restart_until: Option<Instant>,
+    /// Whether the target refused a connection and has not responded since.
+    has_ended: bool,
+    /// Until when a target that responds again may be another process than before, which has not
+    /// announced itself yet.
+    restarted_until: Option<Instant>,
     /// The moving average of failed responses, from 0 to 1.
     failure_ratio: f64,
     /// The time until the first event as a multiple of that of a typical engine.
@@ -103,6 +108,8 @@
             failures: 0,
             backoff_until: None,
             possible_restart_until: None,
+            has_ended: false,
+            restarted_until: None,
             failure_ratio: 0.0,
             slowdown,
             recent_sends: Vec::new(),
@@ -200,7 +207,10 @@
         InFlight { stream_gap_secs, ..self.own }
     }
 
-    pub(super) fn record_response(&mut self, failed: bool) {
+    pub(super) fn record_response(&mut self, failed: bool, now: Instant) {
+        if std::mem::take(&mut self.has_ended) {
+            self.restarted_until = Some(now + RESTART_DETECTION_DELAY);
+        }
         self.failures = 0;
         self.backoff_until = None;
         let sample = if failed { 1.0 } else { 0.0 };
@@ -218,13 +228,21 @@
         self.cache.clear();
     }
 
+    /// Records that no process listened at the target's address.
+    pub(super) fn record_refused_connection(&mut self, now: Instant) {
+        self.has_ended = true;
+        self.record_failure(now);
+    }
+
     pub(super) fn is_in_backoff(&self, now: Instant) -> bool {
         self.backoff_until.is_some_and(|until| until > now)
     }
 
     /// Whether the target may have restarted since it was last reachable.
     pub(super) fn may_have_restarted(&self, now: Instant) -> bool {
-        self.failures > 0 && self.possible_restart_until.is_some_and(|until| until > now)
+        let is_unreachable = self.failures > 0 || self.has_ended;
+        is_unreachable && self.possible_restart_until.is_some_and(|until| until > now)
+            || self.restarted_until.is_some_and(|until| until > now)
     }
 
     pub(super) fn failure_ratio(&self) -> f64 {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -86,18 +86,37 @@
     matches!(connected, Some(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Why no connection could be opened.
+#[derive(Debug)]
+pub(crate) enum ConnectError {
+    /// No process listens at the address.
+    Refused(String),
+    /// Something else went wrong.
+    Failed(String),
+}
+
+impl From<ConnectError> for RequestError {
+    fn from(error: ConnectError) -> Self {
+        let (ConnectError::Refused(cause) | ConnectError::Failed(cause)) = error;
+        Self::NotSent(cause)
+    }
+}
+
 /// Opens a connection that the operating system closes when the other side stops acknowledging.
 pub(crate) async fn connect(
     address: SocketAddr,
     timeout: Duration,
-) -> Result<TcpStream, RequestError> {
+) -> Result<TcpStream, ConnectError> {
     match within(timeout, TcpStream::connect(address)).await {
         Some(Ok(stream)) => {
             let _ = detect_silence(&stream);
             Ok(stream)
         }
-        Some(Err(cause)) => Err(RequestError::NotSent(format!("{address}: {cause}"))),
-        None => Err(RequestError::NotSent(format!("{address}: no connection in time"))),
+        Some(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused => {
+            Err(ConnectError::Refused(format!("{address}: {cause}")))
+        }
+        Some(Err(cause)) => Err(ConnectError::Failed(format!("{address}: {cause}"))),
+        None => Err(ConnectError::Failed(format!("{address}: no connection in time"))),
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -146,6 +146,42 @@
     assert_eq!(sent, 1, "a third of the limit of three a second");
 }
 
+/// Guards against a target that starts again under its identifier and gets all requests from its first
+/// response on, before it has announced that it is cold.
+#[test]
+fn a_target_that_may_have_restarted_counts_as_cold_until_it_has_announced_itself() {
+    let now = Instant::now();
+    let target = target("one", now);
+    let targets = [&target];
+    let plain = Prompt::default();
+    let mut balancer = Balancer::new(1);
+    let send_for_a_second = |balancer: &mut Balancer, from: Instant| {
+        let mut sent = 0;
+        for step in 0..40 {
+            let at = from + Duration::from_millis(25 * step);
+            if let Some(pick) = balancer.choose(query(&targets, &plain), at) {
+                balancer.record_sent_untracked(&pick, &plain, at);
+                balancer.record_end(&target, at);
+                sent += 1;
+            }
+        }
+        sent
+    };
+    balancer.record_response(&target, false, now);
+    assert_eq!(send_for_a_second(&mut balancer, now), 40, "it responds");
+    let ended_at = now + Duration::from_secs(2);
+    balancer.record_refused_connection(&target, ended_at);
+    let back_at = ended_at + Duration::from_secs(2);
+    balancer.record_response(&target, false, back_at);
+    assert_eq!(send_for_a_second(&mut balancer, back_at), 3, "it may be cold");
+    let announced_at = back_at + Duration::from_secs(3);
+    assert_eq!(send_for_a_second(&mut balancer, announced_at), 40, "it would have said so");
+    let broken_at = announced_at + Duration::from_secs(2);
+    balancer.record_failure(&target, broken_at);
+    balancer.record_response(&target, false, broken_at);
+    assert_eq!(send_for_a_second(&mut balancer, broken_at), 40, "only its connection ended");
+}
+
 /// Guards against a fault where each of 28 VMs sent one request a second to a cold target, together
 /// ten times its limit.
 #[test]
