Keep the pauses that targets ask for with 503 and Retry-After

What callers saw: requests were sent to an engine that had asked for a rest, refused there, and tried again elsewhere until the retry budget was spent; then they were refused though other engines had room.

Cause: no code read a target's Retry-After, on either path. The class is that of the limits that targets name: a sign of the engines that nothing listens to.

Change: throttle holds pauses beside limits, so that one Permission covers first sends, repeats, resumed streams, hand-overs, calls and streams that are discarded. A pause belongs to one incarnation and is not shortened; it is asked again before a request is written to a connection that took time to open. Lengths are bounded: more than 600 s is 600 s, what is no number is one second, and logged (events 342 and 343, gauge paused_targets). VMs come back one after the other, callers are refused at once with a time after the first pause that ends, spread out. Other VMs are told and use such a target as the last resort.

--- a/src/event/placement.rs
+++ b/src/event/placement.rs
@@ -47,6 +47,13 @@
 pub const LIMIT_UNREADABLE: Event =
     Event { number: 341, severity: Severity::Warning, text: "limit of a target not readable" };
 
+/// A target asked this VM to send it nothing for a while.
+pub const PAUSED: Event =
+    Event { number: 342, severity: Severity::Info, text: "target asked for a pause" };
+/// A target asked for a pause whose length is no number.
+pub const PAUSE_UNREADABLE: Event =
+    Event { number: 343, severity: Severity::Warning, text: "pause of a target not readable" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     NAMES_INVALID,
@@ -62,4 +69,6 @@
     CRASHING,
     LIMIT_CHANGED,
     LIMIT_UNREADABLE,
+    PAUSED,
+    PAUSE_UNREADABLE,
 ];
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -180,6 +180,10 @@
                     return AttemptOutcome::NotSent(cause.to_string());
                 }
             };
+            // The target may have asked for a pause, or have become cold, while the connection was opened.
+            if let Some(cause) = self.withheld_since_pick(request, target) {
+                return AttemptOutcome::NotSent(cause.to_owned());
+            }
             let http_request = match self.build_http_request(request, pick, last_event_id, timeout)
             {
                 Ok(http_request) => http_request,
@@ -221,6 +225,23 @@
         }
     }
 
+    /// Why a target that was chosen before must not get the request now.
+    fn withheld_since_pick(
+        &self,
+        request: &RoutedRequest,
+        target: &Target,
+    ) -> Option<&'static str> {
+        let now = self.clock.now();
+        if self.balancer().is_paused(target, now) {
+            return Some("it has asked for a pause since it was chosen");
+        }
+        let mirror = self.mirror();
+        let known = mirror.targets(&request.service).iter().find(|it| it.target == target.target);
+        let has_become_cold =
+            known.is_some_and(|known| known.cold_until > now && target.cold_until <= now);
+        has_become_cold.then_some("it has become cold since it was chosen")
+    }
+
     /// This VM's share of the connections that a target accepts from all VMs together.
     fn max_connections(&self, request: &RoutedRequest) -> usize {
         let total = self
@@ -287,6 +308,10 @@
         if !misdirected {
             let limit = head.headers.get(&self.header_names.limit);
             self.record_limit(target, limit, head.status, attempt.sent.sent_at);
+            let pause = head.headers.get(&self.header_names.pause);
+            if let Some(pause) = pause.filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE) {
+                self.record_pause(target, pause);
+            }
         }
         if misdirected || head.headers.contains_key(&self.header_names.not_executed) {
             let detail = format!("it answered {} and did not run the request", head.status);
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -15,7 +15,7 @@
 use crate::{
     id,
     registry::Target,
-    throttle::{self, Answer, Change, Limit, Notice, Permission, Returns},
+    throttle::{self, Answer, Change, Notice, Pause, PauseNotice, Permission, Returns},
 };
 
 /// Above this number of trackers, those of targets without requests of this VM are dropped.
@@ -142,6 +142,12 @@
         let mut untried: Vec<&Target> =
             query.targets.iter().copied().filter(|target| !tried(target)).collect();
         untried.retain(|target| self.permission(target, query, now) == Permission::Granted);
+        let is_last_resort = |target: &Target| {
+            self.throttle.is_last_resort(&target.target, target.incarnation, query.peers, now)
+        };
+        if untried.iter().any(|target| !is_last_resort(target)) {
+            untried.retain(|target| !is_last_resort(target));
+        }
         for target in query.targets {
             self.tracker(target, now).set_cache_capacity(query.cache_capacity_tokens);
         }
@@ -290,6 +296,26 @@
         self.throttle.record_answer(&target.target, target.incarnation, answer, now)
     }
 
+    /// Records that a target asked this VM for a pause. Returns whether the pause has begun with that.
+    pub fn record_pause(&mut self, target: &Target, pause: Pause, now: Instant) -> bool {
+        self.throttle.record_pause(&target.target, target.incarnation, pause, now)
+    }
+
+    /// Records that a target asked another VM of the region for a pause.
+    pub fn record_pause_notice(&mut self, notice: &PauseNotice, now: Instant) {
+        self.throttle.record_pause_notice(notice, now);
+    }
+
+    /// What the other VMs of the region are to know of the pauses that targets asked this VM for.
+    pub fn pause_notices(&self, now: Instant) -> Vec<PauseNotice> {
+        self.throttle.pause_notices(now)
+    }
+
+    /// Whether a target has asked this VM for a pause that has not ended.
+    pub fn is_paused(&self, target: &Target, now: Instant) -> bool {
+        self.throttle.is_paused(&target.target, target.incarnation, now)
+    }
+
     /// Records what another VM of the region says of a target's limit. Returns what changed.
     pub fn record_limit_notice(&mut self, notice: &Notice, now: Instant) -> Option<Change> {
         self.throttle.record_notice(notice, now)
@@ -300,11 +326,14 @@
         self.throttle.notices(peers, now)
     }
 
-    /// The time until a target may take the request, if the limits that targets name are what keeps
-    /// it from all of them.
+    /// The time until a target may take the request, if the limits that targets name or the pauses
+    /// that they ask for are what keeps it from all of them. Targets that were tried count if there
+    /// are no others.
     pub fn throttle_delay(&mut self, query: TargetQuery<'_>, now: Instant) -> Option<Duration> {
+        let is_tried = |target: &&&Target| query.tried.contains(&target.target);
+        let all_tried = query.targets.iter().all(|target| is_tried(&target));
         let mut min_delay = None;
-        for target in query.targets.iter().filter(|target| !query.tried.contains(&target.target)) {
+        for target in query.targets.iter().filter(|target| all_tried || !is_tried(target)) {
             let Permission::After(delay) = self.permission(target, query, now) else { return None };
             min_delay = min_delay.map_or(Some(delay), |least: Duration| Some(least.min(delay)));
         }
@@ -312,17 +341,21 @@
     }
 
     /// The time after which a caller of `service` may return that was refused because of the limits
-    /// that `targets` name. `vm_count` VMs refuse callers.
+    /// that `targets` name or the pauses that they ask for. `vm_count` VMs refuse callers.
     pub fn next_return(
         &mut self,
         service: &id::Service,
         targets: &[Target],
         vm_count: u32,
         now: Instant,
-    ) -> Duration {
-        let limit = |target: &Target| self.throttle.limit(&target.target, target.incarnation);
-        let per_sec: f64 = targets.iter().filter_map(limit).map(Limit::per_sec).sum();
-        self.returns.next_delay(service, per_sec / f64::from(vm_count.max(1)), now)
+    ) -> Option<Duration> {
+        let targets = targets.iter().map(|target| (&target.target, target.incarnation));
+        self.returns.next_return(&self.throttle, service, targets, vm_count, now)
+    }
+
+    /// The number of targets that have asked this VM for a pause.
+    pub fn paused_target_count(&self, now: Instant) -> usize {
+        self.throttle.paused_targets(now).len()
     }
 
     /// The number of targets with a limit.
@@ -379,12 +412,12 @@
         in_flight.filter(move |(_, in_flight)| has_requests(in_flight))
     }
 
-    /// The load of the available ones of `targets`. Those that name a limit have no free capacity,
-    /// however few requests they get.
+    /// The load of the available ones of `targets`. Those that name a limit or ask for a pause have no
+    /// free capacity, however few requests they get.
     pub fn local_load(&mut self, targets: &[&Target], now: Instant) -> LocalLoad {
         let mut load = LocalLoad { min_backlog_secs: f64::MAX, ..LocalLoad::default() };
         for target in targets {
-            if self.is_unavailable(target, now) || self.is_limited(target) {
+            if self.is_unavailable(target, now) || self.is_throttled(target, now) {
                 continue;
             }
             let tracker = self.tracker(target, now);
@@ -407,11 +440,13 @@
         tracker.is_in_backoff(now) || tracker.is_unresponsive(now)
     }
 
-    fn is_limited(&self, target: &Target) -> bool {
+    /// Whether the target has a limit or asked for a pause.
+    fn is_throttled(&self, target: &Target, now: Instant) -> bool {
         self.throttle.limit(&target.target, target.incarnation).is_some()
+            || self.is_paused(target, now)
     }
 
-    /// Whether the limit that the target names permits this VM to send it a request.
+    /// Whether what the target says that it takes permits this VM to send it a request.
     fn permission(&mut self, target: &Target, query: TargetQuery<'_>, now: Instant) -> Permission {
         self.throttle.permission(&target.target, target.incarnation, query.peers, now)
     }
@@ -443,7 +478,7 @@
         let Some(prefix_key) = query.prompt.shared_prefix_key() else { return Vec::new() };
         let is_suitable = |target: &&Target| {
             !self.is_unavailable(target, now)
-                && !self.is_limited(target)
+                && !self.is_throttled(target, now)
                 && !self.may_be_cold(target, query, now)
                 && !target.silent
         };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -51,7 +51,8 @@
     Vm(VmInfo),
     /// Nowhere yet: there are targets, but none accepts the request now.
     Wait,
-    /// Nowhere yet: the limits that the targets name keep the request from them for this long.
+    /// Nowhere yet: the limits that the targets name, or the pauses that they ask for, keep the request
+    /// from them for this long.
     Throttled(Duration),
     /// Nowhere: the response would miss the route's latency objective.
     WouldBeLate(ObjectiveMiss),
@@ -76,7 +77,7 @@
     /// The explanation of the latest rejection.
     pub(super) rejection_detail: Option<String>,
     objective_miss: Option<ObjectiveMiss>,
-    /// Set if the limits that targets name keep the request from them: the time after which its
+    /// Set if limits or pauses of targets keep the request from them: the time after which its
     /// caller may return.
     pub(super) limited_return: Option<Duration>,
     /// Set if the request has been found to crash targets.
@@ -142,7 +143,9 @@
                     Timer::after(delay).await;
                 }
                 Destination::Throttled(_) => {
-                    state.limited_return = Some(self.limited_return(&request.service));
+                    let random_return = self.random_return();
+                    let limited_return = self.limited_return(&request.service);
+                    state.limited_return = Some(limited_return.unwrap_or(random_return));
                     break;
                 }
                 Destination::WouldBeLate(objective_miss) => {
@@ -181,8 +184,7 @@
         if let Some(refusal) = state.crash_refusal.or(state.stop_refusal) {
             return Outcome::Refused(refusal);
         }
-        let random_delay =
-            Duration::from_secs_f64(self.random().random_range(RETRY_AFTER_RANGE_SECS));
+        let random_delay = self.random_return();
         let estimated_delay =
             state.objective_miss.map(|miss| Duration::from_secs_f64(miss.retry_after_secs));
         let retry_after = estimated_delay.or(state.limited_return).unwrap_or(random_delay);
@@ -192,7 +194,11 @@
                 (Reason::WouldBeLate, format!("`{}` would be late: {miss}", request.service))
             }
             _ if state.limited_return.is_some() => {
-                let detail = format!("the targets of `{}` take no more requests", request.service);
+                let paused = self.balancer().paused_target_count(self.clock.now());
+                let detail = format!(
+                    "the targets of `{}` take no more requests; {paused} of all asked for a pause",
+                    request.service
+                );
                 (Reason::TargetsLimited, detail)
             }
             Some(detail) => (Reason::TargetsFull, detail),
@@ -204,8 +210,14 @@
         Outcome::Refused(Refusal::new(reason, detail, retry_after))
     }
 
-    /// The time after which a caller may return that the limits of this region's targets keep out.
-    fn limited_return(&self, service: &id::Service) -> Duration {
+    /// A time after which a refused caller may return.
+    fn random_return(&self) -> Duration {
+        Duration::from_secs_f64(self.random().random_range(RETRY_AFTER_RANGE_SECS))
+    }
+
+    /// The time after which a caller may return that the limits or pauses of this region's targets keep
+    /// out.
+    fn limited_return(&self, service: &id::Service) -> Option<Duration> {
         let (mirror, now) = (self.mirror(), self.clock.now());
         let vm_count = self.region_peers().vm_count();
         self.balancer().next_return(service, mirror.targets(service), vm_count, now)
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -13,6 +13,8 @@
     pub load: HeaderName,
     /// The requests a second that a target takes from all VMs together.
     pub limit: HeaderName,
+    /// In a response with status 503: the seconds for which a target asks the VM to send it nothing.
+    pub pause: HeaderName,
     /// Marks the response to a request that the target did not run.
     pub not_executed: HeaderName,
     /// A target's proof that it wrote the response.
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -7,7 +7,7 @@
 use crate::{
     id,
     registry::{ColdTarget, Target},
-    throttle::Notice,
+    throttle::{Notice, PauseNotice},
     wire::Topic,
 };
 
@@ -38,11 +38,15 @@
     /// What was heard of cold targets lately.
     #[prost(message, repeated, tag = "3")]
     cold_targets: Vec<ColdTarget>,
+    /// The pauses that targets have asked the sender for.
+    #[prost(message, repeated, tag = "4")]
+    pauses: Vec<PauseNotice>,
 }
 
 impl LoadMessage {
     fn is_empty(&self) -> bool {
-        self.targets.is_empty() && self.limits.is_empty() && self.cold_targets.is_empty()
+        let Self { targets, limits, cold_targets, pauses } = self;
+        targets.is_empty() && limits.is_empty() && cold_targets.is_empty() && pauses.is_empty()
     }
 }
 
@@ -83,20 +87,31 @@
             if message == last_message && message.is_empty() {
                 continue;
             }
-            let payload = Bytes::from(message.encode_to_vec());
-            for address in addresses {
-                self.hub.notify_detached(address, Topic::Loads, payload.clone());
-            }
+            self.send_load(&message, addresses);
             last_message = message;
         }
     }
 
+    /// Tells the other VMs of the region at once of a pause that has begun, before they send requests
+    /// that the target would refuse.
+    pub(super) fn send_pauses(&self) {
+        self.send_load(&self.load_message(), self.peer_addresses());
+    }
+
+    fn send_load(&self, message: &LoadMessage, addresses: Vec<SocketAddr>) {
+        let payload = Bytes::from(message.encode_to_vec());
+        for address in addresses {
+            self.hub.notify_detached(address, Topic::Loads, payload.clone());
+        }
+    }
+
     fn load_message(&self) -> LoadMessage {
         let (peers, now) = (self.region_peers(), self.clock.now());
         let cold_since = now.checked_sub(COLD_NEWS_AGE).unwrap_or(now);
         let cold_targets = self.mirror().cold_targets_since(cold_since, now);
         let mut balancer = self.balancer();
         let limits = balancer.limit_notices(&peers, self.clock.now());
+        let pauses = balancer.pause_notices(now);
         let mut loads: HashMap<id::Target, TargetLoad> = HashMap::new();
         for SentPrompt { target, parts } in balancer.take_unreported_prompts() {
             let load = loads.entry(target).or_default();
@@ -114,7 +129,7 @@
         let targets = loads
             .into_iter()
             .map(|(target, load)| TargetLoad { target: target.to_string(), ..load });
-        LoadMessage { targets: targets.collect(), limits, cold_targets }
+        LoadMessage { targets: targets.collect(), limits, cold_targets, pauses }
     }
 
     fn peer_addresses(&self) -> Vec<SocketAddr> {
@@ -139,6 +154,9 @@
         if !message.cold_targets.is_empty() {
             self.record_cold_targets(message.cold_targets.clone(), from);
         }
+        for notice in &message.pauses {
+            self.balancer().record_pause_notice(notice, now);
+        }
         let loads: HashMap<&str, &TargetLoad> =
             message.targets.iter().map(|load| (load.target.as_str(), load)).collect();
         let mirror = self.mirror();
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -15,7 +15,7 @@
     http::Delimiter,
     id,
     registry::{BlockedRequests, Target, VmInfo},
-    throttle::{Answer, Change, Limit},
+    throttle::{Answer, Change, Limit, Pause},
 };
 
 /// The rate and burst of log lines about routine events, some kilobytes a second. Lines about
@@ -219,6 +219,25 @@
         }
     }
 
+    /// Records that a target asked in its answer for a pause.
+    pub(super) fn record_pause(&self, target: &Target, asked: &HeaderValue) {
+        let now = self.clock.now();
+        let pause = Pause::try_from(asked);
+        if let Err(cause) = &pause
+            && self.sampler().passes(now)
+        {
+            event::placement::PAUSE_UNREADABLE
+                .emit(&self.logger, &[("target", &target.target), ("cause", cause)]);
+        }
+        let pause = pause.unwrap_or(Pause::UNREADABLE);
+        if self.balancer().record_pause(target, pause, now) {
+            let pause_ms = pause.duration().as_millis();
+            event::placement::PAUSED
+                .emit(&self.logger, &[("target", &target.target), ("pause_ms", &pause_ms)]);
+            self.send_pauses();
+        }
+    }
+
     /// Logs that the limit of a target has changed, as the VM `heard_by` heard.
     pub(super) fn record_limit_change(
         &self,
@@ -257,6 +276,8 @@
         let mut page = Page::default();
         self.metrics().write_to(&mut page);
         page.gauge("limited_targets", &[], self.balancer().limited_target_count() as f64);
+        let paused = self.balancer().paused_target_count(self.clock.now());
+        page.gauge("paused_targets", &[], paused as f64);
         let mirror = self.mirror();
         for (service, targets) in mirror.services() {
             page.gauge("targets", &[("service", service)], targets.len() as f64);
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,7 +20,7 @@
     stall_detector::StallDetector,
 };
 pub(crate) use self::{
-    client::{ConnectError, connect, is_connectable, refuses_connections},
+    client::{ConnectError, connect, is_connectable, refuses_connections, send_request_if},
     head_guard::{HeadGuard, HeadState},
     server::STOP_LINGER,
 };
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -56,8 +56,26 @@
     request: Request<Body>,
     connect_timeout: Duration,
     first_byte_timeout: Duration,
+) -> Result<(Response<Incoming>, Task<()>), RequestError> {
+    send_request_if(address, request, connect_timeout, first_byte_timeout, || true).await
+}
+
+/// Like [`send_request`], but sends nothing if `may_send` forbids it once the connection is open.
+///
+/// # Errors
+///
+/// Those of [`send_request`].
+pub(crate) async fn send_request_if(
+    address: SocketAddr,
+    request: Request<Body>,
+    connect_timeout: Duration,
+    first_byte_timeout: Duration,
+    may_send: impl FnOnce() -> bool,
 ) -> Result<(Response<Incoming>, Task<()>), RequestError> {
     let stream = connect(address, connect_timeout).await?;
+    if !may_send() {
+        return Err(RequestError::NotSent(format!("{address}: it takes no requests now")));
+    }
     let (stream, written) = WriteTracker::new(stream);
     let (stream, head) = HeadGuard::new(stream);
     let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -74,14 +74,14 @@
     };
     let first_byte_timeout = limits.first_byte_timeout.min(time_left);
     let sent_at = clock.now();
-    match http::send_request(
+    let sent = http::send_request_if(
         target.address,
         target_request,
         limits.connect_timeout,
         first_byte_timeout,
-    )
-    .await
-    {
+        || !watch.is_paused(),
+    );
+    match sent.await {
         Ok((response, connection_task)) => {
             watch.record_response(response.status(), response.headers(), sent_at);
             let new_body = |response| {
--- a/src/path/target_watch.rs
+++ b/src/path/target_watch.rs
@@ -11,6 +11,9 @@
     /// Records the head of the target's response to a request that was sent at `sent_at`.
     fn record_response(&self, status: StatusCode, headers: &HeaderMap, sent_at: Instant);
 
+    /// Whether the target has asked this VM for a pause that has not ended.
+    fn is_paused(&self) -> bool;
+
     /// Whether another request may be sent to the target now.
     fn permission(&self) -> Permission;
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -155,6 +155,11 @@
         self.state.intake.name_limit(limit);
     }
 
+    /// Refuses requests until `until`, and asks for `pause` each time.
+    pub fn ask_pauses(&self, until: Instant, pause: HeaderValue) {
+        self.state.intake.ask_pauses(until, pause);
+    }
+
     /// When requests reached the engine, in order; those that resume or discard a stream count.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.state.intake.arrivals()
@@ -179,6 +184,9 @@
 impl State {
     async fn take(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         self.intake.record_arrival();
+        if let Some(refusal) = self.intake.refusal() {
+            return refusal;
+        }
         let answer = Arc::clone(&self).answer(request).await;
         self.intake.complete(answer)
     }
--- a/src/standin/intake.rs
+++ b/src/standin/intake.rs
@@ -3,15 +3,24 @@
     time::Instant,
 };
 
-use hyper::{Response, header::HeaderValue};
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
 
-use crate::{http::Body, path::LIMIT};
+use crate::{
+    http::{self, Body},
+    path::LIMIT,
+};
 
-/// When requests reached a stand-in target, and the limit that it names in its answers.
+/// When requests reached a stand-in target, the limit that it names in its answers, and the pauses that
+/// it asks for.
 #[derive(Debug, Default)]
 pub(super) struct Intake {
     arrivals: Mutex<Vec<Instant>>,
     limit: Mutex<Option<HeaderValue>>,
+    /// Until when requests are refused, with the pause that is asked for.
+    pauses: Mutex<Option<(Instant, HeaderValue)>>,
 }
 
 impl Intake {
@@ -27,6 +36,20 @@
         *lock(&self.limit) = limit;
     }
 
+    pub(super) fn ask_pauses(&self, until: Instant, pause: HeaderValue) {
+        *lock(&self.pauses) = Some((until, pause));
+    }
+
+    /// The refusal of a request while the target asks for pauses.
+    pub(super) fn refusal(&self) -> Option<Response<Body>> {
+        let pauses = lock(&self.pauses).clone();
+        let (_, pause) = pauses.filter(|(until, _)| *until > Instant::now())?;
+        let mut refusal = Response::new(http::empty());
+        *refusal.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        refusal.headers_mut().insert(RETRY_AFTER, pause);
+        Some(refusal)
+    }
+
     /// The answer with the limit that the target names now.
     pub(super) fn complete(&self, mut answer: Response<Body>) -> Response<Body> {
         if let Some(limit) = lock(&self.limit).clone() {
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -59,6 +59,9 @@
                 let (noted, intake) = (Arc::clone(&noted), Arc::clone(&shared));
                 async move {
                     intake.record_arrival();
+                    if let Some(refusal) = intake.refusal() {
+                        return refusal;
+                    }
                     intake.complete(run(request, noted, delay).await)
                 }
             };
@@ -78,6 +81,11 @@
         self.intake.name_limit(limit);
     }
 
+    /// Refuses requests until `until`, and asks for `pause` each time.
+    pub fn ask_pauses(&self, until: Instant, pause: HeaderValue) {
+        self.intake.ask_pauses(until, pause);
+    }
+
     /// When requests reached the service, in order.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.intake.arrivals()
--- a/src/target/message.rs
+++ b/src/target/message.rs
@@ -3,7 +3,10 @@
 use prost::Message;
 
 use super::{Announcement, Capacity, Load, Need, Offer, Renewals, Report};
-use crate::{throttle::Notice, wire};
+use crate::{
+    throttle::{Notice, PauseNotice},
+    wire,
+};
 
 /// What VMs tell each other of targets.
 #[derive(Clone, PartialEq, Message)]
@@ -29,6 +32,9 @@
     /// The limits that targets of the sender's region named to the sender.
     #[prost(message, repeated, tag = "7")]
     pub limits: Vec<Notice>,
+    /// The pauses that targets of the sender's region asked the sender for.
+    #[prost(message, repeated, tag = "8")]
+    pub pauses: Vec<PauseNotice>,
 }
 
 /// A [`Report`] on its way.
--- a/src/throttle/notice.rs
+++ b/src/throttle/notice.rs
@@ -19,3 +19,18 @@
     #[prost(fixed64, tag = "5")]
     pub turn_holder: u64,
 }
+
+/// What one VM of a region tells the others of the pause that a target asked it for. The others, which
+/// were not asked, use other targets where there are some.
+#[derive(Clone, PartialEq, Message)]
+pub struct PauseNotice {
+    /// The target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The incarnation of its process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Milliseconds to the end of the pause.
+    #[prost(uint64, tag = "3")]
+    pub left_ms: u64,
+}
--- a/src/throttle/tracker.rs
+++ b/src/throttle/tracker.rs
@@ -4,7 +4,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Answer, Limit, Notice, Peers, Share, Turn};
+use super::{
+    Answer, Limit, Notice, Pause, PauseNotice, Peers, Share, Turn,
+    pauses::{PauseRest, Pauses},
+};
 use crate::id;
 
 /// How long the end of a limit is told to other VMs.
@@ -12,9 +15,10 @@
 /// A limit without news for this long is dropped, as its target is gone or nobody asks for it.
 const LIMIT_RETENTION: Duration = Duration::from_secs(600);
 
-/// The limits that one VM knows, and the requests that it may send under them.
+/// What targets have said to one VM that they take, and the requests that it may send accordingly.
 ///
-/// A limit belongs to one incarnation of a target. It holds until an answer ends it.
+/// A limit belongs to one incarnation of a target. It holds until an answer ends it. A pause ends by
+/// itself.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -33,6 +37,7 @@
 #[derive(Debug, Default)]
 pub struct Tracker {
     targets: HashMap<id::Target, NamedLimit>,
+    pauses: Pauses,
 }
 
 /// Whether a request may be sent to a target.
@@ -169,6 +174,54 @@
         has_changed.then(|| news.limit.map_or(Change::Ended, Change::Named))
     }
 
+    /// Records that a target asked this VM for a pause. Returns whether the pause has begun with that.
+    pub fn record_pause(
+        &mut self,
+        target: &id::Target,
+        incarnation: u64,
+        pause: Pause,
+        now: Instant,
+    ) -> bool {
+        self.pauses.record(target, incarnation, pause, now)
+    }
+
+    /// Records that a target asked another VM for a pause.
+    pub fn record_pause_notice(&mut self, notice: &PauseNotice, now: Instant) {
+        self.pauses.record_notice(notice, now);
+    }
+
+    /// The pauses that targets have asked this VM for, for the other VMs of the region.
+    pub fn pause_notices(&self, now: Instant) -> Vec<PauseNotice> {
+        self.pauses.notices(now)
+    }
+
+    /// Whether the target has asked another VM for a pause, so that it should get a request only if no
+    /// other target can.
+    pub fn is_last_resort(
+        &self,
+        target: &id::Target,
+        incarnation: u64,
+        peers: &Peers,
+        now: Instant,
+    ) -> bool {
+        self.pauses.is_asked_of_others(target, incarnation, peers, now)
+    }
+
+    /// Whether the target has asked this VM for a pause that has not ended.
+    pub fn is_paused(&self, target: &id::Target, incarnation: u64, now: Instant) -> bool {
+        self.pauses.rest(target, incarnation, now).is_some()
+    }
+
+    /// What is left of the pause of a target.
+    pub(super) fn pause_rest(
+        &self,
+        target: &id::Target,
+        incarnation: u64,
+        now: Instant,
+    ) -> Option<PauseRest> {
+        self.pauses.rest(target, incarnation, now)
+    }
+
     /// Whether this VM may send a request to the target now.
     pub fn permission(
         &mut self,
@@ -176,6 +229,21 @@
         incarnation: u64,
         peers: &Peers,
         now: Instant,
+    ) -> Permission {
+        let pause_left = self.pauses.delay(target, incarnation, peers, now);
+        match self.limit_permission(target, incarnation, peers, now) {
+            Permission::After(delay) => Permission::After(delay.max(pause_left)),
+            Permission::Granted if pause_left.is_zero() => Permission::Granted,
+            Permission::Granted => Permission::After(pause_left),
+        }
+    }
+
+    fn limit_permission(
+        &mut self,
+        target: &id::Target,
+        incarnation: u64,
+        peers: &Peers,
+        now: Instant,
     ) -> Permission {
         let Some((known, limit)) = self.limited(target, incarnation) else {
             return Permission::Granted;
@@ -219,6 +287,12 @@
         limited.map(|(target, known)| (target.clone(), known.incarnation)).collect()
     }
 
+    /// The targets that have asked this VM for a pause, and their incarnations.
+    pub fn paused_targets(&self, now: Instant) -> HashSet<(id::Target, u64)> {
+        let paused = self.pauses.targets(now);
+        paused.map(|(target, incarnation)| (target.clone(), incarnation)).collect()
+    }
+
     fn limited(
         &mut self,
         target: &id::Target,
--- a/src/vm/gossip.rs
+++ b/src/vm/gossip.rs
@@ -222,11 +222,12 @@
     pub(super) fn receive_targets(&self, from: &id::Vm, payload: Bytes) -> Bytes {
         let now = self.clock.now();
         if payload.is_empty() {
-            let limits = self.limit_notices();
-            return encode(&Gossip { limits, ..self.targets().all(now) });
+            let (limits, pauses) = (self.limit_notices(), self.pause_notices());
+            return encode(&Gossip { limits, pauses, ..self.targets().all(now) });
         }
         let Ok(gossip) = Gossip::decode(payload) else { return Bytes::new() };
         self.receive_limits(from, &gossip.limits);
+        self.receive_pauses(&gossip.pauses);
         let leaving = self.targets().merge(&gossip, now);
         self.forward_summaries(gossip.root);
         for target in leaving {
@@ -261,10 +262,10 @@
     /// it heard of, and asks other VMs for announcements that are missing here.
     fn send_target_renewals(&self) {
         let now = self.clock.now();
-        let limits = self.limit_notices();
+        let (limits, pauses) = (self.limit_notices(), self.pause_notices());
         let (gossip, requests) = {
             let mut targets = self.targets();
-            (Gossip { limits, ..targets.unsent(now) }, targets.take_wanted())
+            (Gossip { limits, pauses, ..targets.unsent(now) }, targets.take_wanted())
         };
         if gossip != Gossip::default() {
             self.send_to_region(&gossip);
@@ -288,12 +289,17 @@
             members.relays_of_other_regions(now)
         };
         let stops = self.planned_stops();
-        let limited = self.routing().throttle.limited_targets();
+        let (limited, paused) = {
+            let routing = self.routing();
+            (routing.throttle.limited_targets(), routing.throttle.paused_targets(now))
+        };
         let is_permitted = |target: &Announcement| {
             !stops.covers_target(&target.target, &target.zone, &target.region)
         };
-        let has_room =
-            |target: &Announcement| !limited.contains(&(target.target.clone(), target.incarnation));
+        let has_room = |target: &Announcement| {
+            let key = (target.target.clone(), target.incarnation);
+            !limited.contains(&key) && !paused.contains(&key)
+        };
         let summary = self.targets().summary_with_room(now, is_permitted, has_room);
         let payload = encode(&Gossip { summaries: vec![summary], ..Gossip::default() });
         for peer in remote_relays {
--- a/src/vm/routing_state.rs
+++ b/src/vm/routing_state.rs
@@ -16,7 +16,7 @@
     placement::{Candidate, Decision, Policy, Prompt, Query},
     settings::Settings,
     target::{Announcement, Need},
-    throttle::{self, Limit, Notice, Peers, Permission, Returns},
+    throttle::{self, Notice, Peers, Permission, Returns},
 };
 
 /// How long a target that failed a request gets no requests while other targets can take them.
@@ -103,6 +103,9 @@
     shared.iter().map(|message| xxh3_64_with_seed(message.get().as_bytes(), seed)).collect()
 }
 
+/// The time after which a caller may return that is refused for no known time.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl RoutingState {
     pub(super) fn new(settings: &Settings, seed: u64) -> Self {
         let policy = settings.placement.policy();
@@ -188,7 +191,7 @@
         }
     }
 
-    /// Whether the limit that a target names permits this VM to send it a request.
+    /// Whether what a target says that it takes permits this VM to send it a request.
     pub(super) fn permission(
         &mut self,
         target: &id::Target,
@@ -198,7 +201,8 @@
         self.throttle.permission(target, incarnation, &self.peers, now)
     }
 
-    /// Removes targets that take no more requests under the limits that they name.
+    /// Removes targets that take no more requests now, by their limits or the pauses that they asked
+    /// for.
     pub(super) fn exclude_throttled_targets(
         &mut self,
         now: Instant,
@@ -207,25 +211,32 @@
         candidates.retain(|candidate| {
             self.permission(candidate.target, candidate.incarnation, now) == Permission::Granted
         });
+        let is_last_resort = |candidate: &Candidate<'_>| {
+            let (target, incarnation) = (candidate.target, candidate.incarnation);
+            self.throttle.is_last_resort(target, incarnation, &self.peers, now)
+        };
+        if candidates.iter().any(|candidate| !is_last_resort(candidate)) {
+            candidates.retain(|candidate| !is_last_resort(candidate));
+        }
     }
 
-    /// The refusal of a request that the limits of `targets` keep from all of them.
+    /// The refusal of a request that limits or pauses of `targets` keep from all of them.
     pub(super) fn throttle_refusal<'a>(
         &mut self,
         now: Instant,
         need: &Need,
         targets: impl Iterator<Item = &'a Announcement>,
     ) -> Refusal {
-        let limit = |it: &Announcement| self.throttle.limit(&it.target, it.incarnation);
-        let per_sec: f64 = targets.filter_map(limit).map(Limit::per_sec).sum();
-        let per_sec = per_sec / f64::from(self.peers.vm_count());
         let service = id::Service::from(need.to_string());
         let refusal = Refusal::new(
             Reason::Overloaded,
-            format!("the targets of {need} take no more requests from all VMs together"),
+            format!("the targets of {need} take no more requests now"),
             "try again after the time in retry-after",
         );
-        refusal.retry_after(self.returns.next_delay(&service, per_sec, now))
+        let targets = targets.map(|it| (&it.target, it.incarnation));
+        let vm_count = self.peers.vm_count();
+        let returns = self.returns.next_return(&self.throttle, &service, targets, vm_count, now);
+        refusal.retry_after(returns.unwrap_or(RETRY_AFTER))
     }
 
     /// What this VM heard of the limits of targets, for the other VMs of the region.
--- a/src/vm/target_limit.rs
+++ b/src/vm/target_limit.rs
@@ -1,16 +1,19 @@
-//! Limits that targets name in their responses, and what the VMs of a region tell each other of
-//! them.
+//! Limits that targets name in their responses, what the VMs of a region tell each other of them, and
+//! pauses that targets ask for.
 
 use std::{sync::Arc, time::Instant};
 
-use hyper::{HeaderMap, StatusCode};
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
 
 use super::Vm;
 use crate::{
     event, id,
     path::{LIMIT, TargetWatch},
     target::{Announcement, Gossip},
-    throttle::{Answer, Change, Limit, Notice, Permission},
+    throttle::{Answer, Change, Limit, Notice, Pause, PauseNotice, Permission},
 };
 
 /// The limit of one target, as the requests to it see it.
@@ -30,6 +33,10 @@
     fn record_response(&self, status: StatusCode, headers: &HeaderMap, sent_at: Instant) {
         let Announcement { target, incarnation, .. } = &self.target;
         let (vm, now) = (&self.vm, self.vm.clock.now());
+        let pause = headers.get(RETRY_AFTER);
+        if let Some(pause) = pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+            self.record_pause(pause, now);
+        }
         let limit = match headers.get(LIMIT).map(Limit::try_from).transpose() {
             Ok(limit) => limit,
             Err(cause) => {
@@ -46,6 +53,11 @@
         }
     }
 
+    fn is_paused(&self) -> bool {
+        let Announcement { target, incarnation, .. } = &self.target;
+        self.vm.routing().throttle.is_paused(target, *incarnation, self.vm.clock.now())
+    }
+
     fn permission(&self) -> Permission {
         let now = self.vm.clock.now();
         self.vm.routing().permission(&self.target.target, self.target.incarnation, now)
@@ -56,6 +68,24 @@
     }
 }
 
+impl TargetLimit {
+    fn record_pause(&self, asked: &HeaderValue, now: Instant) {
+        let Announcement { target, incarnation, .. } = &self.target;
+        let pause = Pause::try_from(asked).unwrap_or_else(|cause| {
+            event::placement::PAUSE_UNREADABLE
+                .emit(&self.vm.logger, &[("target", target), ("cause", &cause)]);
+            Pause::UNREADABLE
+        });
+        if self.vm.routing().throttle.record_pause(target, *incarnation, pause, now) {
+            let pause_ms = pause.duration().as_millis();
+            event::placement::PAUSED
+                .emit(&self.vm.logger, &[("target", target), ("pause_ms", &pause_ms)]);
+            let pauses = self.vm.pause_notices();
+            self.vm.send_to_region(&Gossip { pauses, ..Gossip::default() });
+        }
+    }
+}
+
 impl Vm {
     /// What this VM heard of the limits of targets.
     pub(super) fn limit_notices(&self) -> Vec<Notice> {
@@ -73,6 +103,19 @@
         }
     }
 
+    /// The pauses that targets have asked this VM for.
+    pub(super) fn pause_notices(&self) -> Vec<PauseNotice> {
+        self.routing().throttle.pause_notices(self.clock.now())
+    }
+
+    /// Records the pauses that targets asked another VM for.
+    pub(super) fn receive_pauses(&self, notices: &[PauseNotice]) {
+        let now = self.clock.now();
+        for notice in notices {
+            self.routing().throttle.record_pause_notice(notice, now);
+        }
+    }
+
     fn send_limits(&self) {
         self.send_to_region(&Gossip { limits: self.limit_notices(), ..Gossip::default() });
     }
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -29,6 +29,7 @@
         expected_target: name("expect-target"),
         load: name("load"),
         limit: name("limit"),
+        pause: name("retry-after"),
         not_executed: name("not-run"),
         signature: name("proof"),
         prompt_parts: name("parts"),
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use pomelogate::{
     id,
-    throttle::{Answer, Change, Limit, Notice, PeerMemory, Peers, Permission, Tracker},
+    throttle::{Answer, Change, Limit, Notice, PeerMemory, Peers, Permission, Returns, Tracker},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use support::window::{SETTLING_TIME, bound, most_in_window};
@@ -322,3 +322,112 @@
         assert_eq!(tracker.limit(&engine(), 2), Some(limit(1.0)));
     }
 }
+
+/// The requests of VMs that each want to send one every 10 ms, to a target that refuses all of them with
+/// a pause to its own end.
+fn arrivals_around_a_pause(vm_count: usize, pause: Duration) -> (Instant, Vec<(usize, Instant)>) {
+    let start = Instant::now();
+    let names: Vec<String> = (0..vm_count).map(|vm| format!("vm-{vm}")).collect();
+    let peers: Vec<Peers> =
+        names.iter().map(|own| Peers::new(own, names.iter().map(String::as_str))).collect();
+    let mut trackers: Vec<Tracker> = names.iter().map(|_| Tracker::default()).collect();
+    let (engine, end) = (id::Target::from("engine"), start + pause);
+    let mut arrivals = Vec::new();
+    for step in 0..(pause.as_millis() + 2000) / 10 {
+        let now = start + Duration::from_millis(10) * u32::try_from(step).expect("small");
+        for (vm, tracker) in trackers.iter_mut().enumerate() {
+            if tracker.permission(&engine, 1, &peers[vm], now) != Permission::Granted {
+                continue;
+            }
+            tracker.record_sent(&engine, 1);
+            arrivals.push((vm, now));
+            if now < end {
+                let left = end.saturating_duration_since(now).as_secs_f64();
+                tracker.record_pause(&engine, 1, left.to_string().parse().expect("a pause"), now);
+            }
+        }
+    }
+    (end, arrivals)
+}
+
+/// Guards against VMs that send a target requests in a pause that it asked them for, and against many
+/// VMs that all come back in the moment in which their pauses end.
+#[test]
+fn pauses_that_end_together_are_kept_and_left_one_vm_after_the_other() {
+    for vm_count in [1, 7, 95] {
+        let (end, arrivals) = arrivals_around_a_pause(vm_count, Duration::from_secs(5));
+        let in_pause = arrivals.iter().filter(|(_, at)| *at < end).count();
+        assert_eq!(in_pause, vm_count, "one request of each VM, which is refused");
+        let back = |until: Duration| {
+            let mut vms: Vec<usize> = arrivals
+                .iter()
+                .filter(|(_, at)| *at >= end && *at < end + until)
+                .map(|(vm, _)| *vm)
+                .collect();
+            vms.sort_unstable();
+            vms.dedup();
+            vms.len()
+        };
+        assert!(back(Duration::from_millis(100)) <= vm_count / 10 + 2, "of {vm_count} VMs");
+        assert_eq!(back(Duration::from_secs(1)), vm_count, "all come back");
+    }
+}
+
+#[test]
+fn pause_ends_with_the_incarnation_and_by_itself_but_not_by_a_shorter_one() {
+    let (now, second) = (Instant::now(), Duration::from_secs(1));
+    let (engine, alone) = (id::Target::from("engine"), Peers::default());
+    let mut tracker = Tracker::default();
+    let pause = |text: &str| text.parse().expect("a pause");
+    assert!(tracker.record_pause(&engine, 1, pause("5"), now), "it begins");
+    assert!(!tracker.record_pause(&engine, 1, pause("1"), now), "it has begun");
+    assert!(!tracker.record_pause(&engine, 1, pause("0"), now));
+    assert_eq!(
+        tracker.permission(&engine, 1, &alone, now + second * 2),
+        Permission::After(second * 3)
+    );
+    assert_eq!(tracker.permission(&engine, 2, &alone, now), Permission::Granted);
+    assert_eq!(tracker.permission(&engine, 1, &alone, now + second * 5), Permission::Granted);
+    assert!(tracker.record_pause(&engine, 2, pause("5"), now));
+    assert!(!tracker.record_pause(&engine, 1, pause("60"), now), "of an older process");
+    assert!(tracker.is_paused(&engine, 2, now) && !tracker.is_paused(&engine, 1, now));
+}
+
+/// Guards against callers that are told to come back when their request can't be served yet, or all in
+/// one moment.
+#[test]
+fn callers_return_after_the_first_pause_that_ends_spread_over_some_time() {
+    let (now, second) = (Instant::now(), Duration::from_secs(1));
+    let (mut tracker, mut returns) = (Tracker::default(), Returns::default());
+    let engines: Vec<id::Target> = ["one", "two"].map(id::Target::from).to_vec();
+    let targets = || engines.iter().map(|engine| (engine, 1));
+    let service = id::Service::from("engines");
+    let mut next = |tracker: &Tracker| returns.next_return(tracker, &service, targets(), 7, now);
+    tracker.record_pause(&engines[0], 1, "8".parse().expect("a pause"), now);
+    assert_eq!(next(&tracker), None, "the other engine has asked for none");
+    tracker.record_pause(&engines[1], 1, "4".parse().expect("a pause"), now);
+    let mut times: Vec<Duration> = (0..100).map(|_| next(&tracker).expect("both have")).collect();
+    times.sort_unstable();
+    assert!(times[0] >= second * 4 && times[99] < second * 6, "{times:?}");
+    let in_tenth = |first: &Duration| {
+        times.iter().filter(|it| *it >= first && **it < *first + second / 10).count()
+    };
+    assert!(times.iter().map(in_tenth).max() <= Some(15), "{times:?}");
+}
+
+/// Guards against VMs that each find out by a refusal that a target rests, which costs a retry each.
+#[test]
+fn pause_that_another_vm_was_asked_for_makes_a_target_the_last_resort() {
+    let (now, second) = (Instant::now(), Duration::from_secs(1));
+    let (engine, alone) = (id::Target::from("engine"), Peers::default());
+    let (mut asked, mut told) = (Tracker::default(), Tracker::default());
+    asked.record_pause(&engine, 1, "5".parse().expect("a pause"), now);
+    let notices = asked.pause_notices(now);
+    assert_eq!(notices.len(), 1);
+    told.record_pause_notice(&notices[0], now);
+    assert_eq!(told.permission(&engine, 1, &alone, now), Permission::Granted, "it was not asked");
+    assert!(told.is_last_resort(&engine, 1, &alone, now + second * 4));
+    assert!(!told.is_last_resort(&engine, 2, &alone, now), "another process");
+    assert!(!told.is_last_resort(&engine, 1, &alone, now + second * 5));
+    assert_eq!(told.pause_notices(now), [], "only what the target said is passed on");
+}
