Send the list of cold targets again when a listed target gets its record

What callers saw: a target that had just started cold got 10 requests in a second, 7 allowed.

Cause, of: the digest of the list counted what the replica had heard, not what it listed. A target whose first announcement came before its record was not listed, and with the record the digest was the same, so that VMs got the record without the list.

Change: the digest covers the listed targets.

Result: list_of_cold_targets_changes_when_a_target_that_was_heard_before_gets_its_record holds what the digest must tell apart.

--- a/src/control/cold_targets.rs
+++ b/src/control/cold_targets.rs
@@ -5,7 +5,7 @@
 
 use prost::{Message, bytes::Bytes};
 
-use super::{Control, server::lock, updates::digest};
+use super::{Control, server::lock};
 use crate::{
     event,
     registry::{Announcement, ColdTarget, ColdTargets, HeartbeatReport, TargetRecord},
@@ -69,7 +69,7 @@
 
     /// What VMs must know of the cold periods of `ready` targets.
     pub(super) fn cold_targets(&self, ready: &[TargetRecord], now: Instant) -> ColdTargets {
-        let (mut targets, mut recorded) = (Vec::new(), Vec::new());
+        let mut targets = Vec::new();
         for record in ready {
             let heartbeats = self.heartbeats();
             let version = (record.incarnation, record.sequence);
@@ -81,7 +81,6 @@
             drop(heartbeats);
             let remaining_ms = self.recorded_cold_ms(record, now);
             if remaining_ms > 0 {
-                recorded.push(format!("{} {}", record.target, record.changed_index));
                 targets.push(ColdTarget {
                     target: record.target.clone(),
                     remaining_ms,
@@ -92,8 +91,7 @@
             }
         }
         let changes = self.cold_changes.load(Ordering::Relaxed);
-        let heard = format!("{} {changes}", self.incarnation);
-        ColdTargets { digest: digest([heard].into_iter().chain(recorded)), targets }
+        ColdTargets::new(targets, (self.incarnation, changes))
     }
 
     /// Milliseconds for which the target of a record remains cold by the record, which a replica that
--- a/src/control/updates.rs
+++ b/src/control/updates.rs
@@ -295,6 +295,6 @@
 }
 
 /// Digest of a list of names. It is never 0, which an update request sends for "nothing known".
-pub(super) fn digest(names: impl Iterator<Item = String>) -> u64 {
+fn digest(names: impl Iterator<Item = String>) -> u64 {
     xxh3_64(names.collect::<Vec<_>>().join("\n").as_bytes()).max(1)
 }
--- a/src/registry/update.rs
+++ b/src/registry/update.rs
@@ -1,4 +1,5 @@
 use prost::{Message, bytes::Bytes};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{StateMachine, TargetRecord, VmInfo};
 use crate::crash;
@@ -142,6 +143,26 @@
     pub targets: Vec<ColdTarget>,
 }
 
+impl ColdTargets {
+    /// A complete list. `changes` is the incarnation of the process that sends it and how often it has
+    /// heard of a change of a cold period; both tell lists of the same targets apart.
+    ///
+    /// ```
+    /// use pomelogate::registry::{ColdTarget, ColdTargets};
+    ///
+    /// // A target is listed once its record is known, which may be after its announcement was heard.
+    /// let listed = ColdTarget { target: "engine".to_owned(), ..ColdTarget::default() };
+    /// let (before, after) =
+    ///     (ColdTargets::new(vec![], (1, 7)), ColdTargets::new(vec![listed], (1, 7)));
+    /// assert_ne!(before.digest, after.digest);
+    /// ```
+    pub fn new(targets: Vec<ColdTarget>, changes: (u64, u64)) -> Self {
+        let names = targets.iter().map(|cold| format!("{} {}", cold.target, cold.incarnation));
+        let text = [format!("{changes:?}")].into_iter().chain(names).collect::<Vec<_>>().join("\n");
+        Self { digest: xxh3_64(text.as_bytes()).max(1), targets }
+    }
+}
+
 /// A target that is cold, or said that it would be.
 #[derive(Clone, PartialEq, Message)]
 pub struct ColdTarget {
--- a/tests/cold_again.rs
+++ b/tests/cold_again.rs
@@ -377,6 +377,23 @@
     }
 }
 
+/// Guards against a list that VMs are not sent with the record of a target, because the replica had heard
+/// of its cold period before there was a record: an engine that started got 10 requests in a second.
+#[test]
+fn list_of_cold_targets_changes_when_a_target_that_was_heard_before_gets_its_record() {
+    let now = Instant::now();
+    let mut replica = LastAnnouncements::default();
+    replica.record(ENGINE, said((100, 1), SECOND * 3, now));
+    let before = ColdTargets::new(Vec::new(), (1, 1));
+    let listed = replica.cold_target(ENGINE, now).into_iter().collect();
+    let after = ColdTargets::new(listed, (1, 1));
+    assert_ne!(before.digest, after.digest);
+    let later = replica.cold_target(ENGINE, now + SECOND).into_iter().collect();
+    assert_eq!(ColdTargets::new(later, (1, 1)).digest, after.digest, "time alone is no change");
+    assert_ne!(ColdTargets::new(Vec::new(), (1, 2)).digest, before.digest);
+    assert_ne!(ColdTargets::new(Vec::new(), (2, 1)).digest, before.digest);
+}
+
 /// Guards against a cold period that VMs keep although its target has said that it is over.
 #[test]
 fn cold_period_that_ends_early_is_told_until_its_first_end() {
