Show that a gateway out of step takes up no stream at another version

A gateway stands still while six targets of a new version join; streams that began there through another gateway break off and are taken up at the first one in the moment in which it goes on, in touch with the replica or not. No stream holds two versions: it asks the replicas first, and refuses what nobody can tell.

--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -20,6 +20,7 @@
 use hyper::{HeaderMap, Request, header::HeaderValue};
 use pomelogate::{clock, control::Control, http, id, node::Settings, registry::Announcement};
 use prost::bytes::Bytes;
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use smol::Timer;
 use support::{
     fake_target::{Behavior, Behaviors, FakeTarget, LAST_EVENT_ID, Process},
@@ -84,6 +85,18 @@
         }
     }
 
+    /// Has the process stand still.
+    fn freeze(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::STOP).expect("the process is ours");
+        let stopped = waitpid(Some(Pid::from_child(&self.child)), WaitOptions::UNTRACED);
+        stopped.expect("the process is ours");
+    }
+
+    /// Has the process go on.
+    fn thaw(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::CONT).expect("the process is ours");
+    }
+
     fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("its state").is_none()
     }
@@ -304,6 +317,12 @@
 
     /// Starts targets, and waits until every gateway knows them.
     async fn add_targets(&mut self, targets: &[(&'static str, &'static str)]) {
+        let vms: Vec<u8> = self.gateways.keys().copied().collect();
+        self.add_targets_known_by(&vms, targets).await;
+    }
+
+    /// Starts targets, and waits until these gateways know them.
+    async fn add_targets_known_by(&mut self, vms: &[u8], targets: &[(&'static str, &'static str)]) {
         let known = self.targets.len();
         for (name, version) in targets {
             let ip = self.net.address(TARGETS);
@@ -312,7 +331,7 @@
             self.targets.push(target);
             self.announce(self.targets.len() - 1, name, version).await;
         }
-        self.wait_until_known(known).await;
+        self.wait_until_known_by(vms, known).await;
     }
 
     async fn announce(&self, index: usize, name: &str, version: &str) {
@@ -329,9 +348,14 @@
     /// Waits until every gateway serves and uses each target of its region but the first `known` ones, which
     /// may be busy, and reaches the others.
     async fn wait_until_known(&self, known: usize) {
+        let vms: Vec<u8> = self.gateways.keys().copied().collect();
+        self.wait_until_known_by(&vms, known).await;
+    }
+
+    async fn wait_until_known_by(&self, vms: &[u8], known: usize) {
         static ROUND: AtomicU32 = AtomicU32::new(0);
         let round = ROUND.fetch_add(1, Ordering::Relaxed);
-        for (vm, (region, _)) in &self.gateways {
+        for (vm, (region, _)) in self.gateways.iter().filter(|(vm, _)| vms.contains(vm)) {
             let (own, other) = if *region == "jakarta" { ("near", "far") } else { ("far", "near") };
             let id = format!("warm-{vm}-{round}");
             let of = |prefix: &str| {
@@ -948,3 +972,54 @@
         }
     });
 }
+
+/// Streams that began at targets which joined while one gateway was out of step, broke off, and are
+/// taken up there as soon as it goes on. `cut` keeps it from the replica also then.
+async fn check_gateway_out_of_step(cut: bool) {
+    let gateways = [(2, "jakarta"), (3, "jakarta")];
+    let mut deployment = Deployment::start(&gateways, &OF_V1).await;
+    deployment.gateways[&3].1.freeze();
+    deployment.add_targets_known_by(&[2], &MANY_OF_V2).await;
+    let mut streams = deployment.begin_some(2, 24).await;
+    let of_v2 = streams.iter().filter(|stream| stream.versions().contains("v2")).count();
+    assert!(of_v2 >= 6, "{of_v2} of 24 began at a target that has joined");
+    Timer::after(SPREAD_TIME).await;
+    if cut {
+        deployment.replica.lock().expect("replica").freeze();
+    }
+    // The requests wait for the gateway, which decides by what it knew before.
+    let thaw = async {
+        Timer::after(Duration::from_millis(300)).await;
+        deployment.gateways[&3].1.thaw();
+    };
+    let take_up = futures_util::future::join_all(
+        streams.iter_mut().map(|stream| deployment.take_up(3, stream)),
+    );
+    let (_, answers) = futures_util::future::join(thaw, take_up).await;
+    let completed =
+        |answers: &[Answer]| answers.iter().filter(|it| **it == Answer::Complete).count();
+    if cut {
+        assert_eq!(completed(&answers), 0, "nobody tells it where the streams began");
+        deployment.replica.lock().expect("replica").thaw();
+    }
+    eventually("the streams go on once it is in step", async || {
+        let rest = streams.iter_mut().filter(|stream| stream.last_event_id() < LAST_EVENT_ID);
+        let answers =
+            futures_util::future::join_all(rest.map(|stream| deployment.take_up(3, stream))).await;
+        completed(&answers) == answers.len()
+    })
+    .await;
+}
+
+/// Guards against a gateway that stood still while targets of another version joined, and that takes up
+/// streams which began there at the versions that it knew.
+#[test]
+fn gateway_that_stood_still_while_a_version_joined_takes_up_no_stream_at_another_one() {
+    smol::block_on(check_gateway_out_of_step(false));
+}
+
+/// The same for a gateway that reaches no replica when the streams are taken up.
+#[test]
+fn gateway_that_is_cut_off_while_a_version_joins_takes_up_no_stream_at_another_one() {
+    smol::block_on(check_gateway_out_of_step(true));
+}
