Go on accepting connections after one could not be accepted

What callers saw: a process that ran out of open files closed all its connections and took none again, though it ran on.

Cause: the server returned at the first error of accept, which drops its connections.

Change: an error of accept is logged once (event 516) and tried again after 50 ms.

--- a/src/event/path.rs
+++ b/src/event/path.rs
@@ -45,6 +45,10 @@
 pub const TAKEN_UP: Event =
     Event { number: 515, severity: Severity::Info, text: "stream taken up again" };
 
+/// A connection could not be accepted; accepting goes on.
+pub const NOT_ACCEPTED: Event =
+    Event { number: 516, severity: Severity::Warning, text: "connection not accepted" };
+
 /// Every event of this part.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -61,4 +65,5 @@
     TAKEN_OVER,
     LEFT_OUT,
     TAKEN_UP,
+    NOT_ACCEPTED,
 ];
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -208,10 +208,12 @@
         let serving_gateway = Arc::clone(&gateway);
         let callers_server = smol::spawn(async move {
             let Some(listener) = callers_listener else { return };
-            let limits_gateway = Arc::clone(&serving_gateway);
+            let (limits_gateway, logged_gateway) =
+                (Arc::clone(&serving_gateway), Arc::clone(&serving_gateway));
             let limits = move || limits_gateway.connection_limits();
             let handler = move |request| Arc::clone(&serving_gateway).serve(request);
-            let _ = http::serve(listener, limits, callers_server_stopped, handler).await;
+            let logger = logged_gateway.logger.clone();
+            http::serve(listener, limits, callers_server_stopped, &logger, handler).await;
         });
         Ok(RunningGateway { gateway, callers_server, stop_callers_server, in_flight_receiver })
     }
@@ -236,6 +238,7 @@
 
     async fn serve_health_checks(self: Arc<Self>, listener: TcpListener) {
         let (_stop, stopped) = Stop::new();
+        let logger = self.logger.clone();
         let handler = move |_request: Request<Incoming>| {
             let is_ready = self.is_ready();
             async move {
@@ -246,7 +249,7 @@
                 response as Response<Body>
             }
         };
-        let _ = http::serve(listener, Limits::default, stopped, handler).await;
+        http::serve(listener, Limits::default, stopped, &logger, handler).await;
     }
 
     /// Whether the VM accepts new requests.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, io, pin::pin, time::Duration};
+use std::{convert::Infallible, pin::pin, time::Duration};
 
 use futures_util::{
     FutureExt,
@@ -11,6 +11,7 @@
     server::conn::http1,
     service::service_fn,
 };
+use slog::Logger;
 use smol::{
     Timer,
     channel::{Receiver, Sender},
@@ -19,6 +20,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::Body;
+use crate::event;
 
 /// How long a stopping server still accepts connections and keeps idle ones open. A request that
 /// crosses the stop is answered, and its response closes the connection.
@@ -26,6 +28,9 @@
 /// How long a connection with unread bytes is given to read them before it is looked at again.
 const UNREAD_BYTES_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The delay after a connection could not be accepted, in which others may end.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Limits of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -90,25 +95,22 @@
 /// for each new connection.
 ///
 /// Returns after `stopped` is signalled and the last connection has ended. Dropping the future
-/// closes all connections.
-///
-/// # Errors
-///
-/// If the listener fails.
+/// closes all connections. A connection that cannot be accepted, as the process may open no more
+/// files, is tried again; `logger` gets one line when that begins.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: impl Fn() -> Limits,
     stopped: Stopped,
+    logger: &Logger,
     handler: H,
-) -> io::Result<()>
-where
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (_server_alive, server_dropped) = smol::channel::bounded::<Infallible>(1);
     let (connection_guard, all_ended) = smol::channel::bounded::<Infallible>(1);
     let mut lingered = pin!(stopped.wait_and_linger());
-    let mut is_closing = false;
+    let (mut is_closing, mut is_failing) = (false, false);
     loop {
         let accept = listener.accept();
         let accepted = if is_closing {
@@ -126,7 +128,18 @@
                 }
             }
         };
-        let (stream, _) = accepted?;
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(_) if is_closing => break,
+            Err(cause) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    event::path::NOT_ACCEPTED.emit(logger, &[("cause", &cause)]);
+                }
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        is_failing = false;
         let work = serve_connection(stream, limits(), stopped.clone(), handler.clone());
         smol::spawn(run_connection(work, server_dropped.clone(), connection_guard.clone()))
             .detach();
@@ -134,7 +147,6 @@
     drop(listener);
     drop(connection_guard);
     let _ = all_ended.recv().await;
-    Ok(())
 }
 
 /// Runs `work` until it ends or the server is dropped, and holds `connection_guard` meanwhile.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -5,6 +5,7 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
+use slog::Logger;
 use smol::net::TcpListener;
 
 use super::{Error, Settings};
@@ -21,7 +22,7 @@
 /// # Errors
 ///
 /// If the address cannot be bound.
-pub async fn serve_metrics<F>(settings: &Settings, page: F) -> Result<(), Error>
+pub async fn serve_metrics<F>(settings: &Settings, logger: &Logger, page: F) -> Result<(), Error>
 where
     F: Fn() -> Page + Send + Sync + 'static,
 {
@@ -29,7 +30,7 @@
     let address = SocketAddr::new(settings.address, port);
     let listener =
         TcpListener::bind(address).await.map_err(|cause| Error::Listen(address, cause))?;
-    let page = Arc::new(page);
+    let (page, logger) = (Arc::new(page), logger.clone());
     smol::spawn(async move {
         let (_stop, stopped) = Stop::new();
         let handler = move |request: Request<Incoming>| {
@@ -37,7 +38,7 @@
             let text = if found { page().text() } else { String::new() };
             async move { response(found, text) }
         };
-        let _ = http::serve(listener, Limits::default, stopped, handler).await;
+        http::serve(listener, Limits::default, stopped, &logger, handler).await;
     })
     .detach();
     Ok(())
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -15,6 +15,7 @@
     header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RANGE},
 };
 use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
 use smol::{Task, Timer, channel::Sender};
 
 use super::{Fault, Loader, intake::Intake, listener::listen, stream::Stream};
@@ -128,7 +129,8 @@
         let task = smol::spawn(async move {
             let (_stop, stopped) = Stop::new();
             let handler = move |request| Arc::clone(&shared).take(request);
-            let serve = http::serve(listener, Limits::default, stopped, handler);
+            let logger = Logger::root(Discard, o!());
+            let serve = http::serve(listener, Limits::default, stopped, &logger, handler);
             futures_util::future::select(std::pin::pin!(serve), std::pin::pin!(crashed.recv()))
                 .await;
         });
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -6,6 +6,7 @@
 };
 
 use hyper::{Request, Response, body::Incoming, header::HeaderValue};
+use slog::{Discard, Logger, o};
 use smol::{Task, Timer};
 
 use super::{intake::Intake, listener::listen};
@@ -65,7 +66,8 @@
                     intake.complete(run(request, noted, delay).await)
                 }
             };
-            let _ = http::serve(listener, Limits::default, stopped, handler).await;
+            let logger = Logger::root(Discard, o!());
+            http::serve(listener, Limits::default, stopped, &logger, handler).await;
         });
         Ok(Self { address, calls, intake, _task: task })
     }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -215,8 +215,9 @@
     }
 
     async fn serve_callers(self: Arc<Self>, callers: TcpListener, stopped: Stopped) {
+        let logger = self.logger.clone();
         let handler = move |request| Arc::clone(&self).handle_request(request);
-        let _ = http::serve(callers, Limits::default, stopped, handler).await;
+        http::serve(callers, Limits::default, stopped, &logger, handler).await;
     }
 
     fn spawn_link_tasks(
--- a/tests/http_faults.rs
+++ b/tests/http_faults.rs
@@ -130,7 +130,8 @@
         hyper::Response::new(http::full("ok"))
     };
     let server = smol::spawn(async move {
-        http::serve(listener, Limits::default, stopped, handler).await.expect("the server runs");
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        http::serve(listener, Limits::default, stopped, &logger, handler).await;
     });
     (address, stop, server)
 }
--- a/tests/tool_apply.rs
+++ b/tests/tool_apply.rs
@@ -42,7 +42,8 @@
                 hyper::Response::new(http::full(serde_json::to_vec(&applied).unwrap()))
             }
         };
-        let _ = http::serve(listener, Limits::default, stopped, handler).await;
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        http::serve(listener, Limits::default, stopped, &logger, handler).await;
     });
     (address, seen, task)
 }
