--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -106,17 +106,19 @@
             let cause = self.refuse_announcement(announcement.target.as_str(), &error.to_string());
             return Err(CommandError::Invalid(cause));
         }
-        let group =
-            self.group().ok_or_else(|| unconfirmed("the replica's folder cannot be used"))?;
+        let group = self.group();
         let record = announcement.record();
-        let known = group.read(|registry| registry.target(&record.target).cloned());
-        let is_change = self.is_change(&record, known.as_ref());
+        let known = group
+            .as_ref()
+            .and_then(|group| group.read(|registry| registry.target(&record.target).cloned()));
         if known.as_ref().is_none_or(|known| known.incarnation <= record.incarnation) {
             let is_cold_change = self.heartbeats().record_announcement(&announcement, now);
             if is_cold_change {
                 self.spread_cold_period(&announcement, now);
             }
         }
+        let group = group.ok_or_else(|| unconfirmed("the replica's folder cannot be used"))?;
+        let is_change = self.is_change(&record, known.as_ref());
         let is_outdated = known.as_ref().is_some_and(|known| record.is_outdated_by(known));
         let take_over =
             if is_change || is_outdated { self.take_over(&group, &record, now) } else { None };
