--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -196,7 +196,7 @@
             _ if state.limited_return.is_some() => {
                 let paused = self.balancer().paused_target_count(self.clock.now());
                 let detail = format!(
-                    "the targets of `{}` take no more requests; {paused} of all asked for a pause",
+                    "the targets of `{}` take no more requests; {paused} targets asked for a pause",
                     request.service
                 );
                 (Reason::TargetsLimited, detail)
--- a/src/throttle/pause.rs
+++ b/src/throttle/pause.rs
@@ -9,8 +9,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use throttle::Pause;
-/// use pomelogate::throttle;
+/// use pomelogate::throttle::Pause;
 ///
 /// assert_eq!("2.5".parse::<Pause>().unwrap().duration(), Duration::from_millis(2500));
 /// assert_eq!("1000000000000".parse::<Pause>().unwrap().duration(), Duration::from_secs(600));
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1233,8 +1233,8 @@
             let path = format!("/once/{round}");
             let rejected: &'static str = format!("early-{round}").leak();
             deployment.set_behaviors(&path, &[Behavior::Reject]);
-            let (status, ..) = deployment.send_with_id(rejected, Method::POST, &path).await;
-            assert_eq!(status, 503);
+            let (status, text, _) = deployment.send_with_id(rejected, Method::POST, &path).await;
+            assert_eq!(status, 503, "{text}");
             deployment
                 .set_behaviors(&path, &[Behavior::RespondThenReject(rejected), Behavior::Respond]);
             // Each of the next requests may meet the bytes on the connection that is kept.
