Split the telling of cold periods, name what checks for a suspension

Read as a newcomer would: a method that records that the process runs was called as if it only asked; one function told VMs and replicas. No change of behaviour.

--- a/src/control/cold_targets.rs
+++ b/src/control/cold_targets.rs
@@ -7,8 +7,11 @@
 
 use super::{Control, server::lock};
 use crate::{
-    event,
-    registry::{Announcement, ColdTarget, ColdTargets, HeartbeatReport, TargetRecord},
+    event, id,
+    registry::{
+        Announcement, ColdTarget, ColdTargets, HeartbeatReport, TargetHeartbeat, TargetRecord,
+        VmInfo,
+    },
     wire::Topic,
 };
 
@@ -36,21 +39,31 @@
             ],
         );
         self.record_cold_change();
+        self.tell_vms(&announcement.zone, cold_target, now);
+        self.tell_replicas(heartbeat);
+    }
+
+    /// Tells the VMs that accept callers in the region of `zone`, or in all regions if the settings do
+    /// not list it.
+    fn tell_vms(&self, zone: &id::Zone, cold_target: ColdTarget, now: Instant) {
+        // Only lists of updates need a digest.
         let cold_targets = ColdTargets { digest: 0, targets: vec![cold_target] };
-        let region = self.settings.region_of(&announcement.zone).map(ToString::to_string);
-        let addresses: Vec<_> = {
-            let heartbeats = self.heartbeats();
-            let vms = heartbeats.live_vms(now).map(|(info, _)| info);
-            let vms = vms.filter(|info| info.callers_address().is_some());
-            let vms = vms.filter(|info| region.as_ref().is_none_or(|it| *it == info.region));
-            vms.filter_map(|info| info.links_address()).collect()
-        };
         let payload = Bytes::from(cold_targets.encode_to_vec());
-        for address in addresses {
+        let region = self.settings.region_of(zone);
+        let is_told = |info: &&VmInfo| {
+            info.callers_address().is_some()
+                && region.is_none_or(|region| region.as_str() == info.region)
+        };
+        let heartbeats = self.heartbeats();
+        let vms = heartbeats.live_vms(now).map(|(info, _)| info).filter(is_told);
+        for address in vms.filter_map(VmInfo::links_address) {
             self.hub.notify_detached(address, Topic::Registry, payload.clone());
         }
-        let report =
-            HeartbeatReport { targets: heartbeat.into_iter().collect(), ..Default::default() };
+    }
+
+    fn tell_replicas(&self, heartbeat: Option<TargetHeartbeat>) {
+        let targets = heartbeat.into_iter().collect();
+        let report = HeartbeatReport { targets, ..HeartbeatReport::default() };
         let payload = Bytes::from(report.encode_to_vec());
         let Some(group) = self.group() else { return };
         let membership = group.status().consensus.membership;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -261,7 +261,7 @@
                 .map_or(0.0, |service| service.cold_requests_per_sec),
             cache_capacity_tokens: service.map_or(0, |service| service.cache_capacity_tokens),
             peers: &peers,
-            may_be_outdated: self.may_be_outdated(),
+            may_be_outdated: self.check_for_suspension(),
         };
         let pick = self.balancer().choose(target_query, now);
         let local_only = request.handed_over || only_target.is_some();
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -82,7 +82,7 @@
             let addresses = self.peer_addresses();
             let other_vms = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
             Timer::after(share_interval(other_vms)).await;
-            self.may_be_outdated();
+            self.check_for_suspension();
             let message = self.load_message();
             if message == last_message && message.is_empty() {
                 continue;
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -31,7 +31,7 @@
             let replicas = self.replicas();
             let vm = &replicas[index % replicas.len()];
             // A replica waits for changes, and there may be none since a suspension.
-            let wait = if self.may_be_outdated() { Duration::ZERO } else { LONG_POLL_WAIT };
+            let wait = if self.check_for_suspension() { Duration::ZERO } else { LONG_POLL_WAIT };
             let polled = self.poll_replica(vm, wait).await;
             let is_fresh = matches!(polled, Some(true));
             if is_fresh {
@@ -124,7 +124,7 @@
             let mut suspects = self.crash_suspects();
             (suspects.take_unsent_records(now), suspects.blocked_digest())
         };
-        let may_be_outdated = self.may_be_outdated();
+        let may_be_outdated = self.check_for_suspension();
         let mirror = self.mirror();
         let loads_age = mirror.loads_received_at().map(|at| now.saturating_duration_since(at));
         UpdateRequest {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -333,7 +333,7 @@
 
     /// Records that this process runs. Returns whether it was suspended and has not heard since which
     /// targets are cold.
-    pub(super) fn may_be_outdated(&self) -> bool {
+    pub(super) fn check_for_suspension(&self) -> bool {
         let now = self.clock.now();
         let other_vms = self.region_peers().vm_count() - 1;
         let max_gap = share_interval(other_vms) + SUSPENSION_ALLOWANCE;
