Wait for the end of a pause in the test of error events

The order that gave the checks was not enough: the VM that sends a stream on may be another one than the caller's, so that the second VM of the loop was in the pause.

--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use hyper::Method;
 use pomelogate::standin::{Caller, Reply, Reporter};
 use smol::{
@@ -166,7 +167,6 @@
             let body = reply.body_text();
             assert!(!reply.whole, "{body}");
             assert!(body.starts_with(&format!("{FIRST_EVENT}event: error\ndata: ")), "{body}");
-            // The refusal of the last stream asks for a pause.
             for marker in ["cut-event", "resume-refused"] {
                 let reply = deployment.chat(vm, marker, true).await.expect("a reply");
                 let body = reply.body_text();
@@ -180,6 +180,12 @@
                 }
                 assert!(!body.contains("not run here"), "{marker} through VM {vm}: {body}");
             }
+            // The last refusal asked for a pause, of whichever VM sent the request on.
+            eventually("the target's pause ends", async || {
+                let replies = join_all((0..2).map(|vm| deployment.chat(vm, "sound", false))).await;
+                replies.iter().flatten().filter(|reply| reply.status == 200).count() == 2
+            })
+            .await;
         }
     });
 }
