--- a/review/harness/case1.rs
+++ b/review/harness/case1.rs
@@ -19,8 +19,16 @@
 const RECOVER: Duration = Duration::from_secs(12);
 /// How long the operator goes on asking beyond that.
 const BEYOND: Duration = Duration::from_secs(20);
-/// The time between two replacements where there is no trouble.
+/// The time that is added between two replacements with `TROUBLE=slow`.
 const CALM: Duration = Duration::from_secs(8);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Trouble,
+    Slow,
+    Nothing,
+}
+
 const REPLACEMENTS: usize = 5;
 
 fn config(version: u64) -> String {
@@ -36,12 +44,19 @@
 }
 
 fn main() {
-    let trouble = env::var("TROUBLE").map_or(true, |text| text != "0");
+    // `TROUBLE=0` replaces nothing; `TROUBLE=slow` replaces as ever, with `CALM` more in between.
+    let mode = env::var("TROUBLE").unwrap_or_default();
+    let mode = match mode.as_str() {
+        "0" => Mode::Nothing,
+        "slow" => Mode::Slow,
+        _ => Mode::Trouble,
+    };
     let record_file = env::args().nth(1).map(PathBuf::from).expect("the record's path");
     let program = env::args().nth(2).map(PathBuf::from).expect("the program's path");
     let record = Record::create(&record_file);
     let folder = Folder::create("1");
-    let code = run(&record, &folder, program, trouble);
+    support::end_in_time(&record, &folder.0, Duration::from_secs(110));
+    let code = run(&record, &folder, program, mode);
     drop(folder);
     record.line(&format!("exit {code}"));
     exit(code);
@@ -62,7 +77,7 @@
         .map(|(_, place)| place)
 }
 
-fn run(record: &Record, folder: &Folder, program: PathBuf, trouble: bool) -> i32 {
+fn run(record: &Record, folder: &Folder, program: PathBuf, mode: Mode) -> i32 {
     let ip = |last| Ipv4Addr::new(127, 83, 4, last);
     let site = Site {
         folder: folder.0.clone(),
@@ -116,16 +131,25 @@
             .take(3)
             .collect();
         let started = Instant::now();
-        successor.start(&site, false);
-        cores.push(successor);
+        if mode == Mode::Nothing {
+            sleep(CATCH_UP);
+            successor.ip = cores[old].ip;
+        } else {
+            successor.start(&site, false);
+        }
+        let newest = successor.control();
+        let newest_name =
+            if mode == Mode::Nothing { cores[old].name.clone() } else { successor.name.clone() };
+        if mode != Mode::Nothing {
+            cores.push(successor);
+        }
         sleep(CATCH_UP.saturating_sub(started.elapsed()) + Duration::from_millis(100));
-        let newest = cores.last().unwrap();
-        match ask(newest.control(), "GET", "/-/config", &[], &[], Duration::from_secs(2)) {
+        match ask(newest, "GET", "/-/config", &[], &[], Duration::from_secs(2)) {
             Ok(answer) if answer.status == 200 && answer.text().contains(&format!("\"version\":{version},")) => {
-                record.line(&format!("{} answers a read with version {version}: it has caught up", newest.name));
+                record.line(&format!("{} answers a read with version {version}: it has caught up", newest_name));
             }
             other => {
-                record.line(&format!("{} has not caught up: {other:?}", newest.name));
+                record.line(&format!("{} has not caught up: {other:?}", newest_name));
                 return 2;
             }
         }
@@ -133,13 +157,18 @@
         if order(record, &nodes(&cores), "PUT", "/-/config", &config(version), Duration::from_secs(6)).is_none() {
             return 2;
         }
+        if mode == Mode::Nothing {
+            record.line("no machine is removed");
+            sleep(Duration::from_secs(1));
+            continue;
+        }
         let name = cores[old].name.clone();
         cores[old].signal(&site, "TERM");
         if !cores[old].wait(&site, Duration::from_secs(8)) {
             return 2;
         }
         record.line(&format!("{name} is removed for good, its successor in place"));
-        if !trouble {
+        if mode == Mode::Slow {
             sleep(CALM);
         } else if turn + 1 < REPLACEMENTS {
             sleep(Duration::from_millis(500));
--- a/review/harness/case4.rs
+++ b/review/harness/case4.rs
@@ -47,6 +47,7 @@
     let program = env::args().nth(2).map(PathBuf::from).expect("the program's path");
     let record = Record::create(&record_file);
     let folder = Folder::create("4");
+    support::end_in_time(&record, &folder.0, Duration::from_secs(110));
     let code = run(&record, &folder, program, trouble);
     drop(folder);
     record.line(&format!("exit {code}"));
--- a/review/harness/support.rs
+++ b/review/harness/support.rs
@@ -14,6 +14,24 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+/// The processes that run now, by id.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case with 2 after `longest`, and by their ids all processes that it started.
+pub fn end_in_time(record: &Record, folder: &Path, longest: Duration) {
+    let (record, folder) = (record.clone(), folder.to_owned());
+    std::thread::spawn(move || {
+        std::thread::sleep(longest);
+        let running = RUNNING.lock().unwrap();
+        for id in running.iter() {
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        record.line("the case took too long and was ended; exit 2");
+        let _ = fs::remove_dir_all(&folder);
+        std::process::exit(2);
+    });
+}
+
 /// The case's record: one line for each thing that was sent, answered, run or done.
 #[derive(Clone)]
 pub struct Record {
@@ -183,6 +201,7 @@
             .stderr(log)
             .spawn()
             .expect("the program starts");
+        RUNNING.lock().unwrap().push(child.id());
         self.child = Some(child);
         site.record.line(&format!("start {} at {ip}, bootstrap {first}", self.name));
     }
@@ -198,22 +217,37 @@
     pub fn wait(&mut self, site: &Site, longest: Duration) -> bool {
         let end = Instant::now() + longest;
         while Instant::now() < end {
-            match self.child.as_mut().map(|child| child.try_wait()) {
-                Some(Ok(None)) => std::thread::sleep(Duration::from_millis(10)),
-                _ => {
-                    self.child = None;
-                    site.record.line(&format!("{} has ended", self.name));
-                    return true;
-                }
+            if self.has_ended() {
+                site.record.line(&format!("{} has ended", self.name));
+                return true;
             }
+            std::thread::sleep(Duration::from_millis(10));
         }
         false
     }
 
+    fn has_ended(&mut self) -> bool {
+        let mut running = RUNNING.lock().unwrap();
+        let Some(child) = &mut self.child else { return true };
+        let ended = !matches!(child.try_wait(), Ok(None));
+        if ended {
+            running.retain(|id| *id != child.id());
+            self.child = None;
+        }
+        ended
+    }
+
+    fn end(&mut self) -> bool {
+        let mut running = RUNNING.lock().unwrap();
+        let Some(mut child) = self.child.take() else { return false };
+        let _ = child.kill();
+        let _ = child.wait();
+        running.retain(|id| *id != child.id());
+        true
+    }
+
     pub fn kill(&mut self, site: &Site) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if self.end() {
             site.record.line(&format!("SIGKILL to {}", self.name));
         }
     }
@@ -236,10 +270,7 @@
 
 impl Drop for Machine {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.end();
     }
 }
 
