--- a/review/harness/case1.rs
+++ b/review/harness/case1.rs
@@ -4,7 +4,7 @@
 
 use std::{
     env,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     path::PathBuf,
     process::exit,
     thread::sleep,
@@ -78,7 +78,7 @@
 }
 
 fn run(record: &Record, folder: &Folder, program: PathBuf, mode: Mode) -> i32 {
-    let ip = |last| Ipv4Addr::new(127, 83, 4, last);
+    let ip = |last| support::address(last);
     let site = Site {
         folder: folder.0.clone(),
         ports: Ports::free(),
--- a/review/harness/case2.rs
+++ b/review/harness/case2.rs
@@ -4,7 +4,7 @@
 
 use std::{
     env,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     path::PathBuf,
     process::exit,
     thread::sleep,
@@ -46,7 +46,7 @@
 }
 
 fn run(record: &Record, folder: &Folder, program: PathBuf, trouble: bool) -> i32 {
-    let ip = |last| Ipv4Addr::new(127, 83, 1, last);
+    let ip = |last| support::address(last);
     let site = Site {
         folder: folder.0.clone(),
         ports: Ports::free(),
--- a/review/harness/case5.rs
+++ b/review/harness/case5.rs
@@ -6,7 +6,7 @@
 
 use std::{
     env,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     path::PathBuf,
     process::exit,
     sync::{
@@ -65,7 +65,7 @@
 }
 
 fn run(record: &Record, folder: &Folder, program: PathBuf, trouble: bool) -> i32 {
-    let ip = |last| Ipv4Addr::new(127, 83, 5, last);
+    let ip = |last| support::address(last);
     let site = Site {
         folder: folder.0.clone(),
         ports: Ports::free(),
--- a/review/harness/support.rs
+++ b/review/harness/support.rs
@@ -62,6 +62,13 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap().port()
 }
 
+/// An address of this run's own loopback network, so that runs side by side don't meet.
+pub fn address(last: u8) -> Ipv4Addr {
+    let id = std::process::id();
+    let octet = |number: u32| u8::try_from(number).unwrap();
+    Ipv4Addr::new(127, octet(64 + id / 250 % 180), octet(1 + id % 250), last)
+}
+
 pub fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
