Remove a replaced replica before its successor has caught up

Cause: a replaced replica stayed a voter until the leader had missed it for 5 s. Its successor counts as caught up after 4 s, and two disks may be lost from then on. With six voters, one of them gone and two without their disks, three are left of the four that make a quorum, and empty replicas are admitted only by a leader.

Change: a silent voter that another one can replace is removed after 2 s. That and an election take less than 4 s. It is only done while the group has more voters than its first size; a voter that was frozen or cut off meanwhile announces itself and is admitted again.

Ruled out: admitting the successor and removing the old voter in one change, as quorums of the two groups need not meet then.

--- a/src/registry/membership_controller.rs
+++ b/src/registry/membership_controller.rs
@@ -1,16 +1,24 @@
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use crate::{
-    consensus::{Role, Status},
+    consensus::{LastContact, Peer, Role, Status},
     id,
 };
 
 /// Time without a new empty replica after which the first group counts as complete. All VMs of a
 /// deployment start within 0.3 s, and a replica announces itself twice per election timeout.
 const ESTABLISH_QUIET_PERIOD: Duration = Duration::from_millis(1500);
-/// Silence after which a member may be removed for good. Restarts, freezes and short network
-/// partitions are shorter.
-const REMOVAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Silence after which a voter is removed if another one can take its place. The group bears fewer
+/// losses until then, so this and an election have to take less time than a deployment gives the
+/// successor to catch up. A voter that was only frozen or cut off announces itself and is admitted
+/// again.
+const VOTER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence after which a learner is removed. It may be busy with a large snapshot, and no quorum
+/// needs it.
+const LEARNER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A change that the leader makes to its group.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,7 +35,7 @@
 ///
 /// It admits empty replicas as soon as they announce themselves. It removes a silent member only
 /// once the group has its full size without that member. The group thus grows before it shrinks,
-/// and a member that is only cut off from the network stays.
+/// and a member that is only cut off from the network stays unless another one takes its place.
 ///
 /// ```
 /// use std::time::Instant;
@@ -82,12 +90,17 @@
 
     /// The member that has been silent longest, if the group has enough voters without it.
     fn removable_member(&self, status: &Status, established_voters: u32) -> Option<id::Vm> {
-        let voters = status.membership.voters().count();
+        let voters: BTreeSet<Peer> = status.membership.voters().collect();
         let required_voters = usize::try_from(established_voters).unwrap_or(usize::MAX);
-        let silent =
-            status.last_contacts.iter().filter(|contact| contact.elapsed >= REMOVAL_TIMEOUT);
-        let longest_silent = silent.max_by_key(|contact| contact.elapsed)?;
-        let is_voter = status.membership.voters().any(|voter| voter == longest_silent.peer);
-        (!is_voter || voters > required_voters).then(|| longest_silent.peer.vm.clone())
+        let is_removable = |contact: &&LastContact| {
+            if voters.contains(&contact.peer) {
+                contact.elapsed >= VOTER_TIMEOUT && voters.len() > required_voters
+            } else {
+                contact.elapsed >= LEARNER_TIMEOUT
+            }
+        };
+        let removable = status.last_contacts.iter().filter(is_removable);
+        let longest_silent = removable.max_by_key(|contact| contact.elapsed)?;
+        Some(longest_silent.peer.vm.clone())
     }
 }
