Keep a target off that was withdrawn before it was known

Cause: the withdrawal of a target that the registry did not know was confirmed and left no record, so that the late announcement looked like that of a new target. The same held where only an earlier incarnation was known that had ended.

Change: such a withdrawal covers every incarnation that started up to half a second after it, in a record of a gone target that is dropped like any other. The time is the median of the replicas' clocks, which they send with their reports. A withdrawal of a target that was heard in the last 10 s names that incarnation alone, as before, so that the next one gets in at once also if the withdrawal is repeated. Every withdrawal leaves a log line.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -1,6 +1,6 @@
 use std::{
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, UNIX_EPOCH},
 };
 
 use prost::{Message, bytes::Bytes};
@@ -111,7 +111,10 @@
         let known = group
             .as_ref()
             .and_then(|group| group.read(|registry| registry.target(&record.target).cloned()));
-        if known.as_ref().is_none_or(|known| known.incarnation <= record.incarnation) {
+        let is_current = |known: &TargetRecord| {
+            known.incarnation <= record.incarnation && !known.is_withdrawn(record.incarnation)
+        };
+        if known.as_ref().is_none_or(is_current) {
             let is_cold_change = self.heartbeats().record_announcement(&announcement, now);
             if is_cold_change {
                 self.spread_cold_period(&announcement, now);
@@ -212,20 +215,29 @@
             .map_err(|cause| unconfirmed(&cause.to_string()))?;
         lock(&self.contests).forget(target.as_str());
         let known = group.read(|registry| registry.target(target.as_str()).cloned());
-        let Some(known) = known.filter(|known| !known.is_withdrawn(known.incarnation)) else {
-            return Ok(Outcome::Confirmed);
+        let now = self.clock.now();
+        let unix_ms = lock(&self.wall_clocks).median_unix_ms(self.unix_ms(), now);
+        let withdraw = Withdraw::received(target, known.as_ref(), &self.heartbeats(), unix_ms, now);
+        let result = match withdraw {
+            Some(withdraw) => self.propose(Operation::Withdraw(withdraw), ANNOUNCE_TIMEOUT).await,
+            None => Ok(Reply::Stands),
         };
-        let withdraw = Withdraw { target: known.target, incarnation: known.incarnation };
-        let result = self.propose(Operation::Withdraw(withdraw), ANNOUNCE_TIMEOUT).await;
         self.log_command("withdraw", target.as_str(), &result);
         result.map(|_| Outcome::Confirmed)
     }
 
+    /// The wall clock of this replica in Unix milliseconds.
+    pub(super) fn unix_ms(&self) -> u64 {
+        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Whether `record` differs from the known record in a way that all VMs must know.
     fn is_change(&self, record: &TargetRecord, known: Option<&TargetRecord>) -> bool {
         let Some(known) = known else { return true };
         if known.incarnation != record.incarnation || known.state() == State::Gone {
-            return known.incarnation < record.incarnation;
+            return known.incarnation < record.incarnation
+                && !known.is_withdrawn(record.incarnation);
         }
         if record.sequence <= known.sequence {
             return false;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -233,7 +233,11 @@
                 }
                 heartbeats.report(|info| polling_vms.contains(&info.vm) || *info == own, now)
             };
-            let report = HeartbeatReport { crashes: self.take_unsent_crashes(), ..report };
+            let report = HeartbeatReport {
+                crashes: self.take_unsent_crashes(),
+                unix_ms: Some(self.unix_ms()),
+                ..report
+            };
             let payload = Bytes::from(report.encode_to_vec());
             for peer in group.status().consensus.membership.peers() {
                 if peer.vm != self.settings.vm() {
@@ -268,10 +272,13 @@
     }
 
     /// Merges the heartbeats that another replica received.
-    pub(super) fn merge_heartbeat_report(&self, payload: &Bytes) {
+    pub(super) fn merge_heartbeat_report(&self, from: &id::Vm, payload: &Bytes) {
         match HeartbeatReport::decode(payload.clone()) {
             Ok(report) => {
                 let now = self.clock.now();
+                if let Some(unix_ms) = report.unix_ms {
+                    lock(&self.wall_clocks).record(from, unix_ms, now);
+                }
                 if let Some(crashes) = &report.crashes {
                     self.merge_crashes(crashes);
                 }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -18,7 +18,7 @@
     event::{self, Sampler},
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
-    registry::{BlockedRequests, ContestTracker, HeartbeatTable, StateMachine},
+    registry::{BlockedRequests, ContestTracker, HeartbeatTable, StateMachine, WallClocks},
     replica::{Group, change_notifier::ChangeNotifier},
     route::{Table, TableError},
     wire::Topic,
@@ -45,6 +45,8 @@
     pub(super) heartbeats: Mutex<HeartbeatTable>,
     /// The targets that newer records keep out of the registry.
     pub(super) contests: Mutex<ContestTracker>,
+    /// The wall clocks of the replicas.
+    pub(super) wall_clocks: Mutex<WallClocks>,
     /// Bounds the lines on announcements that are refused.
     pub(super) refusal_sampler: Mutex<Sampler>,
     /// How often the cold period of a target changed since the start.
@@ -112,6 +114,7 @@
             group: Mutex::default(),
             heartbeats: Mutex::new(HeartbeatTable::new(VM_TIMEOUT)),
             contests: Mutex::default(),
+            wall_clocks: Mutex::default(),
             refusal_sampler: Mutex::new(Sampler::new(REFUSAL_LINES_PER_SEC, started_at)),
             cold_changes: AtomicU64::new(0),
             cold_targets_changed: ChangeNotifier::default(),
@@ -165,8 +168,8 @@
                         group.receive(&from, payload);
                     }
                 }
-                Inbound::Notice { topic: Topic::Membership, payload, .. } => {
-                    self.merge_heartbeat_report(&payload)
+                Inbound::Notice { from, topic: Topic::Membership, payload } => {
+                    self.merge_heartbeat_report(&from, &payload)
                 }
                 Inbound::Notice { topic: Topic::Streams, payload, .. } => {
                     self.merge_stream_records(&payload);
--- a/src/emulator/release/world.rs
+++ b/src/emulator/release/world.rs
@@ -266,6 +266,7 @@
         let withdraw = Operation::Withdraw(Withdraw {
             target: format!("t{target}"),
             incarnation: u64::try_from(target).unwrap_or(u64::MAX) + 1,
+            started_by_ms: 0,
         });
         let announces = self.random.random_bool(0.5);
         self.targets[target].leaving = true;
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -28,6 +28,8 @@
 mod update;
 mod version_ends;
 mod vm_set;
+mod wall_clocks;
+mod withdrawal;
 
 use std::time::Duration;
 
@@ -51,6 +53,7 @@
         SilentTargets, Update, UpdateRequest, VmChanges,
     },
     vm_set::VmSet,
+    wall_clocks::WallClocks,
 };
 
 /// Longest time for which an announcement is delayed on its way. Targets announce themselves several
--- a/src/registry/announcement.rs
+++ b/src/registry/announcement.rs
@@ -93,6 +93,7 @@
             changed_index: 0,
             software_version: self.software_version.to_string(),
             replaced_by: String::new(),
+            withdrawn_by_ms: 0,
         }
     }
 }
--- a/src/registry/command.rs
+++ b/src/registry/command.rs
@@ -68,15 +68,20 @@
     pub last_change_index: u64,
 }
 
-/// Marks one incarnation of a target as gone.
+/// Marks a target as gone.
 #[derive(Clone, PartialEq, Message)]
 pub struct Withdraw {
     /// The target.
     #[prost(string, tag = "1")]
     pub target: String,
-    /// The incarnation that the proposer knew; the command has no effect on another one.
+    /// The incarnation that the proposer knew; 0 if it knew none.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Unix milliseconds up to which any incarnation that started is gone, whether it has been
+    /// announced or not; 0 if only the known one is. Set if the known incarnation cannot be the
+    /// sender of the withdrawal.
+    #[prost(uint64, tag = "3")]
+    pub started_by_ms: u64,
 }
 
 /// Adds a target that is alive although newer records keep it out.
--- a/src/registry/heartbeat_table.rs
+++ b/src/registry/heartbeat_table.rs
@@ -112,6 +112,9 @@
     /// Records of requests that crash targets, if VMs reported new ones.
     #[prost(message, optional, tag = "3")]
     pub crashes: Option<crash::RecordSet>,
+    /// Wall clock of the sender in Unix milliseconds; `None` from a replica that does not report it.
+    #[prost(uint64, optional, tag = "4")]
+    pub unix_ms: Option<u64>,
 }
 
 /// When each VM and each target was last heard by any replica.
@@ -197,7 +200,7 @@
             .collect();
         let targets = std::mem::take(&mut self.unreported).into_iter();
         let targets = targets.filter_map(|target| self.target_heartbeat(&target, now)).collect();
-        HeartbeatReport { vms, targets, crashes: None }
+        HeartbeatReport { vms, targets, ..HeartbeatReport::default() }
     }
 
     /// The newest announcement of a target, for the other replicas.
--- a/src/registry/state_machine.rs
+++ b/src/registry/state_machine.rs
@@ -262,16 +262,20 @@
     }
 
     fn withdraw(&mut self, index: u64, withdraw: &Withdraw) -> Reply {
-        match self.targets.get(&withdraw.target) {
-            Some(known)
-                if known.incarnation == withdraw.incarnation
-                    && !known.is_withdrawn(withdraw.incarnation) =>
-            {
-                self.mark_gone(index, &withdraw.target, "");
-                Reply::Changed
-            }
-            _ => Reply::Stands,
+        let Withdraw { target, incarnation, started_by_ms } = withdraw;
+        let unknown = TargetRecord { target: target.clone(), ..TargetRecord::default() };
+        let known = self.targets.get(target).unwrap_or(&unknown);
+        let is_named = known.incarnation == *incarnation && !known.is_withdrawn(*incarnation);
+        let started_before = known.incarnation <= *started_by_ms;
+        let withdrawn_by_ms = known.withdrawn_by_ms.max(*started_by_ms);
+        let covers_more = withdrawn_by_ms > known.withdrawn_by_ms;
+        // A target that is not known yet has no incarnation to name.
+        if started_before && covers_more || is_named && self.targets.contains_key(target) {
+            let gone = TargetRecord { withdrawn_by_ms, ..known.clone() };
+            self.put_gone(index, gone, "");
+            return Reply::Changed;
         }
+        Reply::Stands
     }
 
     fn put(&mut self, record: TargetRecord) {
@@ -295,17 +299,22 @@
         }
     }
 
-    /// Marks a target as gone, replaced by another one unless that is empty, and drops the oldest
-    /// record of a gone target if there are too many.
+    /// Marks a target as gone, replaced by another one.
     fn mark_gone(&mut self, index: u64, target: &str, replaced_by: &str) {
-        if let Some(record) = self.targets.get(target) {
-            self.put(TargetRecord {
-                state: State::Gone.into(),
-                changed_index: index,
-                replaced_by: replaced_by.to_owned(),
-                ..record.clone()
-            });
+        if let Some(record) = self.targets.get(target).cloned() {
+            self.put_gone(index, record, replaced_by);
         }
+    }
+
+    /// Stores the record of a target that is gone, replaced by another one unless that is empty, and
+    /// drops the oldest such record if there are too many.
+    fn put_gone(&mut self, index: u64, record: TargetRecord, replaced_by: &str) {
+        self.put(TargetRecord {
+            state: State::Gone.into(),
+            changed_index: index,
+            replaced_by: replaced_by.to_owned(),
+            ..record
+        });
         let gone = || self.targets.values().filter(|record| record.state() == State::Gone);
         if gone().count() > MAX_GONE_TARGETS {
             let oldest = gone()
--- a/src/registry/target_record.rs
+++ b/src/registry/target_record.rs
@@ -55,6 +55,10 @@
     /// has been withdrawn.
     #[prost(string, tag = "12")]
     pub replaced_by: String,
+    /// Unix milliseconds up to which any incarnation that started has been withdrawn, announced or
+    /// not; 0 if only this one has. Nothing else is known of a target without a service.
+    #[prost(uint64, tag = "13")]
+    pub withdrawn_by_ms: u64,
 }
 
 impl TargetRecord {
@@ -68,14 +72,20 @@
     pub fn is_outdated_by(&self, known: &Self) -> bool {
         let late = known.incarnation == self.incarnation
             && (known.state() == State::Gone || self.sequence <= known.sequence);
-        known.target == self.target && (known.incarnation > self.incarnation || late)
+        let withdrawn = known.is_withdrawn_by_start(self.incarnation);
+        known.target == self.target && (known.incarnation > self.incarnation || late || withdrawn)
     }
 
     /// Whether this incarnation of the target has been withdrawn, so that it never returns.
     pub fn is_withdrawn(&self, incarnation: u64) -> bool {
-        self.incarnation == incarnation
+        let is_known_incarnation = self.incarnation == incarnation
             && self.state() == State::Gone
-            && self.replaced_by.is_empty()
+            && self.replaced_by.is_empty();
+        is_known_incarnation || self.is_withdrawn_by_start(incarnation)
+    }
+
+    fn is_withdrawn_by_start(&self, incarnation: u64) -> bool {
+        self.withdrawn_by_ms > 0 && incarnation <= self.withdrawn_by_ms
     }
 
     /// Version of the software that the target runs; `None` if a process that did not know it wrote
--- a/tests/continuation.rs
+++ b/tests/continuation.rs
@@ -142,7 +142,11 @@
     }
 
     fn withdraw(&mut self, target: u16) -> u64 {
-        self.apply(Operation::Withdraw(Withdraw { target: target.to_string(), incarnation: 1 }))
+        self.apply(Operation::Withdraw(Withdraw {
+            target: target.to_string(),
+            incarnation: 1,
+            started_by_ms: 0,
+        }))
     }
 
     fn sole(&self, index: u64) -> Option<String> {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -88,8 +88,9 @@
     registry.announce(record("one", 100, 2, 8080, true));
     registry.announce(record("one", 100, 3, 8080, false));
     assert_eq!(registry.state("one"), State::Leaving);
-    let withdraw =
-        |incarnation| Operation::Withdraw(Withdraw { target: "one".to_owned(), incarnation });
+    let withdraw = |incarnation| {
+        Operation::Withdraw(Withdraw { target: "one".to_owned(), incarnation, started_by_ms: 0 })
+    };
     assert_eq!(registry.apply(withdraw(99)), Reply::Stands);
     assert_eq!(registry.apply(withdraw(100)), Reply::Changed);
     assert_eq!(registry.announce(record("one", 100, 9, 8080, false)), Reply::Stands);
@@ -259,7 +260,11 @@
     for (sequence, target) in (1..).zip(["one", "two", "three", "one"]) {
         registry.announce(record(target, 100, sequence, 8000 + sequence as u16, false));
     }
-    registry.apply(Operation::Withdraw(Withdraw { target: "two".to_owned(), incarnation: 100 }));
+    registry.apply(Operation::Withdraw(Withdraw {
+        target: "two".to_owned(),
+        incarnation: 100,
+        started_by_ms: 0,
+    }));
     let changed = |since| -> Vec<&str> {
         registry
             .state_machine
@@ -390,7 +395,7 @@
 fn a_withdrawn_target_takes_nothing_over() {
     let mut registry = Registry::new();
     registry.announce(record("one", 100, 1, 8080, false));
-    let withdraw = Withdraw { target: "one".to_owned(), incarnation: 100 };
+    let withdraw = Withdraw { target: "one".to_owned(), incarnation: 100, started_by_ms: 0 };
     registry.apply(Operation::Withdraw(withdraw.clone()));
     let late = record("one", 100, 2, 8080, false);
     let operation = take_over(&registry, &late);
