Bound the memory of answers without end

Here each response was bounded, but a hundred at once were not: 127 to 167 MB more on a VM that takes callers, of which the smallest in use has 160 MB. A process that runs out of memory takes the requests of all its callers with it.

Cause: the buffer of a connection to a target grew to 400 KiB, up to 512 KiB of a response were held back until its caller got any of it (1 MiB on the path of models, 8 MiB for calls), and up to 32 parts of any size waited for a slow caller.

Change: the buffer of a connection holds 32 KiB, which is also the longest head of a response (256 KiB before). Responses share 8 MiB for what they hold back beyond 32 KiB each (`http::BufferBudget`); one that finds none goes to its caller at once, a call's answer that must be stored counts as too large. Four parts wait for a caller, and 64 KiB of an event that a stream may resume after.

--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -7,7 +7,6 @@
 
 use hyper::{HeaderMap, client::conn::http1::SendRequest};
 use smol::Task;
-use smol_hyper::rt::FuturesIo;
 
 use crate::{
     control::lock,
@@ -92,7 +91,7 @@
         let open_token = self.open_token(address, max_open).ok_or(AcquireError::Full)?;
         let stream = http::connect(address, CONNECT_TIMEOUT).await?;
         let (stream, head) = HeadGuard::new(stream);
-        let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http::handshake(stream)
             .await
             .map_err(|cause| AcquireError::Connect(RequestError::NotSent(cause.to_string())))?;
         let driver = smol::spawn(async move {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -15,7 +15,7 @@
     registry_sync::pair_hash,
     routed_request::RoutedRequest,
     server::Gateway,
-    streaming_body::{BodyChunk, BodySource, ResponseOrigin, StreamingBody, TargetBody},
+    streaming_body::{BodyChunk, BodySource, HeldChunk, ResponseOrigin, StreamingBody, TargetBody},
 };
 use crate::{
     clock::within,
@@ -462,7 +462,7 @@
         let start = within(time_left, self.read_body_start(&mut body_source, is_stream)).await;
         let body = match start {
             Some(Ok(BodyStart::Complete(bytes))) => ResponseBody::Complete(bytes),
-            Some(Ok(BodyStart::Partial(bytes))) => {
+            Some(Ok(BodyStart::Partial(first_chunk))) => {
                 let tried_targets = std::mem::take(&mut state.tried_targets);
                 let head_received_at = self.clock.now();
                 let origin = ResponseOrigin {
@@ -476,7 +476,7 @@
                     self,
                     request,
                     body_source,
-                    bytes,
+                    first_chunk,
                     tried_targets,
                     attempts,
                     origin,
@@ -508,17 +508,19 @@
         is_stream: bool,
     ) -> Result<BodyStart, String> {
         let mut buffer: Vec<u8> = Vec::new();
+        let mut share = self.buffer_budget.share();
         loop {
             match body_source.next(self).await {
                 BodyChunk::Data(bytes) if is_stream && buffer.is_empty() => {
-                    return Ok(BodyStart::Partial(bytes));
+                    return Ok(BodyStart::Partial(HeldChunk { bytes, share }));
                 }
                 BodyChunk::Data(bytes) => buffer.extend_from_slice(&bytes),
                 BodyChunk::End => return Ok(BodyStart::Complete(Bytes::from(buffer))),
                 BodyChunk::Broken(cause) => return Err(cause),
             }
-            if buffer.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(BodyStart::Partial(Bytes::from(buffer)));
+            if buffer.len() > MAX_BUFFERED_BODY_BYTES || !share.grow_to(buffer.len()) {
+                let bytes = Bytes::from(buffer);
+                return Ok(BodyStart::Partial(HeldChunk { bytes, share }));
             }
         }
     }
@@ -600,7 +602,7 @@
 /// What was read of a body before the head is sent to the caller.
 enum BodyStart {
     Complete(Bytes),
-    Partial(Bytes),
+    Partial(HeldChunk),
 }
 
 impl DispatchState {
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -20,7 +20,7 @@
 }
 
 /// An incomplete event that is longer is passed on as it arrives.
-const MAX_PARTIAL_BYTES: usize = 256 * 1024;
+const MAX_PARTIAL_BYTES: usize = 64 * 1024;
 
 impl EventSplitter {
     /// Adds bytes and returns the events that are now complete.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -29,7 +29,7 @@
     continuation,
     control::{ParseRoutes, lock},
     event::{self, Sampler},
-    http::{self, Body, Limits, Stop},
+    http::{self, Body, BufferBudget, Limits, Stop},
     id,
     link::{Hub, Inbound},
     node::{Error, Links, Settings},
@@ -52,6 +52,8 @@
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
 /// that size fits and the buffer is never smaller than the HTTP server requires.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 8 * 1024;
+/// The memory for the beginnings of responses that are held back until they can go to their callers.
+const BUFFER_BUDGET_BYTES: usize = 8 * 1024 * 1024;
 const MAX_HEADERS: usize = 100;
 /// A process that runs sends its load at regular intervals, late by no more than this.
 const SUSPENSION_ALLOWANCE: Duration = Duration::from_millis(500);
@@ -64,6 +66,8 @@
     pub(super) header_names: HeaderNames,
     pub(super) hub: Arc<Hub>,
     pub(super) connection_pool: Arc<ConnectionPool>,
+    /// The memory for the beginnings of responses that are held back.
+    pub(super) buffer_budget: Arc<BufferBudget>,
     pub(super) incarnation: u64,
     parse_routes: ParseRoutes,
     route_table: Mutex<Option<Arc<Table>>>,
@@ -162,6 +166,7 @@
             header_names,
             hub,
             connection_pool: Arc::default(),
+            buffer_budget: BufferBudget::new(BUFFER_BUDGET_BYTES),
             incarnation,
             parse_routes,
             route_table: Mutex::default(),
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::within,
     event,
-    http::{self, Body, Delimiter, EventProgress, IncompleteBody, StallDetector},
+    http::{self, Body, BufferShare, Delimiter, EventProgress, IncompleteBody, StallDetector},
     id,
     link::Exchange,
     route::Route,
@@ -62,6 +62,13 @@
     attempt: ActiveAttempt,
 }
 
+/// The beginning of a body, with its share of the memory for such.
+#[derive(Debug)]
+pub(super) struct HeldChunk {
+    pub(super) bytes: Bytes,
+    pub(super) share: BufferShare,
+}
+
 /// What a [`BodySource`] yields next.
 #[derive(Debug)]
 pub(super) enum BodyChunk {
@@ -86,6 +93,8 @@
     stall_detector: Option<StallDetector>,
     /// The chunk that was received before the head was sent to the caller.
     first_chunk: Option<Bytes>,
+    /// Given back when the caller has taken the first chunk.
+    share: Option<BufferShare>,
     tried_targets: Vec<id::Target>,
     attempts: Attempts,
     deadline: Instant,
@@ -247,11 +256,12 @@
         gateway: &Arc<Gateway>,
         request: &Arc<RoutedRequest>,
         source: BodySource,
-        first_chunk: Bytes,
+        first_chunk: HeldChunk,
         tried_targets: Vec<id::Target>,
         attempts: Attempts,
         origin: ResponseOrigin,
     ) -> Self {
+        let HeldChunk { bytes: first_chunk, share } = first_chunk;
         let mut event_splitter = (request.route.delivery_mode
             == crate::route::DeliveryMode::Resumable)
             .then(EventSplitter::default);
@@ -271,6 +281,7 @@
             event_splitter,
             stall_detector,
             first_chunk: (!first_chunk.is_empty()).then_some(first_chunk),
+            share: Some(share),
             tried_targets,
             attempts,
             deadline: request.deadline,
@@ -298,6 +309,7 @@
         if let Some(first_chunk) = self.first_chunk.take() {
             return Some(Ok(first_chunk));
         }
+        self.share = None;
         while !self.ended {
             let time_left = self.deadline.saturating_duration_since(self.gateway.clock.now());
             let stall_time_left =
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1 client and server for callers, targets and operators, with `hyper` on `smol`.
 
 mod body;
+mod buffer_budget;
 mod client;
 mod deadline_body;
 mod delimiter;
@@ -12,6 +13,7 @@
 
 pub use self::{
     body::{Body, CollectError, IncompleteBody, channel, collect, empty, full, read_failure},
+    buffer_budget::{BufferBudget, BufferShare},
     client::{RequestError, send_request},
     deadline_body::full_before_deadline,
     delimiter::Delimiter,
@@ -20,7 +22,9 @@
     stall_detector::StallDetector,
 };
 pub(crate) use self::{
-    client::{ConnectError, connect, is_connectable, refuses_connections, send_request_if},
+    client::{
+        ConnectError, connect, handshake, is_connectable, refuses_connections, send_request_if,
+    },
     head_guard::{HeadGuard, HeadState},
     server::STOP_LINGER,
 };
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,12 +6,17 @@
 };
 
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use smol::{Task, net::TcpStream};
+use smol::{
+    Task,
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
 use super::{
     Body, HeadGuard,
+    head_guard::MAX_HEAD_BYTES,
     write_tracker::{WriteFlag, WriteTracker},
 };
 use crate::clock::within;
@@ -78,9 +83,8 @@
     }
     let (stream, written) = WriteTracker::new(stream);
     let (stream, head) = HeadGuard::new(stream);
-    let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
-        .await
-        .map_err(|cause| request_error(&written, &cause.to_string()))?;
+    let (mut sender, connection) =
+        handshake(stream).await.map_err(|cause| request_error(&written, &cause.to_string()))?;
     let driver = smol::spawn(async move {
         let _ = connection.await;
     });
@@ -98,6 +102,17 @@
     }
 }
 
+/// Starts HTTP/1 on a connection to a target, with a buffer that holds a head and not much more. A
+/// target fills the buffer of each of its connections if its answer has no end.
+pub(crate) async fn handshake<S>(
+    stream: S,
+) -> hyper::Result<(http1::SendRequest<Body>, http1::Connection<FuturesIo<S>, Body>)>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(FuturesIo::new(stream)).await
+}
+
 /// Whether `address` refuses connections, as the address of a program that ended does.
 pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = within(REFUSAL_TIMEOUT, TcpStream::connect(address)).await;
--- a/src/http/head_guard.rs
+++ b/src/http/head_guard.rs
@@ -13,7 +13,7 @@
 };
 
 /// The bytes that may precede the body of a response, interim responses included.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// The interim responses (status 100 to 199) that may precede a response.
 const MAX_INTERIM_HEADS: u32 = 32;
 /// The time that one head may take from its first byte to its end.
--- a/src/path/dispatch.rs
+++ b/src/path/dispatch.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     clock::{Clock, within},
-    http::{self, RequestError},
+    http::{self, BufferShare, RequestError},
     outcome::{Outcome, Reason, Refusal, UnknownOutcome},
     target::Announcement,
     wire::{Header, ResponseHead},
@@ -49,7 +49,7 @@
             idle_timeout: Duration::from_secs(10),
             max_resumptions: 3,
             buffer_bytes: 1024 * 1024,
-            max_queued_parts: 32,
+            max_queued_parts: 4,
         }
     }
 }
@@ -57,7 +57,7 @@
 /// Sends an admitted request to `target`. Returns the response as soon as the first part of an
 /// event stream, the whole of another response, or more than `buffer_bytes` of it has arrived.
 /// `time_left` limits the wait for the first byte, and then the wait for what follows. `watch` is
-/// told what the target responds.
+/// told what the target responds. `share` is what the response may hold back of the memory for that.
 ///
 /// Returns [`Outcome::Refused`] only if no byte of the request was written.
 pub async fn dispatch(
@@ -67,6 +67,7 @@
     time_left: Duration,
     clock: &Arc<dyn Clock>,
     watch: Arc<dyn TargetWatch>,
+    share: BufferShare,
 ) -> Outcome<TargetResponse> {
     let target_request = match target_request(request, target, time_left) {
         Ok(target_request) => target_request,
@@ -88,7 +89,7 @@
                 let clock = Arc::clone(clock);
                 ResumableBody::new(target.address, response, connection_task, limits, clock, watch)
             };
-            let response = receive_response(request, target, response, new_body, limits);
+            let response = receive_response(request, target, response, new_body, limits, share);
             within(time_left, response)
                 .await
                 .unwrap_or_else(|| Outcome::Unknown(deadline_passed(target)))
@@ -128,6 +129,7 @@
     response: Response<Incoming>,
     new_body: impl FnOnce(Response<Incoming>) -> ResumableBody,
     limits: DispatchLimits,
+    mut share: BufferShare,
 ) -> Outcome<TargetResponse> {
     let status = response.status();
     // An unknown outcome lets another target answer an idempotent request.
@@ -147,7 +149,9 @@
             BodyPart::Chunk(bytes) => {
                 received_bytes += bytes.len();
                 chunks.push(bytes);
-                if response_body.is_event_stream() || received_bytes > limits.buffer_bytes {
+                let is_full =
+                    received_bytes > limits.buffer_bytes || !share.grow_to(received_bytes);
+                if response_body.is_event_stream() || is_full {
                     break false;
                 }
             }
@@ -156,7 +160,7 @@
         }
     };
     let (sender, body) = smol::channel::bounded(limits.max_queued_parts);
-    smol::spawn(forward_body(chunks, is_complete, response_body, sender)).detach();
+    smol::spawn(forward_body(chunks, share, is_complete, response_body, sender)).detach();
     let mut hops: Vec<String> = request.hops.iter().map(ToString::to_string).collect();
     hops.push(target.target.to_string());
     Outcome::Answered(TargetResponse::new(head, hops, body))
@@ -165,6 +169,7 @@
 /// Sends `chunks` and then the rest of the body to `parts`, until the receiver is dropped.
 async fn forward_body(
     chunks: Vec<Bytes>,
+    share: BufferShare,
     is_complete: bool,
     mut response_body: ResumableBody,
     parts: Sender<BodyPart>,
@@ -174,6 +179,7 @@
             return;
         }
     }
+    drop(share);
     if is_complete {
         let _ = parts.send(BodyPart::End).await;
         return;
--- a/src/vm/at_most_once.rs
+++ b/src/vm/at_most_once.rs
@@ -19,7 +19,9 @@
         self, Claim, Command, MarkComplete, MarkOutcomesUnknown, Operation, RecordOutcome, Release,
         Verdict,
     },
-    event, id, list_state,
+    event,
+    http::BufferShare,
+    id, list_state,
     member::State,
     outcome::{Outcome, Reason, Refusal, UnknownOutcome},
     path::{self, Admitted, BodyPart, Resolved, TargetResponse},
@@ -241,10 +243,12 @@
         time_left: Duration,
     ) -> Outcome<TargetResponse> {
         let (limits, watch) = (vm.settings.dispatch(), TargetLimit::watch(vm, target));
-        let response = path::dispatch(request, target, limits, time_left, &vm.clock, watch);
+        let share = vm.buffer_budget.share();
+        let response = path::dispatch(request, target, limits, time_left, &vm.clock, watch, share);
         let outcome = match response.await {
             Outcome::Answered(response) => {
-                read_complete_response(response, vm.settings.body_limit).await
+                let share = vm.buffer_budget.share();
+                read_complete_response(response, vm.settings.body_limit, share).await
             }
             Outcome::Refused(refusal) => {
                 self.release(vm).await;
@@ -313,11 +317,14 @@
 async fn read_complete_response(
     mut response: TargetResponse,
     limit: usize,
+    mut share: BufferShare,
 ) -> Result<(ResponseHead, Bytes, Vec<String>), UnknownOutcome> {
     let mut body = Vec::new();
     loop {
         match response.next().await {
-            BodyPart::Chunk(bytes) if body.len() + bytes.len() <= limit => {
+            BodyPart::Chunk(bytes)
+                if body.len() + bytes.len() <= limit && share.grow_to(body.len() + bytes.len()) =>
+            {
                 body.extend_from_slice(&bytes);
             }
             BodyPart::Chunk(_) => return Err("the call ran, but its answer is too large".into()),
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -24,7 +24,7 @@
     clock::{Clock, within},
     event,
     figure::{Board, Statsd},
-    http::{self, Limits, Stop, Stopped},
+    http::{self, BufferBudget, Limits, Stop, Stopped},
     id,
     limit::Admission,
     link::{Hub, Inbound},
@@ -39,6 +39,8 @@
 };
 
 const INBOUND_QUEUE_MESSAGES: usize = 4096;
+/// The memory for responses that are held back until they can go to their callers.
+const BUFFER_BUDGET_BYTES: usize = 8 * 1024 * 1024;
 
 /// One VM: its settings, its state and its links to other VMs.
 #[derive(Debug)]
@@ -63,6 +65,8 @@
     /// group.
     pub(super) leases: Mutex<order::Leases>,
     trail: Mutex<Trail>,
+    /// The memory for responses that are held back.
+    pub(super) buffer_budget: Arc<BufferBudget>,
     rng: Mutex<StdRng>,
     stopped: Stopped,
     /// Cloned for each request in flight, which [`RunningVm::drain`] waits for; `None` once it waits
@@ -193,6 +197,7 @@
             routing: Mutex::new(routing),
             leases: Mutex::default(),
             trail: Mutex::default(),
+            buffer_budget: BufferBudget::new(BUFFER_BUDGET_BYTES),
             rng: Mutex::new(rng),
             stopped: stopped.clone(),
             in_flight_guard: Mutex::new(Some(in_flight_guard)),
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -240,7 +240,8 @@
         let target = attempt.target.clone();
         let outcome = if request.stage.resolved.idempotent {
             let (limits, watch) = (self.settings.dispatch(), TargetLimit::watch(self, &target));
-            path::dispatch(request, &target, limits, time_left, &self.clock, watch).await
+            let share = self.buffer_budget.share();
+            path::dispatch(request, &target, limits, time_left, &self.clock, watch, share).await
         } else {
             self.run_at_most_once(request, &target, time_left).await
         };
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_util::future::join_all;
@@ -21,7 +21,7 @@
     net::{TcpListener, TcpStream},
 };
 use support::{
-    fleet::{Fleet, eventually},
+    fleet::{Fleet, Process, eventually},
     targets,
 };
 
@@ -34,6 +34,17 @@
                        content-type: text/plain\r\ncontent-length: 12\r\n\r\nnot run here";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 
+/// The beginnings of answers without end, by the marker in the request.
+const ENDLESS_ANSWERS: [(&str, &str); 3] = [
+    ("endless-head", "HTTP/1.1 200 OK\r\nx-long: "),
+    ("endless-body", "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n"),
+    ("endless-event", "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: "),
+];
+/// Requests at a target at once whose answers have no end.
+const ENDLESS_CALLERS: usize = 100;
+/// The memory of the smallest VM that takes callers in a deployment in use.
+const VM_MEMORY_BYTES: usize = 160_000_000;
+
 /// A target that writes the text that the marker in a request stands for.
 struct RawTarget {
     address: SocketAddr,
@@ -72,6 +83,14 @@
     }
     count.fetch_add(1, Ordering::Relaxed);
     let has = |marker: &str| request.contains(marker);
+    for (marker, start) in ENDLESS_ANSWERS {
+        if has(marker) {
+            stream.write_all(start.as_bytes()).await?;
+            loop {
+                stream.write_all(&[b'a'; 16 * 1024]).await?;
+            }
+        }
+    }
     let text = if has("GET /resume-refused") {
         REFUSAL.to_owned()
     } else if has("GET /resume-plain") {
@@ -248,3 +267,56 @@
         }
     });
 }
+
+/// Guards against a VM that runs out of memory, with the requests of all its callers, as it keeps what
+/// a target sends without end.
+#[test]
+#[expect(clippy::print_stdout, reason = "the figures of each course")]
+fn answers_without_end_cost_bounded_memory_and_no_other_request() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        // Calls first: they leave the engine of the model to the sound requests.
+        let courses = [true, false]
+            .into_iter()
+            .flat_map(|is_call| ENDLESS_ANSWERS.map(|(marker, _)| (marker, is_call)));
+        // The VM hands over to the other one, which is judged as well.
+        let vm = 1;
+        for (marker, is_call) in courses {
+            let callers = (0..ENDLESS_CALLERS).map(|number| {
+                let callers = deployment.fleet.callers(vm);
+                smol::spawn(async move {
+                    let caller = Caller::new(KEY);
+                    if is_call {
+                        let key = format!("{marker}-{vm}-{number}");
+                        let caller = caller.with("idempotency-key", &key);
+                        drop(
+                            caller.send(callers, Method::POST, BOOK_PATH, marker.to_owned()).await,
+                        );
+                    } else {
+                        drop(caller.chat(callers, "planner", marker, true).await);
+                    }
+                })
+            });
+            let callers: Vec<smol::Task<()>> = callers.collect();
+            let end = Instant::now() + Duration::from_secs(2);
+            let (mut most, mut served, mut asked) = (0, 0, 0);
+            while Instant::now() < end {
+                if is_call {
+                    asked += 1;
+                    let caller = Caller::new(KEY);
+                    let reply =
+                        caller.chat(deployment.fleet.callers(vm), "planner", "sound", false);
+                    served += usize::from(reply.await.is_ok_and(|reply| reply.status == 200));
+                }
+                let processes = deployment.fleet.vms.iter();
+                most = processes.map(Process::resident_bytes).fold(most, usize::max);
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            drop(callers);
+            let name = format!("{marker}, call: {is_call}");
+            println!("{name}: {} KiB, {served} of {asked}", most / 1024);
+            assert!(most <= VM_MEMORY_BYTES, "{name}: {most} bytes");
+            assert!(served * 10 >= asked * 9, "{name}: {served} of {asked} served");
+        }
+    });
+}
