--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -133,8 +133,8 @@
     }
 
     /// Has the group remove this replica if another one can take its place, and waits for that for
-    /// at most `timeout`. Called before the process ends; a process that is only restarted and is
-    /// admitted again loses nothing by it.
+    /// at most `timeout`. Called before the process ends. If the process only restarts, the replica
+    /// announces itself and is admitted again.
     pub async fn leave_group(&self, timeout: Duration) {
         let Some(group) = self.group() else { return };
         let established_voters = group.read(StateMachine::established_voters);
--- a/src/registry/membership_controller.rs
+++ b/src/registry/membership_controller.rs
@@ -38,8 +38,9 @@
 /// Decides on changes to the group of replicas, without an operator.
 ///
 /// It admits empty replicas as soon as they announce themselves. It removes a member that is silent
-/// or asks to leave only once the group has its full size without that member. The group thus grows before it shrinks,
-/// and a member that is only cut off from the network stays unless another one takes its place.
+/// or asks to leave only once the group has its full size without that member. The group thus
+/// grows before it shrinks, and a member that is only cut off from the network stays unless another
+/// one takes its place.
 ///
 /// ```
 /// use std::time::Instant;
--- a/src/registry/state_machine.rs
+++ b/src/registry/state_machine.rs
@@ -270,7 +270,8 @@
         let withdrawn_by_ms = known.withdrawn_by_ms.max(*started_by_ms);
         let covers_more = withdrawn_by_ms > known.withdrawn_by_ms;
         // A target that is not known yet has no incarnation to name.
-        if started_before && covers_more || is_named && self.targets.contains_key(target) {
+        let names_known = is_named && self.targets.contains_key(target);
+        if names_known || (started_before && covers_more) {
             let gone = TargetRecord { withdrawn_by_ms, ..known.clone() };
             self.put_gone(index, gone, "");
             return Reply::Changed;
