--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -21,7 +21,8 @@
     net::{TcpListener, TcpStream},
 };
 use support::{
-    fleet::{Fleet, Process, eventually},
+    fleet::{Fleet, eventually},
+    process_memory::resident_bytes,
     targets,
 };
 
@@ -309,7 +310,7 @@
                     served += usize::from(reply.await.is_ok_and(|reply| reply.status == 200));
                 }
                 let processes = deployment.fleet.vms.iter();
-                most = processes.map(Process::resident_bytes).fold(most, usize::max);
+                most = processes.map(|vm| resident_bytes(vm.process_id())).fold(most, usize::max);
                 Timer::after(Duration::from_millis(20)).await;
             }
             drop(callers);
--- a/tests/replacements.rs
+++ b/tests/replacements.rs
@@ -253,23 +253,17 @@
                 "stopped for good"
             }
             2 if may_lose => {
-                self.cluster.kill(node);
                 self.gone.insert(node);
-                self.lost.insert(node, None);
-                self.due.push((now + second, Repair::Add(node)));
+                self.lose(node, second, Repair::Add(node));
                 "lost for good"
             }
             3 if may_lose => {
-                self.cluster.kill(node);
-                self.lost.insert(node, None);
-                self.due.push((now + second / 2, Repair::Restart(node)));
+                self.lose(node, second / 2, Repair::Restart(node));
                 "killed"
             }
             4 if may_lose => {
-                self.cluster.kill(node);
                 self.gone.insert(node);
-                self.lost.insert(node, None);
-                self.due.push((now + second, Repair::Wipe(node)));
+                self.lose(node, second, Repair::Wipe(node));
                 "disk lost"
             }
             5 if may_lose && self.cluster.cut_off.is_empty() => {
@@ -284,6 +278,13 @@
         self.history.push(format!("{:?} {node} {name}", now));
     }
 
+    /// Ends the process of a replica, which counts as lost until it is repaired and has caught up.
+    fn lose(&mut self, node: u32, duration: Duration, repair: Repair) {
+        self.cluster.kill(node);
+        self.lost.insert(node, None);
+        self.due.push((self.cluster.now + duration, repair));
+    }
+
     fn repair(&mut self, repair: Repair) {
         let node = match repair {
             Repair::Restart(node) => {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -97,13 +97,9 @@
         file.map_or_else(|_| Stdio::null(), Stdio::from)
     }
 
-    /// The memory that the process holds.
-    pub fn resident_bytes(&self) -> usize {
-        let pid = self.child.as_ref().expect("a process").id();
-        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kibibytes = line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
-        kibibytes.map_or(0, |kibibytes: usize| kibibytes * 1024)
+    /// The process; it must run.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().expect("a process").id()
     }
 
     /// Waits until the VM takes callers.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod grid;
 pub mod history;
 pub mod ordered;
+pub mod process_memory;
 pub mod proxy;
 pub mod routed;
 pub mod targets;
--- /dev/null
+++ b/tests/support/process_memory.rs
@@ -0,0 +1,11 @@
+//! The memory that a process of a test holds.
+
+use std::fs;
+
+/// The resident bytes of a process; 0 if it does not run.
+pub fn resident_bytes(pid: u32) -> usize {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes = line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
+    kibibytes.map_or(0, |kibibytes: usize| kibibytes * 1024)
+}
