End a replica at once that is told to stop before its group is complete

What operators saw: a replica that got SIGTERM in the first seconds of a deployment took its whole grace to end.

Cause: before the group is complete its first size is unknown and taken as 0, so that every voter looked spare; the replica asked to be removed, which no leader does at that time.

Change: without a complete group there is no successor to wait for.

--- a/src/registry/membership_controller.rs
+++ b/src/registry/membership_controller.rs
@@ -62,8 +62,12 @@
     }
 
     /// Whether the group can do without the replica of `status`, at once or once a learner votes.
-    /// A replica that is told to stop waits for its removal then.
+    /// A replica that is told to stop waits for its removal then. While the first group is not
+    /// complete, nobody removes it.
     pub fn has_successor(status: &Status, established_voters: u32) -> bool {
+        if established_voters == 0 {
+            return false;
+        }
         let has_learner = status.membership.members.iter().any(|member| !member.voter);
         let has_spare_voter = status.membership.voters().count() > to_usize(established_voters);
         // The removal of an outsider may not be committed yet.
--- a/tests/replacements.rs
+++ b/tests/replacements.rs
@@ -120,6 +120,17 @@
     }
 }
 
+// Guards against a process that is told to stop while the first group forms, and waits for its whole
+// grace: no leader removes a member before the group is complete.
+#[test]
+fn replica_that_is_told_to_stop_before_the_group_is_complete_ends_at_once() {
+    for size in [5, 7, 95] {
+        let status = leader_status(size, 0, Duration::ZERO);
+        assert!(!MembershipController::has_successor(&status, 0), "{size} replicas");
+        assert!(MembershipController::has_successor(&status, size), "{size} replicas");
+    }
+}
+
 // Guards against replaced replicas that add up as voters: five leaders replaced one after the other,
 // each as soon as its successor had caught up, left five dead voters of ten.
 #[test]
