End a hand-over at its target when its caller has left

What callers saw: after callers of handed-over requests had left, the target went on sending and the requests went on counting: 50 of 50 connections to it were open 20 s later, and the next requests of the customer waited behind them for the 30 s of their patience.

Cause: the VM that serves a hand-over waits for credit before it sends a part of the answer, and looks for a cancellation only between parts. The VM of the caller grants no more credit once it has cancelled, so that one waited for the other for as long as the link lasted. Both request paths use the same exchange of a link.

Change: a cancellation ends a sender that waits for credit (`link::Error::Cancelled`).

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -252,6 +252,10 @@
                 let _ = self.credit_granted.try_send(());
                 return Ok(());
             }
+            // The other VM grants no more credit, so a sender must not wait for it.
+            Body::Cancel(_) => {
+                self.credit_granted.close();
+            }
             Body::Chunk(chunk) if !self.windows().incoming.try_spend(chunk.bytes.len()) => {
                 return Err(Error::Protocol("a chunk beyond the window"));
             }
--- a/src/link/error.rs
+++ b/src/link/error.rs
@@ -7,6 +7,8 @@
     Unreachable(SocketAddr, io::Error),
     /// The connection ended while the exchange was open.
     Closed,
+    /// The other VM cancelled the exchange and reads no more of it.
+    Cancelled,
     /// Nothing was received on the connection during the silence timeout.
     Silent,
     /// No reply was received in time.
@@ -22,6 +24,7 @@
                 write!(f, "cannot reach {address}: {cause}; check that pomelogated runs there")
             }
             Self::Closed => f.write_str("the link closed; ask the other VM what became of it"),
+            Self::Cancelled => f.write_str("the other VM cancelled the exchange; ask it why"),
             Self::Silent => f.write_str("the link went silent; check the network between the VMs"),
             Self::Timeout => f.write_str("no reply in time; check the load of the other VM"),
             Self::Protocol(what) => {
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -34,7 +34,7 @@
     ///
     /// # Errors
     ///
-    /// If the connection has ended.
+    /// If the connection has ended, or the receiver cancelled the exchange while a chunk waits.
     pub async fn send(&mut self, body: Body) -> Result<(), Error> {
         self.ended |= matches!(body, Body::Abort(_) | Body::Cancel(_));
         match body {
@@ -88,11 +88,17 @@
 
     async fn wait_for_credit(&self, bytes: usize) -> Result<(), Error> {
         while !self.state.windows().outgoing.try_spend(bytes) {
-            self.credit_grants.recv().await.map_err(|_| Error::Closed)?;
+            let granted = self.credit_grants.recv().await;
+            granted
+                .map_err(|_| if self.is_connected() { Error::Cancelled } else { Error::Closed })?;
         }
         Ok(())
     }
 
+    fn is_connected(&self) -> bool {
+        !self.frames.is_closed()
+    }
+
     async fn return_credit(&self, bytes: usize) {
         let granted = self.state.windows().incoming.record_consumed(bytes);
         if let Some(bytes) = granted {
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -140,6 +140,29 @@
     });
 }
 
+// Guards against a VM that keeps the work of a request whose caller has left: the sender of its answer
+// waited for credit, which the other VM grants no more once it has cancelled the exchange.
+#[test]
+fn a_cancelled_exchange_ends_a_sender_that_waits_for_credit() {
+    smol::block_on(async {
+        let (dialer, acceptor) = (start_vm("dialer").await, start_vm("acceptor").await);
+        for _ in 0..3 {
+            let (mut ours, theirs) = open_exchange(&dialer, &acceptor, acceptor.address).await;
+            let body = Bytes::from(vec![7; BODY_BYTES]);
+            let sent =
+                smol::spawn(async move { ours.send(Body::Chunk(Chunk { bytes: body })).await });
+            // The window is used up long before the body ends.
+            Timer::after(Duration::from_millis(200)).await;
+            assert!(!sent.is_finished(), "the sender must wait for credit");
+            drop(theirs);
+            let result = within("the end of the sender", sent).await;
+            assert!(result.is_err(), "{result:?}");
+        }
+        let _echo = spawn_echo(&acceptor);
+        within("a call", call(&dialer, acceptor.address)).await.unwrap();
+    });
+}
+
 #[test]
 fn concurrent_callers_share_one_connection() {
     smol::block_on(async {
