Say how each handed-over request ended, at both VMs

Cause: the VM that serves another region's request wrote "handed-over request ended" with the head of the response and nothing at its end, and told the caller's VM of a broken stream only that it was incomplete.

Change: event 511 comes at the end, with its outcome (answered, end not read, broken off and why, cancelled, link ended, body incomplete), whether the VM was told to stop, and the time it took; the abort carries the cause, so that the line of the caller's VM names it and says on which side it was. Events 501 and 504 count what was in flight.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -1,4 +1,8 @@
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::{Either, select};
 use hyper::{
@@ -19,7 +23,7 @@
 use crate::{
     clock::within,
     event, id,
-    link::Exchange,
+    link::{self, Exchange},
     registry::VmInfo,
     wire::{Abort, Body, Chunk, End, Handover, Header, Need, ResponseHead},
 };
@@ -46,6 +50,77 @@
     Unknown(String),
 }
 
+/// A request that another VM handed over.
+#[derive(Debug)]
+pub(super) struct ReceivedHandover {
+    pub(super) request_id: String,
+    pub(super) from: id::Vm,
+    pub(super) received_at: Instant,
+}
+
+/// How the work on a request that another VM handed over ended.
+#[derive(Debug)]
+pub(super) enum HandoverEnd {
+    /// The body of the request did not come whole.
+    BodyIncomplete,
+    /// The request did not run; the text says why.
+    Refused(String),
+    /// The request may have run, and there is no response; the text says why.
+    Unknown(String),
+    /// The whole response was sent.
+    Answered {
+        /// The target.
+        source: String,
+        /// Whether the other VM has read the end.
+        end_read: bool,
+    },
+    /// The response ended early.
+    BrokenOff {
+        /// The target.
+        source: String,
+        /// Why it ended early.
+        cause: String,
+    },
+    /// The other VM cancelled the request, as its caller left or its time ran out.
+    Cancelled,
+    /// The link to the other VM ended.
+    LinkEnded(String),
+}
+
+impl HandoverEnd {
+    /// The end by a frame that the other VM sent instead of reading on.
+    fn of_frame(frame: &Result<Body, link::Error>) -> Self {
+        match frame {
+            Ok(_) => Self::Cancelled,
+            Err(cause) => Self::of_error(cause),
+        }
+    }
+
+    fn of_error(cause: &link::Error) -> Self {
+        match cause {
+            link::Error::Cancelled => Self::Cancelled,
+            cause => Self::LinkEnded(cause.to_string()),
+        }
+    }
+}
+
+impl std::fmt::Display for HandoverEnd {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::BodyIncomplete => write!(f, "its body did not come whole"),
+            Self::Refused(detail) => write!(f, "refused: {detail}"),
+            Self::Unknown(cause) => write!(f, "unknown: {cause}"),
+            Self::Answered { source, end_read: true } => write!(f, "answered by {source}"),
+            Self::Answered { source, end_read: false } => {
+                write!(f, "answered by {source}, and its end was not read")
+            }
+            Self::BrokenOff { source, cause } => write!(f, "broken off at {source}: {cause}"),
+            Self::Cancelled => write!(f, "cancelled by the other VM"),
+            Self::LinkEnded(cause) => write!(f, "the link ended: {cause}"),
+        }
+    }
+}
+
 impl Gateway {
     /// Hands the request to a VM in another region; returns an outcome if no other attempt may
     /// follow.
@@ -194,21 +269,27 @@
         mut exchange: Exchange,
     ) {
         let _in_flight = self.in_flight_guard();
+        let received = ReceivedHandover {
+            request_id: handover.request_id.clone(),
+            from,
+            received_at: self.clock.now(),
+        };
         let timeout = Duration::from_millis(handover.deadline_ms);
         let max_body_bytes = self.route_table().map_or(0, |table| table.limits.body_bytes);
         let Some(Some(body)) = within(timeout, exchange.collect(max_body_bytes)).await else {
-            return;
+            return self.record_handover_end(&received, &HandoverEnd::BodyIncomplete);
         };
-        let request_id = handover.request_id.clone();
         let outcome = {
             let dispatch = pin!(self.dispatch_handover(handover, body));
             match select(dispatch, pin!(exchange.receive())).await {
                 Either::Left((outcome, _)) => outcome,
-                Either::Right(_) => return,
+                Either::Right((frame, _)) => {
+                    return self.record_handover_end(&received, &HandoverEnd::of_frame(&frame));
+                }
             }
         };
-        self.record_received_handover(&request_id, &from, &outcome);
-        send_outcome(exchange, outcome).await;
+        let end = send_outcome(exchange, outcome).await;
+        self.record_handover_end(&received, &end);
     }
 
     async fn dispatch_handover(self: &Arc<Self>, handover: Handover, body: Bytes) -> Outcome {
@@ -300,21 +381,23 @@
 
 /// Sends the outcome to the VM that handed the request over. Cancels the work if that VM closes the
 /// exchange.
-async fn send_outcome(mut exchange: Exchange, outcome: Outcome) {
+async fn send_outcome(mut exchange: Exchange, outcome: Outcome) -> HandoverEnd {
     let response = match outcome {
         Outcome::Responded(response) => response,
         Outcome::Refused(refusal) => {
             let reason = refusal.reason.as_str().to_owned();
             let retry_after_ms = u64::try_from(refusal.retry_after.as_millis()).unwrap_or(u64::MAX);
+            let detail = refusal.detail.clone();
             let abort = Abort { reason, retry_after_ms, ..abort_frame(true, refusal.detail) };
             let _ = exchange.send(Body::Abort(abort)).await;
-            return;
+            return HandoverEnd::Refused(detail);
         }
         Outcome::Unknown(cause) => {
-            let _ = exchange.send(Body::Abort(abort_frame(false, cause))).await;
-            return;
+            let _ = exchange.send(Body::Abort(abort_frame(false, cause.clone()))).await;
+            return HandoverEnd::Unknown(cause);
         }
     };
+    let source = response.source;
     let head = ResponseHead {
         status: u32::from(response.status.as_u16()),
         headers: encode_headers(&response.headers),
@@ -323,45 +406,63 @@
             .as_ref()
             .map_or_else(String::new, ToString::to_string),
     };
-    if exchange.send(Body::ResponseHead(head)).await.is_err() {
-        return;
+    if let Err(cause) = exchange.send(Body::ResponseHead(head)).await {
+        return HandoverEnd::of_error(&cause);
     }
-    let last_frame = match response.body {
+    let broken = match response.body {
         ResponseBody::Complete(bytes) => {
-            let sent = exchange.send(Body::Chunk(Chunk { bytes })).await;
-            if sent.is_err() {
-                return;
+            if let Err(cause) = exchange.send(Body::Chunk(Chunk { bytes })).await {
+                return HandoverEnd::of_error(&cause);
             }
-            Body::End(End {})
+            None
         }
         ResponseBody::Streaming(streaming_body) => {
             match forward_chunks(&mut exchange, *streaming_body).await {
-                Some(last_frame) => last_frame,
-                None => return,
+                Ok(broken) => broken,
+                Err(end) => return end,
             }
         }
     };
-    if exchange.send(last_frame).await.is_ok() {
-        // Keeps the exchange open, also during shutdown, until the other VM has read the end.
-        let _ = within(END_READ_TIMEOUT, exchange.receive()).await;
-        exchange.finish();
+    let last_frame = match &broken {
+        Some(cause) => Body::Abort(abort_frame(false, cause.clone())),
+        None => Body::End(End {}),
+    };
+    if let Err(cause) = exchange.send(last_frame).await {
+        return HandoverEnd::of_error(&cause);
+    }
+    // Keeps the exchange open, also during shutdown, until the other VM has read the end.
+    let end_read = within(END_READ_TIMEOUT, exchange.receive()).await.is_some();
+    exchange.finish();
+    match broken {
+        Some(cause) => HandoverEnd::BrokenOff { source, cause },
+        None => HandoverEnd::Answered { source, end_read },
     }
 }
 
-/// Forwards chunks and returns the last frame to send; `None` if the other VM closed the exchange.
+/// Forwards chunks until the body ends. Returns why it broke off, if it did.
+///
+/// # Errors
+///
+/// If the other VM closed the exchange, or the link ended.
 async fn forward_chunks(
     exchange: &mut Exchange,
     mut streaming_body: StreamingBody,
-) -> Option<Body> {
+) -> Result<Option<String>, HandoverEnd> {
     loop {
         let chunk = match select(pin!(streaming_body.next()), pin!(exchange.receive())).await {
             Either::Left((chunk, _)) => chunk,
-            Either::Right(_) => return None,
+            Either::Right((frame, _)) => return Err(HandoverEnd::of_frame(&frame)),
         };
         match chunk {
-            Some(Ok(bytes)) => exchange.send(Body::Chunk(Chunk { bytes })).await.ok()?,
-            Some(Err(broken)) => return Some(Body::Abort(abort_frame(false, broken.to_string()))),
-            None => return Some(Body::End(End {})),
+            Some(Ok(bytes)) => {
+                let sent = exchange.send(Body::Chunk(Chunk { bytes })).await;
+                sent.map_err(|cause| HandoverEnd::of_error(&cause))?;
+            }
+            Some(Err(broken)) => {
+                let cause = streaming_body.break_cause().map(str::to_owned);
+                return Ok(Some(cause.unwrap_or_else(|| broken.to_string())));
+            }
+            None => return Ok(None),
         }
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -5,6 +5,7 @@
 use super::{
     attempt::AttemptOutcome,
     balancer::Pick,
+    handover::{HandoverEnd, ReceivedHandover},
     outcome::{Outcome, Refusal, ResponseBody, TargetResponse},
     routed_request::RoutedRequest,
     server::Gateway,
@@ -93,22 +94,24 @@
     }
 
     /// Counts and logs a request that another VM handed over, at its end.
-    pub(super) fn record_received_handover(
-        &self,
-        request_id: &str,
-        from: &id::Vm,
-        outcome: &Outcome,
-    ) {
+    pub(super) fn record_handover_end(&self, received: &ReceivedHandover, end: &HandoverEnd) {
         self.metrics().record_received_handover();
-        let description = match outcome {
-            Outcome::Responded(_) if !self.sampler().passes(self.clock.now()) => return,
-            Outcome::Responded(response) => format!("answered by {}", response.source),
-            Outcome::Refused(refusal) => format!("refused: {}", refusal.detail),
-            Outcome::Unknown(cause) => format!("unknown: {cause}"),
-        };
-        let fields: [event::Field<'_>; 3] =
-            [("request", &request_id), ("from", from), ("outcome", &description)];
-        event::path::TAKEN_OVER.emit(&self.logger, &fields);
+        let now = self.clock.now();
+        let is_routine = matches!(end, HandoverEnd::Answered { end_read: true, .. });
+        if is_routine && !self.sampler().passes(now) {
+            return;
+        }
+        let elapsed = now.saturating_duration_since(received.received_at);
+        event::path::TAKEN_OVER.emit(
+            &self.logger,
+            &[
+                ("request", &received.request_id),
+                ("from", &received.from),
+                ("outcome", end),
+                ("stopping", &self.is_stopping()),
+                ("took_ms", &elapsed.as_millis()),
+            ],
+        );
     }
 
     /// Counts and logs a request that was refused before it was dispatched.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -425,7 +425,9 @@
     pub async fn drain(self) {
         let Self { gateway, mut callers_server, stop_callers_server, in_flight_receiver } = self;
         let length = gateway.settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
-        event::path::STOPPING.emit(&gateway.logger, &[]);
+        let stopped_at = gateway.clock.now();
+        let in_flight = lock(&gateway.in_flight_ages).count();
+        event::path::STOPPING.emit(&gateway.logger, &[("in_flight", &in_flight)]);
         let grace = gateway.begin_grace(length);
         // At least half of the grace is left for requests in flight. The server accepts requests
         // for some time after it is stopped.
@@ -436,6 +438,7 @@
         let server_ended = within(time_left(), &mut callers_server).await.is_some();
         drop(lock(&gateway.in_flight_sender).take());
         let _ = within(time_left(), in_flight_receiver.recv()).await;
+        let cut = lock(&gateway.in_flight_ages).count();
         gateway.end_grace();
         let flush = async {
             if !server_ended {
@@ -445,7 +448,9 @@
         };
         let _ = within(FLUSH_TIMEOUT, flush).await;
         gateway.hub.close();
-        event::path::STOPPED.emit(&gateway.logger, &[]);
+        let took = gateway.clock.now().saturating_duration_since(stopped_at);
+        let fields: [event::Field<'_>; 2] = [("cut", &cut), ("took_ms", &took.as_millis())];
+        event::path::STOPPED.emit(&gateway.logger, &fields);
     }
 }
 
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -172,9 +172,13 @@
             Self::Link { exchange, .. } => match exchange.receive().await {
                 Ok(wire::Body::Chunk(chunk)) => BodyChunk::Data(chunk.bytes),
                 Ok(wire::Body::End(_)) => BodyChunk::End,
-                Ok(wire::Body::Abort(abort)) => BodyChunk::Broken(abort.detail),
+                Ok(wire::Body::Abort(abort)) => {
+                    BodyChunk::Broken(format!("the VM that serves it: {}", abort.detail))
+                }
                 Ok(_) => BodyChunk::Broken("the other VM sent an unexpected frame".to_owned()),
-                Err(cause) => BodyChunk::Broken(cause.to_string()),
+                Err(cause) => {
+                    BodyChunk::Broken(format!("the link to the VM that serves it: {cause}"))
+                }
             },
         }
     }
@@ -371,6 +375,11 @@
         None
     }
 
+    /// Why the body ended early, if it did.
+    pub(super) fn break_cause(&self) -> Option<&str> {
+        self.break_cause.as_deref()
+    }
+
     /// Ends the body early, so that the caller sees that it is not complete.
     fn fail(&mut self, cause: &str) -> Option<Result<Bytes, IncompleteBody>> {
         self.ended = true;
--- a/src/stop/in_flight.rs
+++ b/src/stop/in_flight.rs
@@ -22,6 +22,7 @@
 /// in_flight.end("chat", start);
 /// assert_eq!(in_flight.oldest_age("chat", after(4)), Some(Duration::from_secs(2)));
 /// assert_eq!(in_flight.oldest_age("other", after(4)), None);
+/// assert_eq!(in_flight.count(), 2);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct InFlight {
@@ -53,6 +54,11 @@
         }
     }
 
+    /// The number of requests in flight, on all routes.
+    pub fn count(&self) -> usize {
+        self.starts.values().flat_map(BTreeMap::values).sum()
+    }
+
     /// The age of the oldest request in flight on `route`.
     pub fn oldest_age(&self, route: &str, now: Instant) -> Option<Duration> {
         let (oldest, _) = self.starts.get(route)?.first_key_value()?;
