Serve other regions' requests nearly to the end of a stop

Callers saw streams end without their last event while their VM was stopped: the VM of the other region, which asked the target, had been told to stop earlier and ended all hand-overs 0.7 s before its own end, with the requests of its callers. For those the reserve is needed, as their last bytes and their connections have to be flushed; a hand-over needs one frame on a link.

Change: hand-overs have a grace of their own, which ends 0.25 s before the process has to be gone.

A stream that outlasts even that is still cut.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -94,7 +94,8 @@
         let attempts = Attempts::new(request.route.max_targets);
         let version_binding = request.version_binding.clone();
         let mut state = DispatchState { attempts, version_binding, ..DispatchState::default() };
-        match self.until_grace_ends(self.make_attempts(&request, &mut state)).await {
+        let attempts = self.make_attempts(&request, &mut state);
+        match self.until_grace_ends(request.handed_over, attempts).await {
             Some(Some(outcome)) => return outcome,
             Some(None) => {}
             None => state.record_grace_end(),
--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -19,23 +19,36 @@
 const MAX_TIMED_ROUTES: usize = 4096;
 
 impl Gateway {
-    /// Begins to stop: every request must have ended within `length`.
-    pub(super) fn begin_grace(&self, length: Duration) -> Grace {
+    /// Begins to stop: every request of a caller must have ended within `length`, and every request of
+    /// another VM at `handovers_end_at`.
+    pub(super) fn begin_grace(&self, length: Duration, handovers_end_at: Instant) -> Grace {
         let grace = Grace::new(self.clock.now(), length);
         *lock(&self.grace) = Some(grace);
+        *lock(&self.handovers_end_at) = Some(handovers_end_at);
         self.is_stopping.store(true, Ordering::Relaxed);
         drop(lock(&self.stop_sender).take());
         grace
     }
 
-    /// Ends the requests that are still in flight, each with an answer.
+    /// Ends the requests of callers that are still in flight, each with an answer.
     pub(super) fn end_grace(&self) {
         drop(lock(&self.grace_sender).take());
     }
 
-    /// Waits for `work`; `None` if the grace of a stop ends first.
-    pub(super) async fn until_grace_ends<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        match select(pin!(work), pin!(self.grace_receiver.recv())).await {
+    /// Ends the requests of other VMs that are still in flight, each with an answer.
+    pub(super) fn end_handover_grace(&self) {
+        drop(lock(&self.handover_grace_sender).take());
+    }
+
+    /// Waits for `work` on a request; `None` if the grace of a stop ends first.
+    pub(super) async fn until_grace_ends<T>(
+        &self,
+        handed_over: bool,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let receiver =
+            if handed_over { &self.handover_grace_receiver } else { &self.grace_receiver };
+        match select(pin!(work), pin!(receiver.recv())).await {
             Either::Left((done, _)) => Some(done),
             Either::Right(_) => None,
         }
@@ -51,8 +64,7 @@
         if grace.admits(times, &in_flight, &route.name, longest, now) {
             return None;
         }
-        let detail = "this VM stops and may end before an answer; use another one";
-        Some(Refusal::new(Reason::Stopping, detail, STOPPING_RETRY_AFTER))
+        Some(stopping_refusal())
     }
 
     /// Records how long a complete answer on this route took.
@@ -68,3 +80,9 @@
         answer_times.entry(route.name.clone()).or_default().record(time, now);
     }
 }
+
+/// The refusal of a request because this VM stops.
+pub(super) fn stopping_refusal() -> Refusal {
+    let detail = "this VM stops and may end before an answer; use another one";
+    Refusal::new(Reason::Stopping, detail, STOPPING_RETRY_AFTER)
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -111,7 +111,7 @@
         let is_refused = self.stop_refusal(&route, timeout).is_some();
         let read_timeout = if is_refused { timeout.min(REFUSED_BODY_TIMEOUT) } else { timeout };
         let body = within(read_timeout, http::collect(body, table.limits.body_bytes));
-        let body = self.until_grace_ends(body).await.flatten();
+        let body = self.until_grace_ends(false, body).await.flatten();
         let time_left = (received_at + timeout).saturating_duration_since(self.clock.now());
         if let Some(refusal) = self.stop_refusal(&route, time_left) {
             return Err(refusal);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -49,6 +49,11 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// The part of the exit reserve for the answers to requests that did not end in time.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Like [`EXIT_RESERVE`], for the requests of other VMs. The callers of those don't depend on the
+/// connections of this VM, so that less has to be closed.
+const HANDOVER_EXIT_RESERVE: Duration = Duration::from_millis(250);
+/// The part of that reserve for telling other VMs that their requests did not end in time.
+const HANDOVER_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
 /// that size fits and the buffer is never smaller than the HTTP server requires.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 8 * 1024;
@@ -105,6 +110,11 @@
     /// Dropped at the end of the grace, which closes `grace_receiver`.
     pub(super) grace_sender: Mutex<Option<Sender<Infallible>>>,
     pub(super) grace_receiver: Receiver<Infallible>,
+    /// Set once the VM stops: when the requests of other VMs must have ended.
+    pub(super) handovers_end_at: Mutex<Option<Instant>>,
+    /// Dropped then, which closes `handover_grace_receiver`.
+    pub(super) handover_grace_sender: Mutex<Option<Sender<Infallible>>>,
+    pub(super) handover_grace_receiver: Receiver<Infallible>,
     /// Dropped when the VM begins to stop, which closes `stop_receiver`.
     pub(super) stop_sender: Mutex<Option<Sender<Infallible>>>,
     stop_receiver: Receiver<Infallible>,
@@ -157,6 +167,7 @@
         let seed = incarnation ^ u64::from(settings.links_port) ^ hash(&settings.name);
         let (stop_sender, stop_receiver) = smol::channel::bounded(1);
         let (grace_sender, grace_receiver) = smol::channel::bounded(1);
+        let (handover_grace_sender, handover_grace_receiver) = smol::channel::bounded(1);
         let (in_flight_sender, in_flight_receiver) = smol::channel::bounded(1);
         let gateway = Arc::new(Self {
             seeds: Mutex::new(settings.seed_vms()),
@@ -197,6 +208,9 @@
             in_flight_ages: Arc::default(),
             grace_sender: Mutex::new(Some(grace_sender)),
             grace_receiver,
+            handovers_end_at: Mutex::default(),
+            handover_grace_sender: Mutex::new(Some(handover_grace_sender)),
+            handover_grace_receiver,
             stop_sender: Mutex::new(Some(stop_sender)),
             stop_receiver,
             in_flight_sender: Mutex::new(Some(in_flight_sender)),
@@ -421,36 +435,44 @@
 
     /// Stops within the shutdown grace: fails health checks at once, tells callers to close their
     /// connections, refuses what it may not finish, and lets requests in flight end. Those that have
-    /// not ended get an answer that promises nothing.
+    /// not ended get an answer that promises nothing; requests of other VMs have a little longer.
     pub async fn drain(self) {
         let Self { gateway, mut callers_server, stop_callers_server, in_flight_receiver } = self;
-        let length = gateway.settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
         let stopped_at = gateway.clock.now();
-        let in_flight = lock(&gateway.in_flight_ages).count();
-        event::path::STOPPING.emit(&gateway.logger, &[("in_flight", &in_flight)]);
-        let grace = gateway.begin_grace(length);
+        let in_flight = || lock(&gateway.in_flight_ages).count();
+        event::path::STOPPING.emit(&gateway.logger, &[("in_flight", &in_flight())]);
+        let shutdown_grace = gateway.settings.bounds.shutdown_grace;
+        let length = shutdown_grace.saturating_sub(EXIT_RESERVE);
+        let handovers_end_at = stopped_at + shutdown_grace.saturating_sub(HANDOVER_EXIT_RESERVE);
+        let grace = gateway.begin_grace(length, handovers_end_at);
+        let time_until = |end: Instant| end.saturating_duration_since(gateway.clock.now());
         // At least half of the grace is left for requests in flight. The server accepts requests
         // for some time after it is stopped.
         let accept_period = DRAIN_ACCEPT_PERIOD.min(length / 2);
         Timer::after(accept_period.saturating_sub(http::STOP_LINGER)).await;
         stop_callers_server.stop();
-        let time_left = || grace.ends_at().saturating_duration_since(gateway.clock.now());
-        let server_ended = within(time_left(), &mut callers_server).await.is_some();
+        let server_ended = within(time_until(grace.ends_at()), &mut callers_server).await.is_some();
         drop(lock(&gateway.in_flight_sender).take());
-        let _ = within(time_left(), in_flight_receiver.recv()).await;
-        let cut = lock(&gateway.in_flight_ages).count();
+        let _ = within(time_until(grace.ends_at()), in_flight_receiver.recv()).await;
+        let left = in_flight();
         gateway.end_grace();
-        let flush = async {
-            if !server_ended {
-                callers_server.await;
-            }
-            let _ = in_flight_receiver.recv().await;
-        };
-        let _ = within(FLUSH_TIMEOUT, flush).await;
+        if !server_ended {
+            let _ = within(FLUSH_TIMEOUT, callers_server).await;
+        }
+        let _ = within(time_until(handovers_end_at), in_flight_receiver.recv()).await;
+        let left_handovers = in_flight();
+        gateway.end_handover_grace();
+        let _ = within(HANDOVER_FLUSH_TIMEOUT, in_flight_receiver.recv()).await;
         gateway.hub.close();
         let took = gateway.clock.now().saturating_duration_since(stopped_at);
-        let fields: [event::Field<'_>; 2] = [("cut", &cut), ("took_ms", &took.as_millis())];
-        event::path::STOPPED.emit(&gateway.logger, &fields);
+        event::path::STOPPED.emit(
+            &gateway.logger,
+            &[
+                ("left", &left),
+                ("left_handovers", &left_handovers),
+                ("took_ms", &took.as_millis()),
+            ],
+        );
     }
 }
 
--- a/tests/support/fake_target.rs
+++ b/tests/support/fake_target.rs
@@ -34,6 +34,8 @@
     EventsThenClose(u32),
     /// Streams all events.
     AllEvents,
+    /// Streams all events, spread over this time.
+    EventsOver(Duration),
     /// Streams events up to this ID with neither a length nor chunks and ends them with the
     /// connection, all but the last ID in the middle of another event.
     EventsToConnectionEnd(u32),
@@ -271,6 +273,16 @@
             format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\nproof: p\r\n")
         }
         Behavior::AllEvents => events(id, version, last_event_id, LAST_EVENT_ID, true),
+        Behavior::EventsOver(time) => {
+            let events = events(id, version, last_event_id, LAST_EVENT_ID, true);
+            for chunk in events.split_inclusive("\n\n\r\n") {
+                if stream.write_all(chunk.as_bytes()).await.is_err() {
+                    return false;
+                }
+                Timer::after(*time / LAST_EVENT_ID).await;
+            }
+            String::new()
+        }
         Behavior::EventsToConnectionEnd(last) => {
             let numbers = last_event_id + 1..=*last;
             let events: String =
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -119,8 +119,12 @@
 }
 
 pub async fn start_gateway(ip: Ipv4Addr, region: &str, seed: Ipv4Addr) -> RunningGateway {
+    start_gateway_with(settings(ip, region, seed)).await
+}
+
+pub async fn start_gateway_with(settings: Settings) -> RunningGateway {
     let settings =
-        Settings { callers: Some((ip, CALLERS_PORT).into()), ..settings(ip, region, seed) };
+        Settings { callers: Some((settings.address, CALLERS_PORT).into()), ..settings };
     let logger = slog::Logger::root(slog::Discard, slog::o!());
     let clock = Arc::new(clock::System);
     Gateway::start(settings, None, header_names(), read_routes, clock, logger).await.expect("a VM")
