Refuse hand-overs that a stopping VM no longer waits for

A stopping VM that had told its callers' server to end took further hand-overs and did not count them, so that the process exited under them as soon as those that it counted had ended. The caller's VM saw the link end: a stream without its end, or 502 for a request that may run once.

Cause, of the class "taken and not waited for": the guard that a drain waits for is taken away when the wait begins, and a hand-over without one was served all the same.

Change: without a guard the hand-over is refused as one that did not run.

Evidence: `handed_over_stops` hand_over_late_in_a_stop_is_whole_or_refused failed before (9 events, then the link closed; it had run), passes now.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -15,6 +15,7 @@
 use super::{
     VersionBinding,
     dispatch::DispatchState,
+    grace::stopping_refusal,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
     routed_request::{Flight, RoutedRequest},
     server::Gateway,
@@ -268,12 +269,16 @@
         handover: Handover,
         mut exchange: Exchange,
     ) {
-        let _in_flight = self.in_flight_guard();
         let received = ReceivedHandover {
             request_id: handover.request_id.clone(),
             from,
             received_at: self.clock.now(),
         };
+        // The process may exit at once, as it no longer waits for what begins now.
+        let Some(_in_flight) = self.in_flight_guard() else {
+            let end = send_outcome(exchange, Outcome::Refused(stopping_refusal())).await;
+            return self.record_handover_end(&received, &end);
+        };
         let timeout = Duration::from_millis(handover.deadline_ms);
         let max_body_bytes = self.route_table().map_or(0, |table| table.limits.body_bytes);
         let Some(Some(body)) = within(timeout, exchange.collect(max_body_bytes)).await else {
--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -32,9 +32,10 @@
 /// The grace of the gateway. It ends requests 0.7 s earlier, and hand-overs 0.25 s earlier.
 const GRACE: Duration = Duration::from_secs(4);
 const TIMEOUT: Duration = Duration::from_secs(8);
+const SHORT_TIMEOUT: Duration = Duration::from_millis(900);
 const ROUTES: &str = "1
 stream /stream/ 1 8000 -
-stream /other/ 1 8000 -
+stream /short/ 1 900 -
 once /once/ 1 8000 -";
 
 struct Deployment {
@@ -135,8 +136,9 @@
         drain
     }
 
-    /// Hands a request over, without its body.
+    /// Hands a request over, without its body. The timeouts are those of [`ROUTES`].
     async fn begin(&self, id: &str, path: &str) -> Exchange {
+        let timeout = if path.starts_with("/short/") { SHORT_TIMEOUT } else { TIMEOUT };
         let headers = [("host", "a.example"), ("request", id)].map(|(name, value)| Header {
             name: name.to_owned(),
             value: value.as_bytes().to_vec(),
@@ -147,7 +149,7 @@
             path: path.to_owned(),
             headers: headers.to_vec(),
             region_handovers: 1,
-            deadline_ms: TIMEOUT.as_millis() as u64,
+            deadline_ms: timeout.as_millis() as u64,
             plans_version: 1,
             need: Some(Need { service: "jobs".to_owned(), ..Need::default() }),
             ..Handover::default()
@@ -225,3 +227,41 @@
     });
 }
 
+/// Guards against a gateway that exits under a hand-over which came when it no longer waited for
+/// further ones.
+#[test]
+fn hand_over_late_in_a_stop_is_whole_or_refused() {
+    smol::block_on(async {
+        let behaviors = [
+            ("/stream/slow", Behavior::EventsOver(Duration::from_millis(2500))),
+            ("/short/brief", Behavior::EventsOver(Duration::from_millis(500))),
+        ];
+        let mut deployment = Deployment::start(3, &behaviors).await;
+        deployment.call("before", "/short/brief").await;
+        let slow = deployment.hand_over("slow", "/stream/slow").await;
+        eventually("it runs", async || deployment.run_count("slow") == 1).await;
+        let drain = deployment.stop().await;
+        // The callers' server ends after half of the grace.
+        Timer::after(GRACE / 2).await;
+        let began_at = Instant::now();
+        let mut late = Vec::new();
+        while began_at.elapsed() < Duration::from_millis(450) {
+            let id = format!("late {}", late.len());
+            let exchange = deployment.hand_over(&id, "/short/brief").await;
+            late.push((id, smol::spawn(receive(exchange))));
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        assert_eq!(receive(slow).await, Got::Whole);
+        drain.await;
+        for (id, got) in late {
+            let (got, runs) = (got.await, deployment.run_count(&id));
+            let is_sound = match got {
+                Got::Whole => runs == 1,
+                Got::Refused(_) => runs == 0,
+                Got::Cut(..) => false,
+            };
+            assert!(is_sound, "{id}: {got:?}, ran {runs} times");
+        }
+    });
+}
+
