Refuse a handed-over request whose body is not whole at the end of a stop

A hand-over whose body had not come when the process exited ended with the link. Its sender could not tell it from one that had run: its caller got 502, which promises nothing, for a request that no target had seen.

Cause, of the class "ended without saying how": serve_handover returned without an abort where the body was late or incomplete, and the wait for it was not bounded by the grace.

Change: the wait ends with the grace of hand-overs, and each of these ends sends an abort that says that the request did not run.

Evidence: `handed_over_stops` hand_over_that_is_not_whole_at_the_end_of_a_stop_ is_refused failed before (the link closed), passes now.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -62,8 +62,6 @@
 /// How the work on a request that another VM handed over ended.
 #[derive(Debug)]
 pub(super) enum HandoverEnd {
-    /// The body of the request did not come whole.
-    BodyIncomplete,
     /// The request did not run; the text says why.
     Refused(String),
     /// The request may have run, and there is no response; the text says why.
@@ -108,7 +106,6 @@
 impl std::fmt::Display for HandoverEnd {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::BodyIncomplete => write!(f, "its body did not come whole"),
             Self::Refused(detail) => write!(f, "refused: {detail}"),
             Self::Unknown(cause) => write!(f, "unknown: {cause}"),
             Self::Answered { source, end_read: true } => write!(f, "answered by {source}"),
@@ -281,8 +278,17 @@
         };
         let timeout = Duration::from_millis(handover.deadline_ms);
         let max_body_bytes = self.route_table().map_or(0, |table| table.limits.body_bytes);
-        let Some(Some(body)) = within(timeout, exchange.collect(max_body_bytes)).await else {
-            return self.record_handover_end(&received, &HandoverEnd::BodyIncomplete);
+        let body = within(timeout, exchange.collect(max_body_bytes));
+        let body = match self.until_grace_ends(true, body).await {
+            Some(Some(Some(body))) => body,
+            incomplete => {
+                let refusal = match incomplete {
+                    Some(_) => incomplete_body_refusal(),
+                    None => stopping_refusal(),
+                };
+                let end = send_outcome(exchange, Outcome::Refused(refusal)).await;
+                return self.record_handover_end(&received, &end);
+            }
         };
         let outcome = {
             let dispatch = pin!(self.dispatch_handover(handover, body));
@@ -372,6 +378,11 @@
     Outcome::Refused(Refusal::new(Reason::NoTarget, detail, retry_after))
 }
 
+fn incomplete_body_refusal() -> Refusal {
+    let detail = "the body did not come whole from the other VM";
+    Refusal::new(Reason::BodyIncomplete, detail, Duration::ZERO)
+}
+
 /// Sends the body of the request and waits for the first frame of the response.
 async fn send_body_and_await_reply(exchange: &mut Exchange, body: &Bytes) -> Result<Body, String> {
     let first_frame = async {
--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -265,3 +265,16 @@
     });
 }
 
+/// Guards against a request that has not come whole by the end of a stop: its sender must learn that it
+/// did not run, or it answers its caller that it may have.
+#[test]
+fn hand_over_that_is_not_whole_at_the_end_of_a_stop_is_refused() {
+    smol::block_on(async {
+        let mut deployment = Deployment::start(4, &[]).await;
+        let exchange = deployment.begin("half", "/once/half").await;
+        let drain = deployment.stop().await;
+        assert_eq!(receive(exchange).await, refused());
+        assert_eq!(deployment.run_count("half"), 0, "it ran");
+        drain.await;
+    });
+}
