Take from other regions only what ends before the exit for certain

Callers saw streams cut that a VM of another region had begun after its own SIGTERM. It took them by what most answers of its callers had taken lately, as it does for callers, who may not know of the stop. A process that is young has few answers to go by, and one answer in ten is longer.

Cause, of the class "a hand-over depends on two processes, and each may stop": the VM that serves decided as if it were the caller's last chance. It isn't: a hand-over that is refused as not run goes elsewhere at once.

Change: a stopping VM takes a hand-over only if the longest time that it may take, what is left to its deadline, ends before the VM does.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -117,7 +117,8 @@
                 break;
             }
             let time_left = request.time_left(self.clock.now());
-            if let Some(refusal) = self.stop_refusal(&request.route, time_left) {
+            if let Some(refusal) = self.stop_refusal(&request.route, time_left, request.handed_over)
+            {
                 state.stop_refusal = Some(refusal);
                 break;
             }
@@ -547,7 +548,7 @@
         let time_left = request.time_left(self.clock.now());
         let can_send = matches!(destination, Destination::Target(_) | Destination::Vm(_))
             && self.crash_refusal(request).is_none()
-            && self.stop_refusal(&request.route, time_left).is_none();
+            && self.stop_refusal(&request.route, time_left, request.handed_over).is_none();
         if !can_send || !self.may_retry(request) {
             attempts.exhaust();
             return None;
--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -56,15 +56,23 @@
 
     /// The refusal of a request that is not sent because this VM stops and its answer, which may
     /// take `longest`, cannot be expected before the end.
-    pub(super) fn stop_refusal(&self, route: &Route, longest: Duration) -> Option<Refusal> {
+    pub(super) fn stop_refusal(
+        &self,
+        route: &Route,
+        longest: Duration,
+        handed_over: bool,
+    ) -> Option<Refusal> {
         let grace = (*lock(&self.grace))?;
-        let recent = lock(&self.answer_times);
-        let in_flight = lock(&self.in_flight_ages);
-        let (times, now) = (recent.get(&route.name), self.clock.now());
-        if grace.admits(times, &in_flight, &route.name, longest, now) {
-            return None;
-        }
-        Some(stopping_refusal())
+        let now = self.clock.now();
+        let is_admitted = if handed_over {
+            // The other VM can send it elsewhere, so that nothing is left to what is usual.
+            lock(&self.handovers_end_at).is_none_or(|end| now + longest <= end)
+        } else {
+            let recent = lock(&self.answer_times);
+            let in_flight = lock(&self.in_flight_ages);
+            grace.admits(recent.get(&route.name), &in_flight, &route.name, longest, now)
+        };
+        (!is_admitted).then(stopping_refusal)
     }
 
     /// Records how long a complete answer on this route took.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -108,12 +108,12 @@
             requested_timeout.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
         let caller_timeout = requested_timeout.unwrap_or(DEFAULT_TIMEOUT);
         let timeout = route.timeout.min(caller_timeout);
-        let is_refused = self.stop_refusal(&route, timeout).is_some();
+        let is_refused = self.stop_refusal(&route, timeout, false).is_some();
         let read_timeout = if is_refused { timeout.min(REFUSED_BODY_TIMEOUT) } else { timeout };
         let body = within(read_timeout, http::collect(body, table.limits.body_bytes));
         let body = self.until_grace_ends(false, body).await.flatten();
         let time_left = (received_at + timeout).saturating_duration_since(self.clock.now());
-        if let Some(refusal) = self.stop_refusal(&route, time_left) {
+        if let Some(refusal) = self.stop_refusal(&route, time_left, false) {
             return Err(refusal);
         }
         let body =
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -467,11 +467,7 @@
         let took = gateway.clock.now().saturating_duration_since(stopped_at);
         event::path::STOPPED.emit(
             &gateway.logger,
-            &[
-                ("left", &left),
-                ("left_handovers", &left_handovers),
-                ("took_ms", &took.as_millis()),
-            ],
+            &[("left", &left), ("left_handovers", &left_handovers), ("took_ms", &took.as_millis())],
         );
     }
 }
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -321,7 +321,8 @@
             let Some(source) = &mut self.source else { break };
             let waits_since = self.gateway.clock.now();
             let next = within(time_left.min(stall_time_left), source.next(&self.gateway));
-            let Some(chunk) = self.gateway.until_grace_ends(self.request.handed_over, next).await else {
+            let Some(chunk) = self.gateway.until_grace_ends(self.request.handed_over, next).await
+            else {
                 return self.fail("this VM stops");
             };
             if let Some(stall_detector) = &mut self.stall_detector {
--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -26,7 +26,9 @@
 use support::{
     fake_target::{Behavior, Behaviors, FakeTarget, LAST_EVENT_ID},
     fleet::eventually,
-    routed::{CALLERS_PORT, CONTROL_PORT, LINKS_PORT, Net, read_routes, settings, start_gateway_with},
+    routed::{
+        CALLERS_PORT, CONTROL_PORT, LINKS_PORT, Net, read_routes, settings, start_gateway_with,
+    },
 };
 
 /// The grace of the gateway. It ends requests 0.7 s earlier, and hand-overs 0.25 s earlier.
@@ -75,8 +77,7 @@
             ..settings(seed, "surabaya", seed)
         };
         let clock = Arc::new(clock::System);
-        let control =
-            Control::start(replica, clock, logger, read_routes).await.expect("a replica");
+        let control = Control::start(replica, clock, logger, read_routes).await.expect("a replica");
         let mut gateway_settings = settings(net.address(2), "surabaya", seed);
         gateway_settings.bounds.shutdown_grace = GRACE;
         let gateway = start_gateway_with(gateway_settings).await;
@@ -227,6 +228,26 @@
     });
 }
 
+/// Guards against a stopping gateway that begins a stream of another region because most answers were
+/// short, and cuts it at its end. The other gateway can still send it elsewhere.
+#[test]
+fn stopping_gateway_takes_no_stream_of_another_region_that_may_outlast_it() {
+    smol::block_on(async {
+        let behaviors =
+            [("/stream/quick", Behavior::AllEvents), ("/stream/slow", Behavior::EventsOver(GRACE))];
+        let mut deployment = Deployment::start(2, &behaviors).await;
+        for number in 0..15 {
+            deployment.call(&format!("quick {number}"), "/stream/quick").await;
+        }
+        deployment.call("long", "/stream/slow").await;
+        let drain = deployment.stop().await;
+        let exchange = deployment.hand_over("late", "/stream/slow").await;
+        assert_eq!(receive(exchange).await, refused());
+        assert_eq!(deployment.run_count("late"), 0, "it ran");
+        drain.await;
+    });
+}
+
 /// Guards against a gateway that exits under a hand-over which came when it no longer waited for
 /// further ones.
 #[test]
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -123,8 +123,7 @@
 }
 
 pub async fn start_gateway_with(settings: Settings) -> RunningGateway {
-    let settings =
-        Settings { callers: Some((settings.address, CALLERS_PORT).into()), ..settings };
+    let settings = Settings { callers: Some((settings.address, CALLERS_PORT).into()), ..settings };
     let logger = slog::Logger::root(slog::Discard, slog::o!());
     let clock = Arc::new(clock::System);
     Gateway::start(settings, None, header_names(), read_routes, clock, logger).await.expect("a VM")
