Ask a VM that stops only once, and count no rejection for it

Cause: a VM that refused a hand-over as `stopping` was asked again by the same sender for each further request until the list of VMs told of the stop, and each refusal used up one of the three rejections after which a request is refused to its caller.

Change: Admission keeps the incarnations that refused so, and hand-overs leave them out; the refusal is no rejection by targets.

Result: the doc test of Admission::record_stopping; no run over sockets shows the difference, as the list of VMs tells within milliseconds on loopback.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -38,6 +38,8 @@
 const MAX_LOAD_AGE: Duration = Duration::from_secs(4);
 /// The number of recent handovers that are kept to correct older load reports.
 const MAX_HANDOVERS: usize = 1024;
+/// The number of stopping VMs that are remembered.
+const MAX_STOPPING_VMS: usize = 1024;
 /// Random delay added to the retry time of a refused caller, so that callers do not retry together.
 const RETRY_JITTER_SECS: std::ops::Range<f64> = 0.2..0.8;
 /// The longest retry time that callers are given.
@@ -124,6 +126,8 @@
     refused_handovers: Vec<RefusedHandover>,
     /// Unreachable VMs by name.
     backoffs: HashMap<String, Backoff>,
+    /// The incarnations of VMs that refused a request because they stop, by name.
+    stopping_vms: HashMap<String, u64>,
     /// When a region-restricted request for each service was last refused in this region.
     last_restricted_refusals: HashMap<id::Service, Instant>,
 }
@@ -287,6 +291,29 @@
         self.backoffs.get(vm).is_some_and(|backoff| backoff.until > now)
     }
 
+    /// Records that a VM refused a request because it stops. Its next incarnation gets requests again.
+    ///
+    /// ```
+    /// use pomelogate::gateway::Admission;
+    ///
+    /// let mut admission = Admission::default();
+    /// admission.record_stopping("jakarta-1", 7);
+    /// assert!(admission.is_stopping("jakarta-1", 7));
+    /// assert!(!admission.is_stopping("jakarta-1", 8));
+    /// ```
+    pub fn record_stopping(&mut self, vm: &str, incarnation: u64) {
+        // Bounds the memory, as VMs come and go.
+        if self.stopping_vms.len() >= MAX_STOPPING_VMS {
+            self.stopping_vms.clear();
+        }
+        self.stopping_vms.insert(vm.to_owned(), incarnation);
+    }
+
+    /// Whether this incarnation of a VM refused a request because it stops.
+    pub fn is_stopping(&self, vm: &str, incarnation: u64) -> bool {
+        self.stopping_vms.get(vm).is_some_and(|stopping| *stopping == incarnation)
+    }
+
     fn recently_refused_handover(
         &self,
         region: &id::Region,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -352,9 +352,10 @@
             vm.ready && !vm.callers_address.is_empty() && vm.region == region.as_str()
         };
         let mut vms: Vec<&VmInfo> = mirror.vms().iter().filter(is_candidate).collect();
+        let (admission, now) = (self.admission(), self.clock.now());
+        vms.retain(|vm| !admission.is_stopping(&vm.vm, vm.incarnation));
         vms.sort_by_cached_key(|vm| pair_hash(own_vm.as_str(), &vm.vm));
         vms.truncate(HANDOVER_VMS_PER_REGION);
-        let (admission, now) = (self.admission(), self.clock.now());
         vms.retain(|vm| !state.tried_vms.contains(&vm.vm) && !admission.is_in_backoff(&vm.vm, now));
         vms
     }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -173,7 +173,12 @@
                         self.clock.now(),
                     );
                 }
-                state.rejections += 1;
+                // A VM that stops says nothing about the targets, and isn't asked again.
+                if abort.reason == Reason::Stopping.as_str() {
+                    self.admission().record_stopping(&vm.vm, vm.incarnation);
+                } else {
+                    state.rejections += 1;
+                }
                 state.rejection_detail = Some(abort.detail);
                 None
             }
