Give resumable streams back while another VM can finish them

Callers saw resumable streams of another region end without their last event around a stop, although a resumption was allowed: the serving VM cut them at its very end, when too little of the caller's time was left for another target.

Cause, of the class "a hand-over depends on two processes, and each may stop": the VM that stops held the stream as long as it could, and only the other VM knows that it can have the rest elsewhere.

Change: the hand-over says whether its sender can resume the stream. In the middle of its grace, a stopping VM ends such streams if their deadline lies beyond its own end; their sender resumes them as after any break. Older VMs don't say so, and get the old behaviour.

--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -35,6 +35,19 @@
         drop(lock(&self.grace_sender).take());
     }
 
+    /// Ends the streams of other VMs that these can resume elsewhere.
+    pub(super) fn give_back_streams(&self) {
+        drop(lock(&self.give_back_sender).take());
+    }
+
+    /// Waits until streams that may last until `deadline` are given back.
+    pub(super) async fn wait_until_given_back(&self, deadline: Instant) {
+        let _ = self.give_back_receiver.recv().await;
+        if lock(&self.handovers_end_at).is_none_or(|end| deadline <= end) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Ends the requests of other VMs that are still in flight, each with an answer.
     pub(super) fn end_handover_grace(&self) {
         drop(lock(&self.handover_grace_sender).take());
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -26,6 +26,7 @@
     event, id,
     link::{self, Exchange},
     registry::VmInfo,
+    route::DeliveryMode,
     wire::{Abort, Body, Chunk, End, Handover, Header, Need, ResponseHead},
 };
 
@@ -259,6 +260,7 @@
                 .version()
                 .map(ToString::to_string)
                 .unwrap_or_default(),
+            is_resumable: request.route.delivery_mode == DeliveryMode::Resumable,
             ..Handover::default()
         }
     }
@@ -348,6 +350,7 @@
         let last_event_id = self.parse_last_event_id(&headers);
         let received_at = self.clock.now();
         let flight = Flight::begin(&self.in_flight_ages, &route, received_at);
+        let gives_back = handover.is_resumable;
         let request = RoutedRequest {
             id: handover.request_id,
             method,
@@ -366,6 +369,7 @@
             stream_deadline: deadline,
             version_binding,
             handed_over: true,
+            gives_back,
             _flight: flight,
         };
         self.dispatch(Arc::new(request)).await
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -52,6 +52,9 @@
 /// Like [`EXIT_RESERVE`], for the requests of other VMs. The callers of those don't depend on the
 /// connections of this VM, so that less has to be closed.
 const HANDOVER_EXIT_RESERVE: Duration = Duration::from_millis(250);
+/// Streams of other VMs that may outlast this VM are given back after this part of the grace: short ones
+/// have ended by then, and there is time for the rest of the others elsewhere.
+const GIVE_BACK_DIVISOR: u32 = 2;
 /// The part of that reserve for telling other VMs that their requests did not end in time.
 const HANDOVER_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
@@ -112,7 +115,10 @@
     pub(super) grace_receiver: Receiver<Infallible>,
     /// Set once the VM stops: when the requests of other VMs must have ended.
     pub(super) handovers_end_at: Mutex<Option<Instant>>,
-    /// Dropped then, which closes `handover_grace_receiver`.
+    /// Dropped in the middle of the grace, which closes `give_back_receiver`.
+    pub(super) give_back_sender: Mutex<Option<Sender<Infallible>>>,
+    pub(super) give_back_receiver: Receiver<Infallible>,
+    /// Dropped at that time, which closes `handover_grace_receiver`.
     pub(super) handover_grace_sender: Mutex<Option<Sender<Infallible>>>,
     pub(super) handover_grace_receiver: Receiver<Infallible>,
     /// Dropped when the VM begins to stop, which closes `stop_receiver`.
@@ -167,6 +173,7 @@
         let seed = incarnation ^ u64::from(settings.links_port) ^ hash(&settings.name);
         let (stop_sender, stop_receiver) = smol::channel::bounded(1);
         let (grace_sender, grace_receiver) = smol::channel::bounded(1);
+        let (give_back_sender, give_back_receiver) = smol::channel::bounded(1);
         let (handover_grace_sender, handover_grace_receiver) = smol::channel::bounded(1);
         let (in_flight_sender, in_flight_receiver) = smol::channel::bounded(1);
         let gateway = Arc::new(Self {
@@ -209,6 +216,8 @@
             grace_sender: Mutex::new(Some(grace_sender)),
             grace_receiver,
             handovers_end_at: Mutex::default(),
+            give_back_sender: Mutex::new(Some(give_back_sender)),
+            give_back_receiver,
             handover_grace_sender: Mutex::new(Some(handover_grace_sender)),
             handover_grace_receiver,
             stop_sender: Mutex::new(Some(stop_sender)),
@@ -449,6 +458,12 @@
         // At least half of the grace is left for requests in flight. The server accepts requests
         // for some time after it is stopped.
         let accept_period = DRAIN_ACCEPT_PERIOD.min(length / 2);
+        let giving_back = Arc::clone(&gateway);
+        smol::spawn(async move {
+            Timer::after(length / GIVE_BACK_DIVISOR).await;
+            giving_back.give_back_streams();
+        })
+        .detach();
         Timer::after(accept_period.saturating_sub(http::STOP_LINGER)).await;
         stop_callers_server.stop();
         let server_ended = within(time_until(grace.ends_at()), &mut callers_server).await.is_some();
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -6,6 +6,7 @@
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
+use smol::future::or;
 
 use super::{
     Attempts, EventSplitter, VersionBinding,
@@ -321,8 +322,15 @@
             let Some(source) = &mut self.source else { break };
             let waits_since = self.gateway.clock.now();
             let next = within(time_left.min(stall_time_left), source.next(&self.gateway));
-            let Some(chunk) = self.gateway.until_grace_ends(self.request.handed_over, next).await
-            else {
+            let next = self.gateway.until_grace_ends(self.request.handed_over, next);
+            let given_back = async {
+                if !self.request.gives_back {
+                    std::future::pending::<()>().await;
+                }
+                self.gateway.wait_until_given_back(self.deadline).await;
+                None
+            };
+            let Some(chunk) = or(next, given_back).await else {
                 return self.fail("this VM stops");
             };
             if let Some(stall_detector) = &mut self.stall_detector {
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -157,6 +157,9 @@
     /// empty if it continues none.
     #[prost(string, tag = "16")]
     pub software_version: String,
+    /// Whether the sender can have the rest of the response, a stream, from another VM.
+    #[prost(bool, tag = "17")]
+    pub is_resumable: bool,
 }
 
 /// What a request requires of a target; an empty field sets no requirement.
--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -38,6 +38,7 @@
 const ROUTES: &str = "1
 stream /stream/ 1 8000 -
 stream /short/ 1 900 -
+resumable /resumable/ 2 8000 -
 once /once/ 1 8000 -";
 
 struct Deployment {
@@ -153,6 +154,7 @@
             deadline_ms: timeout.as_millis() as u64,
             plans_version: 1,
             need: Some(Need { service: "jobs".to_owned(), ..Need::default() }),
+            is_resumable: path.starts_with("/resumable/"),
             ..Handover::default()
         };
         let links = (self.net.address(2), LINKS_PORT).into();
@@ -299,3 +301,22 @@
         drain.await;
     });
 }
+
+/// Guards against a stream that could go on elsewhere and is cut so late in a stop that too little is
+/// left of its caller's time. One whose caller's time ends before the gateway does stays.
+#[test]
+fn stopping_gateway_gives_streams_back_while_another_one_can_finish_them() {
+    smol::block_on(async {
+        let behaviors = [("/resumable/slow", Behavior::EventsOver(TIMEOUT))];
+        let mut deployment = Deployment::start(5, &behaviors).await;
+        let exchange = deployment.hand_over("slow", "/resumable/slow").await;
+        eventually("it runs", async || deployment.run_count("slow") == 1).await;
+        let began_at = Instant::now();
+        let drain = deployment.stop().await;
+        let got = receive(exchange).await;
+        assert!(matches!(got, Got::Cut(events, _) if events > 0), "{got:?}");
+        let took = began_at.elapsed();
+        assert!(took < GRACE * 3 / 4, "given back after {took:?}");
+        drain.await;
+    });
+}
