Read the body of a refused request on, so that its caller gets the refusal

The refusal was written 0.2 s after the head, and the connection closed at once with bytes of the body still to come.

Cause, of the class "a close with unread bytes loses what was written": the body of a request that is refused before it is whole was dropped with the request.

Change: what still comes of it is read and discarded, for at most 5 s and the rest of the grace, so that hyper closes the connection after it. It holds for all refusals before the body is read (no route, no ID, too large). http::collect borrows the body for that.

Evidence: `gateway_requests` caller_that_is_still_sending_its_body_gets_the_ refusal_of_a_stop failed before (broken pipe while it sent), passes now; the other 32 pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -294,7 +294,7 @@
         attempt: ActiveAttempt,
     ) -> AttemptOutcome {
         let now = self.clock.now();
-        let (head, body) = response.into_parts();
+        let (head, mut body) = response.into_parts();
         let text = |name: &HeaderName| head.headers.get(name).and_then(|value| value.to_str().ok());
         let target = &attempt.target;
         if text(&self.header_names.request_id) != Some(request.id.as_str()) {
@@ -319,7 +319,7 @@
                 self.balancer().record_failure(target, now);
             }
             // The connection can be reused only after the body has been read.
-            if http::collect(body, MAX_REJECTION_BODY_BYTES).await.is_ok() {
+            if http::collect(&mut body, MAX_REJECTION_BODY_BYTES).await.is_ok() {
                 lease.release(&keep_alive, now);
             }
             return AttemptOutcome::Rejected(detail);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,8 +2,9 @@
 
 use hyper::{
     HeaderMap, Request, Response,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
 };
 use rand::RngExt;
 
@@ -22,9 +23,11 @@
 
 /// The `Retry-After` of refusals whose cause is likely to pass soon.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// How long the body of a request is read that is refused for a stop: to close a connection with
-/// unread bytes may discard the response.
+/// How long the refusal of a request for a stop waits for the request's body, as most callers read no
+/// response before they have sent all of it.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The timeout of a request that names none; the route's timeout applies if it is shorter.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// The longest time for which a caller is expected to take a stream up again, whatever it says.
@@ -38,9 +41,13 @@
         let id = self
             .header_text(http_request.headers(), &self.header_names.request_id)
             .unwrap_or_default();
-        let routed = match self.route_request(id.clone(), http_request).await {
+        let (head, mut body) = http_request.into_parts();
+        let routed = match self.route_request(id.clone(), head, &mut body).await {
             Ok(request) => self.bind_to_stream(request).await,
-            Err(refusal) => Err(refusal),
+            Err(refusal) => {
+                self.discard_rest(body);
+                Err(refusal)
+            }
         };
         let outcome = match routed {
             Ok(request) => {
@@ -83,13 +90,13 @@
     async fn route_request(
         &self,
         id: String,
-        http_request: Request<Incoming>,
+        head: Parts,
+        body: &mut Incoming,
     ) -> Result<RoutedRequest, Refusal> {
         let received_at = self.clock.now();
         let table = self.route_table().ok_or_else(|| {
             Refusal::new(Reason::RoutesUnknown, "no routes are known yet", SHORT_RETRY_AFTER)
         })?;
-        let (head, body) = http_request.into_parts();
         let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let host = host_without_port(&head.headers).unwrap_or_default();
         let route = table.find(&host, &path_and_query).cloned().ok_or_else(|| {
@@ -165,6 +172,19 @@
         })
     }
 
+    /// Reads what still comes of the body of a refused request, so that its caller gets the refusal.
+    fn discard_rest(self: &Arc<Self>, body: Incoming) {
+        if body.is_end_stream() {
+            return;
+        }
+        let gateway = Arc::clone(self);
+        smol::spawn(async move {
+            let discarded = within(DISCARD_TIMEOUT, http::discard(body));
+            gateway.until_grace_ends(false, discarded).await;
+        })
+        .detach();
+    }
+
     pub(super) fn parse_prompt(&self, headers: &HeaderMap) -> Prompt {
         let parts = self.header_text(headers, &self.header_names.prompt_parts);
         let token_counts = self.header_text(headers, &self.header_names.token_counts);
--- a/src/http.rs
+++ b/src/http.rs
@@ -12,7 +12,9 @@
 mod write_tracker;
 
 pub use self::{
-    body::{Body, CollectError, IncompleteBody, channel, collect, empty, full, read_failure},
+    body::{
+        Body, CollectError, IncompleteBody, channel, collect, discard, empty, full, read_failure,
+    },
     buffer_budget::{BufferBudget, BufferShare},
     client::{RequestError, send_request},
     deadline_body::full_before_deadline,
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -64,12 +64,12 @@
     Incomplete,
 }
 
-/// Reads a complete body.
+/// Reads a complete body; what is left of it may be read on if this is cancelled.
 ///
 /// # Errors
 ///
 /// If the body is larger than `max_bytes` or ends before it is complete.
-pub async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, CollectError> {
+pub async fn collect(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, CollectError> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(cause) if cause.is::<http_body_util::LengthLimitError>() => Err(CollectError::TooLarge),
@@ -77,6 +77,12 @@
     }
 }
 
+/// Reads the rest of a body that nobody needs. To close a connection on which bytes still arrive resets
+/// it, and its other end may not see the response.
+pub async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 /// Says why the body of a target's response could not be read to its end.
 pub fn read_failure(error: &hyper::Error) -> String {
     let io_error =
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -198,7 +198,7 @@
             return self.resume(request.method(), number, request.headers());
         }
         let is_order = request.uri().path() == ORDERS;
-        let Ok(body) = http::collect(request.into_body(), BODY_LIMIT).await else {
+        let Ok(body) = http::collect(&mut request.into_body(), BODY_LIMIT).await else {
             return problem(StatusCode::BAD_REQUEST, "the body is not whole");
         };
         if is_order {
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -104,8 +104,8 @@
     calls: Arc<Mutex<Vec<Call>>>,
     delay: Duration,
 ) -> Response<Body> {
-    let (head, body) = request.into_parts();
-    let body = http::collect(body, BODY_LIMIT).await.unwrap_or_default();
+    let (head, mut body) = request.into_parts();
+    let body = http::collect(&mut body, BODY_LIMIT).await.unwrap_or_default();
     let header = |name: &str| {
         head.headers.get(name).and_then(|value| value.to_str().ok()).map(ToOwned::to_owned)
     };
--- a/src/tool/client.rs
+++ b/src/tool/client.rs
@@ -101,7 +101,7 @@
             .map_err(|cause| RequestError::NotSent(cause.to_string()))?;
         let (response, _driver) = http::send_request(vm, request, CONNECT, ANSWER).await?;
         let status = response.status();
-        let body = http::collect(response.into_body(), ANSWER_LIMIT).await;
+        let body = http::collect(&mut response.into_body(), ANSWER_LIMIT).await;
         let body =
             body.map_err(|_| RequestError::OutcomeUnknown("the answer was cut short".to_owned()))?;
         Ok((status, body))
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -30,8 +30,8 @@
         }
         event::product::OPERATOR
             .emit(&self.logger, &[("method", request.method()), ("path", &path)]);
-        let (head, body) = request.into_parts();
-        let Ok(body) = http::collect(body, MAX_BODY_BYTES).await else {
+        let (head, mut body) = request.into_parts();
+        let Ok(body) = http::collect(&mut body, MAX_BODY_BYTES).await else {
             return problem_response(
                 StatusCode::BAD_REQUEST,
                 &malformed_body("cut short or too large"),
--- a/src/vm/http_routes.rs
+++ b/src/vm/http_routes.rs
@@ -55,7 +55,7 @@
 
     async fn handle_announcement(&self, request: Request<Incoming>) -> Response<Body> {
         let id = self.new_request_id();
-        let Ok(body) = http::collect(request.into_body(), MAX_ANNOUNCEMENT_BYTES).await else {
+        let Ok(body) = http::collect(&mut request.into_body(), MAX_ANNOUNCEMENT_BYTES).await else {
             return path::refusal_response(
                 &id,
                 &announcement_refusal("the announcement was cut short or too large"),
--- a/src/vm/order_delivery.rs
+++ b/src/vm/order_delivery.rs
@@ -38,7 +38,7 @@
             .await
             .map_err(|cause| cause.to_string())?;
         let status = response.status();
-        let body = http::collect(response.into_body(), MAX_ANSWER_BYTES).await;
+        let body = http::collect(&mut response.into_body(), MAX_ANSWER_BYTES).await;
         let body = body.map_err(|_| "the answer was cut short or too large".to_owned())?;
         serde_json::from_slice(&body).map_err(|_| format!("{status}, no answer to an order"))
     };
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -127,10 +127,11 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
+    async fn read_body(&self, mut body: Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
         let limit = self.settings.body_limit;
-        let read =
-            within(time_left, http::collect(body, limit)).await.ok_or_else(deadline_refusal)?;
+        let read = within(time_left, http::collect(&mut body, limit))
+            .await
+            .ok_or_else(deadline_refusal)?;
         read.map_err(|incomplete| match incomplete {
             CollectError::TooLarge => Refusal::new(
                 Reason::TooLarge,
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -701,6 +701,33 @@
     });
 }
 
+/// Guards against a refusal that its caller never sees: the connection was closed, and so reset, while
+/// the caller still sent the body of its request.
+#[test]
+fn caller_that_is_still_sending_its_body_gets_the_refusal_of_a_stop() {
+    smol::block_on(async {
+        let deployment = Deployment::start().await;
+        let callers = deployment.callers_address();
+        let mut connection = CallerConnection::open(callers).await;
+        let Deployment { jakarta_gateway, targets, .. } = deployment;
+        let gateway = Arc::clone(jakarta_gateway.gateway());
+        let drain = smol::spawn(jakarta_gateway.drain());
+        eventually("it is stopping", async || !gateway.is_ready()).await;
+        let head = "POST /once/slow HTTP/1.1\r\nhost: a.example\r\nrequest: slow\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        let chunks = ["4\r\nbody\r\n"; 4];
+        for bytes in [&[head], chunks.as_slice(), &["0\r\n\r\n"]].concat() {
+            let sent = connection.0.write_all(bytes.as_bytes()).await;
+            sent.expect("the connection takes the body");
+            Timer::after(Duration::from_millis(150)).await;
+        }
+        assert_refused("slow", &connection.read_to_close().await);
+        let runs: usize = targets.iter().map(|it| it.requests_with_id("slow").len()).sum();
+        assert_eq!(runs, 0, "it ran");
+        drain.await;
+    });
+}
+
 /// Guards against a stop that closes connections in silence on requests whose targets still run them.
 #[test]
 fn request_in_flight_at_the_end_of_a_stop_gets_an_answer_that_promises_nothing() {
