Test that another gateway finishes the streams that a stopping one gives back

Cause: the test of giving back ends at the link. Change: two gateways of the other region, three streams at the one that is told to stop; their caller gets each event once, and the end. With four streams, more than the connections that the other gateway may open to the one target, the fourth was not resumed, as its target was full.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -47,7 +47,8 @@
 once /short/ 1 700 -
 safe /far/ 1 8000 surabaya
 safe /near/ 2 8000 jakarta
-stream /far-stream/ 1 8000 surabaya";
+stream /far-stream/ 1 8000 surabaya
+resumable /far-resumable/ 2 8000 surabaya";
 
 /// All tests here share one thread. A test with many gateways would delay what the others measure, so
 /// that its deployment holds this lock for writing, and the others for reading.
@@ -844,6 +845,39 @@
     });
 }
 
+/// Guards against a stream that its caller gets without its last event, although another gateway could
+/// finish it, because the one that served it was told to stop.
+#[test]
+fn resumable_stream_of_a_stopping_gateway_is_finished_by_another_one() {
+    smol::block_on(async {
+        let mut deployment = Deployment::start().await;
+        let spare = deployment.start_gateway(5, "surabaya").await;
+        eventually("the spare gateway is ready", async || spare.gateway().is_ready()).await;
+        let stopping = std::mem::replace(&mut deployment.surabaya_gateway, spare);
+        let streams = ["stream 0", "stream 1", "stream 2"];
+        // The first run of each stream outlasts the stop.
+        let behaviors =
+            [vec![Behavior::EventsOver(GRACE * 2); streams.len()], vec![Behavior::AllEvents]];
+        deployment.set_behaviors("/far-resumable/slow", &behaviors.concat());
+        let deployment = Arc::new(deployment);
+        let answers: Vec<_> = streams
+            .into_iter()
+            .map(|id| {
+                let deployment = Arc::clone(&deployment);
+                smol::spawn(async move {
+                    deployment.send_with_id(id, Method::POST, "/far-resumable/slow").await
+                })
+            })
+            .collect();
+        eventually("they run", async || streams.iter().all(|id| deployment.arrival_count(id) == 1))
+            .await;
+        stopping.drain().await;
+        for (id, answer) in streams.into_iter().zip(answers) {
+            assert_eq!(answer.await, (200, all_events(), true), "{id}");
+        }
+    });
+}
+
 #[test]
 fn request_head_above_the_size_limit_is_refused() {
     smol::block_on(async {
