Failing tests of hand-overs around a stop, found by a review

- stream_that_may_have_no_further_target_is_not_given_back and stream_whose_ callers_gateway_stops_too_is_not_given_back: status 200, no end.
The serving gateway gives the stream back in the middle of its grace, the other one may not resume it (one target only; its own stop), and the caller's stream is cut.
The same stream of 2.8 s on a route that cannot be resumed is whole.
- stream_of_another_region_has_all_of_its_callers_time: a stream of 1.93 s with a caller's time of 2 s is cut without any stop; one of 1.8 s is whole.
- refusal_of_a_large_request_reaches_its_sender_at_once: nothing within 0.5 s, as the sender waits for credit; a body below the window is refused at once.
- end_of_a_broken_stream_is_logged_at_once: no line 511 within 0.5 s.

--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -1,11 +1,14 @@
 //! A gateway that serves requests of another region and is told to stop: what the other gateway gets.
-//! The test is that other gateway, on a link of its own.
+//! The test is that other gateway, on a link of its own, or starts one and is its caller.
 
 mod support;
 
 use std::{
     net::Ipv4Addr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant, SystemTime},
 };
 
@@ -14,7 +17,7 @@
 use pomelogate::{
     clock,
     control::Control,
-    gateway::RunningGateway,
+    gateway::{Gateway, RunningGateway},
     http, id,
     link::{Exchange, Hub},
     node::Settings,
@@ -22,12 +25,16 @@
     wire::{Body, Chunk, End, Handover, Header, Hello, Need},
 };
 use prost::bytes::Bytes;
-use smol::Timer;
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+};
 use support::{
     fake_target::{Behavior, Behaviors, FakeTarget, LAST_EVENT_ID},
     fleet::eventually,
     routed::{
-        CALLERS_PORT, CONTROL_PORT, LINKS_PORT, Net, read_routes, settings, start_gateway_with,
+        CALLERS_PORT, CONTROL_PORT, LINKS_PORT, Net, header_names, read_routes, settings,
+        start_gateway_with,
     },
 };
 
@@ -39,6 +46,7 @@
 stream /stream/ 1 8000 -
 stream /short/ 1 900 -
 resumable /resumable/ 2 8000 -
+resumable /single/ 1 8000 -
 once /once/ 1 8000 -";
 
 struct Deployment {
@@ -46,11 +54,28 @@
     target: FakeTarget,
     hub: Arc<Hub>,
     net: Net,
+    ends: EndLines,
     _control: Arc<Control>,
     _data: tempfile::TempDir,
     _behaviors: Behaviors,
 }
 
+/// Counts the lines that a gateway logs of the ends of handed-over requests.
+#[derive(Clone, Default)]
+struct EndLines(Arc<AtomicUsize>);
+
+impl slog::Drain for EndLines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        if record.msg().to_string() == "handed-over request ended" {
+            self.0.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
 /// What came of a request that was handed over.
 #[derive(Debug, PartialEq, Eq)]
 enum Got {
@@ -81,7 +106,14 @@
         let control = Control::start(replica, clock, logger, read_routes).await.expect("a replica");
         let mut gateway_settings = settings(net.address(2), "surabaya", seed);
         gateway_settings.bounds.shutdown_grace = GRACE;
-        let gateway = start_gateway_with(gateway_settings).await;
+        gateway_settings.callers = Some((net.address(2), CALLERS_PORT).into());
+        let ends = EndLines::default();
+        let logger = slog::Logger::root(ends.clone(), slog::o!());
+        let clock = Arc::new(clock::System);
+        let gateway =
+            Gateway::start(gateway_settings, None, header_names(), read_routes, clock, logger)
+                .await
+                .expect("a gateway");
         let behaviors: Behaviors = Arc::new(std::sync::Mutex::new(
             behaviors.iter().map(|(path, it)| ((*path).to_owned(), vec![it.clone()])).collect(),
         ));
@@ -117,6 +149,7 @@
             target,
             hub,
             net,
+            ends,
             _control: control,
             _data: data,
             _behaviors: behaviors,
@@ -170,6 +203,34 @@
         exchange
     }
 
+    /// Starts a gateway of the other region, which has no targets.
+    async fn start_other_gateway(&self) -> RunningGateway {
+        let mut settings = settings(self.net.address(5), "jakarta", self.net.address(1));
+        settings.bounds.shutdown_grace = GRACE;
+        let gateway = start_gateway_with(settings).await;
+        eventually("the other gateway hands over", async || {
+            self.call_other("ready", "/once/ready", TIMEOUT).await.0 == 200
+        })
+        .await;
+        gateway
+    }
+
+    /// Sends a request to the gateway of the other region. Returns the status, and the number of events
+    /// of the answer if it came whole.
+    async fn call_other(&self, id: &str, path: &str, timeout: Duration) -> (u16, Option<usize>) {
+        let request = Request::post(path)
+            .header("host", "a.example")
+            .header("request", id)
+            .header("time-left", timeout.as_millis().to_string());
+        let request = request.body(http::full("the body")).expect("a request");
+        let callers = (self.net.address(5), CALLERS_PORT).into();
+        let sent = http::send_request(callers, request, TIMEOUT, TIMEOUT).await;
+        let Ok((response, _driver)) = sent else { return (0, None) };
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok().map(|body| body.to_bytes());
+        (status, body.map(|body| body.windows(2).filter(|two| two == b"\n\n").count()))
+    }
+
     /// Sends a request as a caller of the gateway, so that it knows how long answers on the route take.
     async fn call(&self, id: &str, path: &str) {
         let request = Request::post(path).header("host", "a.example").header("request", id);
@@ -320,3 +381,122 @@
         drain.await;
     });
 }
+
+/// What a caller of the other gateway gets of a stream, when the gateway that serves it is told to stop
+/// while it runs, and before it the caller's one if `stops_both`.
+async fn stream_over_a_stop(
+    place: u8,
+    path: &'static str,
+    stops_both: bool,
+) -> (u16, Option<usize>) {
+    // Ends before the graces of both gateways do.
+    let time = GRACE - Duration::from_millis(1200);
+    let mut deployment = Deployment::start(place, &[(path, Behavior::EventsOver(time))]).await;
+    let other = deployment.start_other_gateway().await;
+    let gateway = deployment.gateway.take().expect("a gateway that runs");
+    let call = deployment.call_other("slow", path, TIMEOUT);
+    let stops = async {
+        eventually("it runs", async || deployment.run_count("slow") == 1).await;
+        let other_drain = stops_both.then(|| smol::spawn(other.drain()));
+        gateway.drain().await;
+        if let Some(drain) = other_drain {
+            drain.await;
+        }
+    };
+    futures_util::future::join(call, stops).await.0
+}
+
+/// Guards against a stream that is given back although its sender may not send it to another target: it
+/// is cut where it would have ended.
+#[test]
+fn stream_that_may_have_no_further_target_is_not_given_back() {
+    let got = smol::block_on(stream_over_a_stop(6, "/single/slow", false));
+    assert_eq!(got, (200, Some(LAST_EVENT_ID as usize)));
+}
+
+/// Guards against a stream that is given back while its sender stops, too, and takes up nothing that may
+/// outlast it.
+#[test]
+fn stream_whose_callers_gateway_stops_too_is_not_given_back() {
+    let got = smol::block_on(stream_over_a_stop(7, "/resumable/slow", true));
+    assert_eq!(got, (200, Some(LAST_EVENT_ID as usize)));
+}
+
+/// Guards against a stream that the serving gateway ends before its caller's time is over.
+#[test]
+fn stream_of_another_region_has_all_of_its_callers_time() {
+    smol::block_on(async {
+        let timeout = Duration::from_secs(2);
+        let behaviors =
+            [("/stream/slow", Behavior::EventsOver(timeout - Duration::from_millis(70)))];
+        let deployment = Deployment::start(8, &behaviors).await;
+        let _other = deployment.start_other_gateway().await;
+        let got = deployment.call_other("slow", "/stream/slow", timeout).await;
+        assert_eq!(got, (200, Some(LAST_EVENT_ID as usize)));
+    });
+}
+
+/// Guards against a sender that waits until the caller's deadline to send the rest of a body which a
+/// stopping gateway has refused.
+#[test]
+fn refusal_of_a_large_request_reaches_its_sender_at_once() {
+    smol::block_on(async {
+        let behaviors = [("/stream/slow", Behavior::EventsOver(Duration::from_millis(2800)))];
+        let mut deployment = Deployment::start(9, &behaviors).await;
+        let slow = deployment.hand_over("slow", "/stream/slow").await;
+        eventually("it runs", async || deployment.run_count("slow") == 1).await;
+        let drain = deployment.stop().await;
+        // The callers' server has ended, and hand-overs are refused.
+        Timer::after(GRACE / 2).await;
+        let mut large = deployment.begin("large", "/short/large").await;
+        let bytes = Bytes::from(vec![b'x'; 1024 * 1024]);
+        let refusal = async {
+            let _ = large.send(Body::Chunk(Chunk { bytes })).await;
+            receive(large).await
+        };
+        let refusal = clock::within(Duration::from_millis(500), refusal).await;
+        assert_eq!(refusal, Some(refused()));
+        assert_eq!(receive(slow).await, Got::Whole);
+        drain.await;
+    });
+}
+
+/// Guards against a 503 that a caller can't read, because the connection is closed while it still sends
+/// the body: it would not learn that it may go elsewhere.
+#[test]
+fn caller_that_still_sends_its_body_gets_the_refusal_of_a_stopping_gateway() {
+    smol::block_on(async {
+        let mut deployment = Deployment::start(10, &[]).await;
+        let callers = (deployment.net.address(2), CALLERS_PORT);
+        let mut stream = smol::net::TcpStream::connect(callers).await.expect("a connection");
+        let drain = deployment.stop().await;
+        let head = "POST /once/slow HTTP/1.1\r\nhost: a.example\r\nrequest: slow\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        for _ in 0..3 {
+            stream.write_all(b"4\r\nbody\r\n").await.expect("a connection that takes the body");
+            Timer::after(Duration::from_millis(200)).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.expect("a connection that takes the body");
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.expect("a response");
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+        drain.await;
+    });
+}
+
+/// Guards against a gateway that waits, and keeps its stop waiting, until the other one has confirmed the
+/// end of a broken stream, which that one does only for whole ones.
+#[test]
+fn end_of_a_broken_stream_is_logged_at_once() {
+    smol::block_on(async {
+        let behaviors = [("/stream/broken", Behavior::EventsThenClose(3))];
+        let deployment = Deployment::start(11, &behaviors).await;
+        Timer::after(Duration::from_millis(300)).await;
+        let logged = deployment.ends.0.load(Ordering::Relaxed);
+        let got = receive(deployment.hand_over("broken", "/stream/broken").await).await;
+        assert!(matches!(got, Got::Cut(..)), "{got:?}");
+        Timer::after(Duration::from_millis(500)).await;
+        assert_eq!(deployment.ends.0.load(Ordering::Relaxed), logged + 1);
+    });
+}
