Confirm aborts on links, and let a sender read one instead of waiting for credit

Two faults of one class, an end that one side has told and the other doesn't take up. A VM that was refused before it had sent a whole body, above the window of 256 KiB, waited for credit until its caller's deadline, with the refusal in its queue; its caller got 502. And the sender of an abort waited 2 s, and held up its own stop, for a confirmation that only whole answers get.

Change: an abort ends the wait for credit, as a cancellation does, and the sender of a body then reads the frame that says why. The receiver of an abort cancels the exchange when it drops it, which is the confirmation.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -394,14 +394,18 @@
 
 /// Sends the body of the request and waits for the first frame of the response.
 async fn send_body_and_await_reply(exchange: &mut Exchange, body: &Bytes) -> Result<Body, String> {
-    let first_frame = async {
+    let sent = async {
         if !body.is_empty() {
             exchange.send(Body::Chunk(Chunk { bytes: body.clone() })).await?;
         }
-        exchange.send(Body::End(End {})).await?;
-        exchange.receive().await
+        exchange.send(Body::End(End {})).await
     };
-    first_frame.await.map_err(|cause| cause.to_string())
+    match sent.await {
+        // The other VM refused the request before it had the whole body; its frame says why.
+        Ok(()) | Err(link::Error::Cancelled) => {}
+        Err(cause) => return Err(cause.to_string()),
+    }
+    exchange.receive().await.map_err(|cause| cause.to_string())
 }
 
 /// Sends the outcome to the VM that handed the request over. Cancels the work if that VM closes the
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -253,7 +253,7 @@
                 return Ok(());
             }
             // The other VM grants no more credit, so a sender must not wait for it.
-            Body::Cancel(_) => {
+            Body::Cancel(_) | Body::Abort(_) => {
                 self.credit_granted.close();
             }
             Body::Chunk(chunk) if !self.windows().incoming.try_spend(chunk.bytes.len()) => {
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -50,7 +50,8 @@
     /// If the connection ended before the exchange did.
     pub async fn receive(&mut self) -> Result<Body, Error> {
         let body = self.frames.recv().await.map_err(|_| Error::Closed)?;
-        self.ended |= matches!(body, Body::Abort(_) | Body::Cancel(_) | Body::Reply(_));
+        // An abort is confirmed by a cancellation, so that its sender need not keep the link open longer.
+        self.ended |= matches!(body, Body::Cancel(_) | Body::Reply(_));
         if let Body::Chunk(chunk) = &body {
             self.return_credit(chunk.bytes.len()).await;
         }
