Leave handed-over streams all of their callers' time

Callers saw streams of another region end up to 120 ms before their own time was over, with and without a stop: the serving VM counts on a deadline that is earlier by the time of a transfer, so that its refusals come in time.

Change: the deadline of a stream's body is not reduced; the caller's VM ends the stream at its own.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -36,8 +36,8 @@
 /// How long the other VM may take to read the end of a response.
 const END_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// The part of the time until the caller's deadline that is reserved for the transfer between the
-/// two VMs.
-const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(120);
+/// two VMs. Streams don't need it: what has come of them is with the caller already.
+pub(super) const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(120);
 
 /// The result of handing a request to another VM.
 #[derive(Debug)]
@@ -240,6 +240,7 @@
         last_event_id: Option<u64>,
         version_binding: &VersionBinding,
         timeout: Duration,
+        is_resumable: bool,
     ) -> Handover {
         let timeout = timeout.saturating_sub(TRANSFER_ALLOWANCE);
         let mut headers = request.headers.clone();
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -5,7 +5,10 @@
 
 use hyper::{HeaderMap, Method, body::Bytes};
 
-use super::{Prompt, VersionBinding, handover::host_without_port};
+use super::{
+    Prompt, VersionBinding,
+    handover::{TRANSFER_ALLOWANCE, host_without_port},
+};
 use crate::{continuation, control::lock, crash::Digest, id, route::Route, stop::InFlight};
 
 /// A caller's request and the route that it matched.
@@ -84,6 +87,13 @@
         self.prompt.shared_keys().collect()
     }
 
+    /// When the body of the response must have ended.
+    pub(super) fn body_deadline(&self) -> Instant {
+        let is_stream = self.route.delivery_mode.is_stream();
+        self.deadline
+            + if self.handed_over && is_stream { TRANSFER_ALLOWANCE } else { Duration::ZERO }
+    }
+
     /// The time until the deadline.
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -289,7 +289,7 @@
             share: Some(share),
             tried_targets,
             attempts,
-            deadline: request.deadline,
+            deadline: request.body_deadline(),
             ended: false,
             origin,
             chunks_sent: 0,
@@ -375,7 +375,7 @@
                         return self.fail(cause);
                     }
                 }
-                None if self.request.time_left(self.gateway.clock.now()).is_zero() => {
+                None if self.gateway.clock.now() >= self.deadline => {
                     return self.fail("its time ran out");
                 }
                 None => {}
