Give a stream back only if its sender can have the rest elsewhere

Cause: of the two VMs, each knows a part. Change: the sender says that a stream is resumable only if it may use another target after this one and isn't told to stop; the serving VM keeps the stream if the sender is no longer ready, or if it knows no other ready VM of its region. A resumption counts as a run only once it may have run, as the first hand-over does. The wait of a hand-over for newer routes ends with the grace.

Evidence: `handed_over_stops` stream_that_may_have_no_further_target_is_not_ given_back and stream_whose_callers_gateway_stops_too_is_not_given_back failed before, pass now.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -573,9 +573,20 @@
                 }
             }
             Destination::Vm(vm) => {
-                attempts.record_remote_run();
-                let outcome =
-                    self.send_to_vm(request, &vm, last_event_id, version_binding, time_left).await;
+                let is_resumable = self.is_resumable_after(request, attempts);
+                let outcome = self
+                    .send_to_vm(
+                        request,
+                        &vm,
+                        last_event_id,
+                        version_binding,
+                        time_left,
+                        is_resumable,
+                    )
+                    .await;
+                if matches!(outcome, HandoverOutcome::Responded(..) | HandoverOutcome::Unknown(_)) {
+                    attempts.record_remote_run();
+                }
                 match outcome {
                     HandoverOutcome::Responded(head, exchange) if starts_event_stream(&head) => {
                         let software_version = software_version(&head);
--- a/src/gateway/grace.rs
+++ b/src/gateway/grace.rs
@@ -10,7 +10,7 @@
     outcome::{Reason, Refusal},
     server::Gateway,
 };
-use crate::{control::lock, route::Route, stop::Grace};
+use crate::{control::lock, id, route::Route, stop::Grace};
 
 /// The `Retry-After` of a request that this VM refuses because it stops; other VMs serve it.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -40,14 +40,25 @@
         drop(lock(&self.give_back_sender).take());
     }
 
-    /// Waits until streams that may last until `deadline` are given back.
-    pub(super) async fn wait_until_given_back(&self, deadline: Instant) {
+    /// Waits until a stream that may last until `deadline` is given back to `vm`. It stays if it ends in
+    /// time, if `vm` stops as well, or if this VM knows no other one of its region.
+    pub(super) async fn wait_until_given_back(&self, vm: &id::Vm, deadline: Instant) {
         let _ = self.give_back_receiver.recv().await;
-        if lock(&self.handovers_end_at).is_none_or(|end| deadline <= end) {
+        let outlasts = lock(&self.handovers_end_at).is_some_and(|end| deadline > end);
+        if !outlasts || !self.can_finish_elsewhere(vm) {
             std::future::pending::<()>().await;
         }
     }
 
+    /// Whether `vm` goes on running and may find another VM of this region.
+    fn can_finish_elsewhere(&self, vm: &id::Vm) -> bool {
+        let (own_vm, mirror) = (self.settings.vm(), self.mirror());
+        let mut ready = mirror.vms().iter().filter(|it| it.ready && !it.callers_address.is_empty());
+        let region = self.settings.region.as_str();
+        ready.clone().any(|it| it.vm == vm.as_str())
+            && ready.any(|it| it.vm != own_vm.as_str() && it.region == region)
+    }
+
     /// Ends the requests of other VMs that are still in flight, each with an answer.
     pub(super) fn end_handover_grace(&self) {
         drop(lock(&self.handover_grace_sender).take());
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -13,7 +13,7 @@
 use smol::Timer;
 
 use super::{
-    VersionBinding,
+    Attempts, VersionBinding,
     dispatch::DispatchState,
     grace::stopping_refusal,
     outcome::{Outcome, Reason, Refusal, ResponseBody, TargetResponse},
@@ -131,8 +131,16 @@
     ) -> Option<Outcome> {
         state.tried_vms.push(vm.vm.clone());
         let time_left = request.time_left(self.clock.now());
+        let is_resumable = self.is_resumable_after(request, &state.attempts);
         let outcome = self
-            .send_to_vm(request, vm, request.last_event_id, &state.version_binding, time_left)
+            .send_to_vm(
+                request,
+                vm,
+                request.last_event_id,
+                &state.version_binding,
+                time_left,
+                is_resumable,
+            )
             .await;
         match outcome {
             HandoverOutcome::Responded(head, exchange) => {
@@ -192,7 +200,8 @@
     }
 
     /// Sends the request to a VM and waits at most `timeout` for the head of the response. A stream
-    /// starts after the event `last_event_id`, at a target that `version_binding` allows.
+    /// starts after the event `last_event_id`, at a target that `version_binding` allows; `is_resumable`
+    /// tells the other VM whether the rest of it could be had elsewhere.
     pub(super) async fn send_to_vm(
         &self,
         request: &RoutedRequest,
@@ -200,13 +209,15 @@
         last_event_id: Option<u64>,
         version_binding: &VersionBinding,
         timeout: Duration,
+        is_resumable: bool,
     ) -> HandoverOutcome {
         self.record_handover(request, vm);
         let region = id::Region::from(vm.region.as_str());
         let (unshared_tokens, now) = (request.prompt.unshared_tokens(), self.clock.now());
         self.admission().record_handover(&region, &request.service, unshared_tokens, now);
         let Some(address) = vm.links_address() else { return HandoverOutcome::NotSent };
-        let handover = self.build_handover(request, last_event_id, version_binding, timeout);
+        let handover =
+            self.build_handover(request, last_event_id, version_binding, timeout, is_resumable);
         let Ok(mut exchange) = self.hub.hand_over(address, handover).await else {
             self.record_unreachable(request, vm);
             return HandoverOutcome::NotSent;
@@ -227,6 +238,15 @@
         }
     }
 
+    /// Whether a stream may be resumed once more after the next attempt.
+    pub(super) fn is_resumable_after(&self, request: &RoutedRequest, attempts: &Attempts) -> bool {
+        let mut attempts = attempts.clone();
+        attempts.record_remote_run();
+        request.route.delivery_mode == DeliveryMode::Resumable
+            && attempts.may_use_new_target()
+            && !self.is_stopping()
+    }
+
     fn record_unreachable(&self, request: &RoutedRequest, vm: &VmInfo) {
         self.admission().record_unreachable(&vm.vm, self.clock.now());
         let fields: [event::Field<'_>; 3] =
@@ -261,7 +281,7 @@
                 .version()
                 .map(ToString::to_string)
                 .unwrap_or_default(),
-            is_resumable: request.route.delivery_mode == DeliveryMode::Resumable,
+            is_resumable,
             ..Handover::default()
         }
     }
@@ -299,7 +319,7 @@
             }
         };
         let outcome = {
-            let dispatch = pin!(self.dispatch_handover(handover, body));
+            let dispatch = pin!(self.dispatch_handover(&received.from, handover, body));
             match select(dispatch, pin!(exchange.receive())).await {
                 Either::Left((outcome, _)) => outcome,
                 Either::Right((frame, _)) => {
@@ -311,14 +331,22 @@
         self.record_handover_end(&received, &end);
     }
 
-    async fn dispatch_handover(self: &Arc<Self>, handover: Handover, body: Bytes) -> Outcome {
+    async fn dispatch_handover(
+        self: &Arc<Self>,
+        from: &id::Vm,
+        handover: Handover,
+        body: Bytes,
+    ) -> Outcome {
         let deadline = self.clock.now() + Duration::from_millis(handover.deadline_ms);
         let catch_up_deadline = self.clock.now() + ROUTES_CATCH_UP_TIMEOUT;
         while self.route_table().is_none_or(|table| table.version < handover.plans_version) {
             if self.clock.now() >= catch_up_deadline {
                 return refuse_handover("this VM does not know the newest routes");
             }
-            Timer::after(ROUTES_CATCH_UP_POLL_INTERVAL).await;
+            let delay = Timer::after(ROUTES_CATCH_UP_POLL_INTERVAL);
+            if self.until_grace_ends(true, delay).await.is_none() {
+                return Outcome::Refused(stopping_refusal());
+            }
         }
         let Some(table) = self.route_table() else {
             return refuse_handover("this VM knows no routes");
@@ -351,7 +379,7 @@
         let last_event_id = self.parse_last_event_id(&headers);
         let received_at = self.clock.now();
         let flight = Flight::begin(&self.in_flight_ages, &route, received_at);
-        let gives_back = handover.is_resumable;
+        let gives_back_to = handover.is_resumable.then(|| from.clone());
         let request = RoutedRequest {
             id: handover.request_id,
             method,
@@ -370,7 +398,7 @@
             stream_deadline: deadline,
             version_binding,
             handed_over: true,
-            gives_back,
+            gives_back_to,
             _flight: flight,
         };
         self.dispatch(Arc::new(request)).await
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -41,9 +41,9 @@
     pub(super) version_binding: VersionBinding,
     /// Whether another VM handed the request over.
     pub(super) handed_over: bool,
-    /// Whether a stream is given back to the VM that handed it over, for another one to resume, if it
-    /// may outlast this VM.
-    pub(super) gives_back: bool,
+    /// The VM that handed the request over, if it can have the rest of a stream elsewhere when this VM
+    /// stops.
+    pub(super) gives_back_to: Option<id::Vm>,
     /// Counts the request as in flight.
     pub(super) _flight: Flight,
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -167,7 +167,7 @@
                 + caller_timeout.clamp(timeout, MAX_STREAM_TIMEOUT.max(timeout)),
             version_binding: VersionBinding::Any,
             handed_over: false,
-            gives_back: false,
+            gives_back_to: None,
             _flight: flight,
         })
     }
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -324,10 +324,10 @@
             let next = within(time_left.min(stall_time_left), source.next(&self.gateway));
             let next = self.gateway.until_grace_ends(self.request.handed_over, next);
             let given_back = async {
-                if !self.request.gives_back {
-                    std::future::pending::<()>().await;
+                match &self.request.gives_back_to {
+                    Some(vm) => self.gateway.wait_until_given_back(vm, self.deadline).await,
+                    None => std::future::pending().await,
                 }
-                self.gateway.wait_until_given_back(self.deadline).await;
                 None
             };
             let Some(chunk) = or(next, given_back).await else {
