Try again to resume a stream that another VM refused to go on with

A stream broke off, the VM that was asked for its rest refused, and the stream was cut, although its route allowed another target: the refusal had used up the attempt, and a VM that refuses as `stopping` was asked again.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -182,13 +182,11 @@
                         self.clock.now(),
                     );
                 }
-                // A VM that stops says nothing about the targets, and isn't asked again.
-                if abort.reason == Reason::Stopping.as_str() {
-                    self.admission().record_stopping(&vm.vm, vm.incarnation);
-                } else {
+                // A VM that stops says nothing about the targets.
+                if abort.reason != Reason::Stopping.as_str() {
                     state.rejections += 1;
+                    state.rejection_detail = Some(abort.detail);
                 }
-                state.rejection_detail = Some(abort.detail);
                 None
             }
             HandoverOutcome::Unknown(cause) => {
@@ -230,7 +228,12 @@
         }
         match reply {
             Some(Ok(Body::ResponseHead(head))) => HandoverOutcome::Responded(head, exchange),
-            Some(Ok(Body::Abort(abort))) if abort.did_not_run => HandoverOutcome::Refused(abort),
+            Some(Ok(Body::Abort(abort))) if abort.did_not_run => {
+                if abort.reason == Reason::Stopping.as_str() {
+                    self.admission().record_stopping(&vm.vm, vm.incarnation);
+                }
+                HandoverOutcome::Refused(abort)
+            }
             Some(Ok(Body::Abort(abort))) => HandoverOutcome::Unknown(abort.detail),
             Some(Ok(_)) => HandoverOutcome::Unknown("no head came".to_owned()),
             Some(Err(cause)) => HandoverOutcome::Unknown(cause),
--- a/src/gateway/streaming_body.rs
+++ b/src/gateway/streaming_body.rs
@@ -33,6 +33,9 @@
 /// A stream counts as stalled after this many times the route's objective for a pause.
 const STALL_GAP_OBJECTIVES: u32 = 8;
 
+/// How often a break is followed by a try to resume the stream, where others refuse to.
+const MAX_RESUMPTIONS: u32 = 3;
+
 /// Where the body of a response comes from.
 #[derive(Debug)]
 pub(super) enum BodySource {
@@ -413,7 +416,10 @@
             binding => binding.clone(),
         };
         let last_event_id = event_splitter.last_id().or(self.request.last_event_id);
-        while self.attempts.may_use_new_target() {
+        for _ in 0..MAX_RESUMPTIONS {
+            if !self.attempts.may_use_new_target() {
+                break;
+            }
             let resumed = self
                 .gateway
                 .resume_stream(
--- a/tests/handed_over_stops.rs
+++ b/tests/handed_over_stops.rs
@@ -57,7 +57,7 @@
     ends: EndLines,
     _control: Arc<Control>,
     _data: tempfile::TempDir,
-    _behaviors: Behaviors,
+    behaviors: Behaviors,
 }
 
 /// Counts the lines that a gateway logs of the ends of handed-over requests.
@@ -137,13 +137,7 @@
             software_version: id::SoftwareVersion::from("v1"),
         };
         control.announce(announcement).await.expect("announced");
-        let (sender, _inbound) = smol::channel::bounded(64);
-        let hello = Hello {
-            vm: net.address(4).to_string(),
-            region: "jakarta".to_owned(),
-            ..Hello::default()
-        };
-        let hub = Hub::new(hello, pomelogate::link::Settings::default(), sender);
+        let hub = hub_of(net.address(4));
         let deployment = Self {
             gateway: Some(gateway),
             target,
@@ -152,7 +146,7 @@
             ends,
             _control: control,
             _data: data,
-            _behaviors: behaviors,
+            behaviors,
         };
         eventually("the gateway serves", async || {
             let exchange = deployment.hand_over("ready", "/once/ready").await;
@@ -171,6 +165,12 @@
         drain
     }
 
+    /// Hands a request over under the name of the VM at this place.
+    async fn hand_over_as(&mut self, vm: u8, id: &str, path: &str) -> Exchange {
+        self.hub = hub_of(self.net.address(vm));
+        self.hand_over(id, path).await
+    }
+
     /// Hands a request over, without its body. The timeouts are those of [`ROUTES`].
     async fn begin(&self, id: &str, path: &str) -> Exchange {
         let timeout = if path.starts_with("/short/") { SHORT_TIMEOUT } else { TIMEOUT };
@@ -247,6 +247,13 @@
     }
 }
 
+/// The links of a VM of the other region that is no gateway.
+fn hub_of(vm: Ipv4Addr) -> Arc<Hub> {
+    let (sender, _inbound) = smol::channel::bounded(64);
+    let hello = Hello { vm: vm.to_string(), region: "jakarta".to_owned(), ..Hello::default() };
+    Hub::new(hello, pomelogate::link::Settings::default(), sender)
+}
+
 /// Reads what comes on an exchange until it ends.
 async fn receive(mut exchange: Exchange) -> Got {
     let mut text = Vec::new();
@@ -364,13 +371,22 @@
 }
 
 /// Guards against a stream that could go on elsewhere and is cut so late in a stop that too little is
-/// left of its caller's time. One whose caller's time ends before the gateway does stays.
+/// left of its caller's time.
 #[test]
 fn stopping_gateway_gives_streams_back_while_another_one_can_finish_them() {
     smol::block_on(async {
         let behaviors = [("/resumable/slow", Behavior::EventsOver(TIMEOUT))];
         let mut deployment = Deployment::start(5, &behaviors).await;
-        let exchange = deployment.hand_over("slow", "/resumable/slow").await;
+        // The gateway under whose name the test hands over, and one that could finish the stream.
+        let _sender = deployment.start_other_gateway().await;
+        let spare = settings(deployment.net.address(6), "surabaya", deployment.net.address(1));
+        let _spare = start_gateway_with(spare).await;
+        let gateway = Arc::clone(deployment.gateway.as_ref().expect("it runs").gateway());
+        eventually("it knows both", async || {
+            gateway.metrics_page().text().lines().any(|line| line.ends_with("vms 4"))
+        })
+        .await;
+        let exchange = deployment.hand_over_as(5, "slow", "/resumable/slow").await;
         eventually("it runs", async || deployment.run_count("slow") == 1).await;
         let began_at = Instant::now();
         let drain = deployment.stop().await;
@@ -397,10 +413,11 @@
     let call = deployment.call_other("slow", path, TIMEOUT);
     let stops = async {
         eventually("it runs", async || deployment.run_count("slow") == 1).await;
-        let other_drain = stops_both.then(|| smol::spawn(other.drain()));
-        gateway.drain().await;
-        if let Some(drain) = other_drain {
-            drain.await;
+        if stops_both {
+            futures_util::future::join(other.drain(), gateway.drain()).await;
+        } else {
+            gateway.drain().await;
+            drop(other);
         }
     };
     futures_util::future::join(call, stops).await.0
@@ -500,3 +517,18 @@
         assert_eq!(deployment.ends.0.load(Ordering::Relaxed), logged + 1);
     });
 }
+
+/// Guards against a resumption that another gateway refused and that counts as a run all the same: no
+/// further one may follow, and the stream is cut.
+#[test]
+fn refused_resumption_does_not_use_up_the_targets_of_a_stream() {
+    smol::block_on(async {
+        let deployment = Deployment::start(14, &[]).await;
+        let _other = deployment.start_other_gateway().await;
+        let behaviors = vec![Behavior::EventsThenClose(3), Behavior::Reject, Behavior::AllEvents];
+        let path = "/resumable/broken";
+        deployment.behaviors.lock().expect("behaviors").insert(path.to_owned(), behaviors);
+        let got = deployment.call_other("broken", path, TIMEOUT).await;
+        assert_eq!(got, (200, Some(LAST_EVENT_ID as usize)));
+    });
+}
