Write the last lines of a process's log before it exits

The lines that say what was cut at the end of a stop were missing of 10, 12 and 10 of 40 processes that were told to stop together: the logger hands lines to a thread, and main returned without waiting for it, as tasks that never end hold clones of the logger.

--- a/src/event.rs
+++ b/src/event.rs
@@ -72,12 +72,13 @@
 /// a request.
 const MOST_WAITING: usize = 4096;
 
-/// A logger that writes JSON lines to standard output, each with the name of the VM.
-pub fn stdout_logger(vm: &str) -> Logger {
+/// A logger that writes JSON lines to standard output, each with the name of the VM. Dropping the guard
+/// waits until the lines so far are written.
+pub fn stdout_logger(vm: &str) -> (Logger, slog_async::AsyncGuard) {
     // A line that cannot be written is lost, as there is nowhere to say so; the next one is tried.
     let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
-    let drain = slog_async::Async::new(drain).chan_size(MOST_WAITING).build().ignore_res();
-    Logger::root(drain, o!("vm" => vm.to_owned()))
+    let (drain, guard) = slog_async::Async::new(drain).chan_size(MOST_WAITING).build_with_guard();
+    (Logger::root(drain.ignore_res(), o!("vm" => vm.to_owned())), guard)
 }
 
 /// One field of an event: its name and its value.
