Give the drain on the path of models a time of its own, and answer at its end

Cause, of the class "taken and not waited for, ended without saying how": RunningVm::drain waited for `deadline_ms`, the longest time to a request's first part, for streams that nothing else bounds, and dropped the server at its end.

Change: new setting `stop_grace_ms` (10 min), from SIGTERM to the exit. Half a second before its end, requests at a target get 502, streams an error event and no end, hand-overs an abort that promises nothing; a request whose body is not whole is refused, as it did not run. A quarter of a second is left for writing that. Not taken: the longest of deadline_ms and recent answers (operators have to know when the process ends), no bound at all (a stream may have no end). What this VM cuts does not count against its target.

--- a/src/path/target_response.rs
+++ b/src/path/target_response.rs
@@ -1,5 +1,6 @@
-use std::fmt;
+use std::{convert::Infallible, fmt, pin::pin};
 
+use futures_util::future::{Either, select};
 use hyper::body::Bytes;
 use smol::channel::Receiver;
 
@@ -17,6 +18,7 @@
     body_bytes: usize,
     permit: Option<Permit>,
     on_end: Option<EndCallback>,
+    abort: Option<AbortSignal>,
 }
 
 /// A part of the body of a response.
@@ -30,6 +32,13 @@
     Abort(String),
 }
 
+/// Cuts the body short when its channel closes.
+#[derive(Debug)]
+struct AbortSignal {
+    closes: Receiver<Infallible>,
+    cause: &'static str,
+}
+
 /// Called when the body ends, with whether it is complete.
 struct EndCallback(Box<dyn FnOnce(bool) + Send>);
 
@@ -43,7 +52,7 @@
     /// Creates a response whose body comes through the channel `body`. The last part of a complete
     /// body is [`BodyPart::End`].
     pub fn new(head: ResponseHead, hops: Vec<String>, body: Receiver<BodyPart>) -> Self {
-        Self { head, hops, body, body_bytes: 0, permit: None, on_end: None }
+        Self { head, hops, body, body_bytes: 0, permit: None, on_end: None, abort: None }
     }
 
     /// Adds the permit of the request. When the body ends, the permit is given back with an estimate
@@ -60,10 +69,30 @@
         Self { on_end: Some(EndCallback(Box::new(callback))), ..self }
     }
 
+    /// Cuts the body short with `cause` when `signal` closes before its end. Callbacks are then
+    /// dropped without a call, as the target did not fail.
+    #[must_use]
+    pub fn abort_when(self, signal: Receiver<Infallible>, cause: &'static str) -> Self {
+        Self { abort: Some(AbortSignal { closes: signal, cause }), ..self }
+    }
+
     /// Waits for the next part of the body.
     pub async fn next(&mut self) -> BodyPart {
+        let received = match &self.abort {
+            None => Ok(self.body.recv().await),
+            Some(abort) => match select(pin!(self.body.recv()), pin!(abort.closes.recv())).await {
+                Either::Left((received, _)) => Ok(received),
+                Either::Right(_) => Err(abort.cause),
+            },
+        };
         let channel_closed = |_| BodyPart::Abort("the answer was lost on its way".to_owned());
-        let part = self.body.recv().await.unwrap_or_else(channel_closed);
+        let part = match received {
+            Ok(received) => received.unwrap_or_else(channel_closed),
+            Err(cause) => {
+                self.on_end = None;
+                BodyPart::Abort(cause.to_owned())
+            }
+        };
         match &part {
             BodyPart::Chunk(bytes) => self.body_bytes += bytes.len(),
             BodyPart::End | BodyPart::Abort(_) => {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -17,6 +17,7 @@
 const DIGEST_DIGITS: usize = 64;
 const BODY_BYTES: RangeInclusive<u64> = 1_024..=1_073_741_824;
 const DEADLINE_MS: RangeInclusive<u64> = 1..=86_400_000;
+const STOP_GRACE_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 const CONNECT_MS: RangeInclusive<u64> = 1..=60_000;
 /// The fields whose checks look at one another.
 const ADDRESSING: [&str; 8] =
@@ -243,6 +244,7 @@
     let checks = [
         ("body_limit", count(settings.body_limit), BODY_BYTES, "bytes"),
         ("deadline_ms", settings.deadline_ms, DEADLINE_MS, "milliseconds"),
+        ("stop_grace_ms", settings.stop_grace_ms, STOP_GRACE_MS, "milliseconds"),
         ("link.connect_ms", settings.link.connect_ms, CONNECT_MS, "milliseconds"),
         ("link.queue", count(settings.link.queue), QUEUE_FRAMES, "frames"),
         ("orders.loads", count(settings.orders.loads), ORDER_LOADS, "loads"),
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -49,6 +49,8 @@
     pub body_limit: usize,
     /// Milliseconds until a request's deadline where the caller names none.
     pub deadline_ms: u64,
+    /// Milliseconds from SIGTERM to the exit, within which requests in flight have to end.
+    pub stop_grace_ms: u64,
     /// How the VM writes its log.
     pub log: Log,
     /// Where figures go besides the administration API.
@@ -128,6 +130,11 @@
         Duration::from_millis(self.deadline_ms)
     }
 
+    /// The longest time from SIGTERM to the exit.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_millis(self.stop_grace_ms)
+    }
+
     /// The limits on exchanges with targets.
     pub fn dispatch(&self) -> DispatchLimits {
         DispatchLimits::default()
@@ -175,6 +182,7 @@
             operators: Vec::new(),
             body_limit: 8 * 1024 * 1024,
             deadline_ms: 120_000,
+            stop_grace_ms: 600_000,
             log: Log::default(),
             figures: Figures::default(),
             link: Link::default(),
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -7,6 +7,7 @@
 mod at_most_once;
 mod directory;
 mod gossip;
+mod grace;
 mod handover;
 mod http_routes;
 mod inbound;
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -91,7 +91,8 @@
         let Some(Some(body)) = within(time_left, exchange.collect(body_limit)).await else {
             return;
         };
-        let serving = pin!(self.process_handover(&region, handover, body));
+        let work = self.process_handover(&region, handover, body);
+        let serving = pin!(self.outcome_within_grace(work));
         let outcome = match select(serving, pin!(exchange.receive())).await {
             Either::Left((outcome, _)) => outcome,
             Either::Right(_) => return,
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -3,7 +3,7 @@
     fmt, fs, io,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU32},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{
@@ -41,6 +41,11 @@
 const INBOUND_QUEUE_MESSAGES: usize = 4096;
 /// The memory for responses that are held back until they can go to their callers.
 const BUFFER_BUDGET_BYTES: usize = 8 * 1024 * 1024;
+/// The part of the grace of a stop that is reserved for the exit of the process, after the last
+/// answer of a target.
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// The part of that reserve for the answers to requests that did not end in time.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// One VM: its settings, its state and its links to other VMs.
 #[derive(Debug)]
@@ -72,6 +77,9 @@
     /// Cloned for each request in flight, which [`RunningVm::drain`] waits for; `None` once it waits
     /// for no further ones.
     in_flight_guard: Mutex<Option<Sender<Infallible>>>,
+    /// Dropped at the end of the grace of a stop, which closes `grace_receiver`.
+    pub(super) grace_sender: Mutex<Option<Sender<Infallible>>>,
+    pub(super) grace_receiver: Receiver<Infallible>,
 }
 
 /// A VM with its running tasks; dropping it stops them.
@@ -177,6 +185,7 @@
         let list_sync = load_list_sync(&settings, &mut rng, clock.now())?;
         let (stop, stopped) = Stop::new();
         let (in_flight_guard, requests_ended) = smol::channel::bounded(1);
+        let (grace_sender, grace_receiver) = smol::channel::bounded(1);
         let (name, region) = (settings.vm.clone(), settings.region.clone());
         let routing = RoutingState::new(&settings, rng.random());
         let vm = Arc::new(Self {
@@ -201,6 +210,8 @@
             rng: Mutex::new(rng),
             stopped: stopped.clone(),
             in_flight_guard: Mutex::new(Some(in_flight_guard)),
+            grace_sender: Mutex::new(Some(grace_sender)),
+            grace_receiver,
         });
         let mut tasks = vm.spawn_link_tasks(links, inbound);
         vm.join().await;
@@ -323,21 +334,32 @@
         }
     }
 
-    /// Stops gracefully: accepts no new requests and waits for those in flight, for at most the
-    /// longest time that a request may take.
+    /// Stops gracefully: accepts no new requests and waits for those in flight, at most until the
+    /// end of the grace. Those that have not ended by then get an answer that promises nothing.
     pub async fn drain(self) {
-        event::path::STOPPING.emit(&self.vm.logger, &[]);
-        self.vm.announce_leaving().await;
-        self.stop.stop();
-        let limit = self.vm.settings.deadline();
-        let _ = within(limit, self.server).await;
-        drop(lock(&self.vm.in_flight_guard).take());
-        let _ = within(limit, self.requests_ended.recv()).await;
-        self.vm.hub.close();
-        for task in self.tasks {
+        let Self { vm, tasks, mut server, stop, requests_ended } = self;
+        event::path::STOPPING.emit(&vm.logger, &[]);
+        let stopped_at = vm.clock.now();
+        let grace_ends_at = stopped_at + vm.settings.stop_grace().saturating_sub(EXIT_RESERVE);
+        let time_left = || grace_ends_at.saturating_duration_since(vm.clock.now());
+        let _ = within(time_left(), vm.announce_leaving()).await;
+        stop.stop();
+        let server_ended = within(time_left(), &mut server).await.is_some();
+        drop(lock(&vm.in_flight_guard).take());
+        let _ = within(time_left(), requests_ended.recv()).await;
+        vm.end_grace();
+        let flush_ends_at = vm.clock.now() + FLUSH_TIMEOUT;
+        if !server_ended {
+            let _ = within(FLUSH_TIMEOUT, server).await;
+        }
+        let time_left = flush_ends_at.saturating_duration_since(vm.clock.now());
+        let _ = within(time_left, requests_ended.recv()).await;
+        vm.hub.close();
+        for task in tasks {
             task.cancel().await;
         }
-        event::path::STOPPED.emit(&self.vm.logger, &[]);
+        let took = vm.clock.now().saturating_duration_since(stopped_at);
+        event::path::STOPPED.emit(&vm.logger, &[("took_ms", &took.as_millis())]);
     }
 
     /// Runs until `signal` completes, then stops gracefully.
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -60,10 +60,12 @@
         id: id::Request,
         request: Request<Incoming>,
     ) -> (Outcome<TargetResponse>, Duration) {
-        match self.admit_request(id, request).await {
+        let admitted = self.until_grace_ends(self.admit_request(id, request)).await;
+        match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
             Ok(request) => {
                 let admission_wait = request.stage.queue_time;
-                (self.serve_admitted(request).await, admission_wait)
+                let outcome = self.outcome_within_grace(self.serve_admitted(request)).await;
+                (outcome, admission_wait)
             }
             Err(refusal) => (Outcome::Refused(refusal), Duration::ZERO),
         }
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -40,17 +40,17 @@
 
 impl Setup {
     async fn start() -> Self {
-        Self::start_with_deadline(Settings::default().deadline_ms).await
+        Self::start_with(|settings| settings).await
     }
 
-    async fn start_with_deadline(deadline_ms: u64) -> Self {
+    async fn start_with(change: impl Fn(Settings) -> Settings) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         fs::write(folder.path().join("operator.key"), OPERATOR_KEY).expect("the key written");
         let settings = deployment(&samples(), &[("jakarta", 2), ("surabaya", 1), ("bandung", 1)]);
         let operators = vec![list::hash_key(OPERATOR_KEY)];
         let settings = with_disks(settings, folder.path())
             .into_iter()
-            .map(|settings| Settings { operators: operators.clone(), deadline_ms, ..settings })
+            .map(|settings| change(Settings { operators: operators.clone(), ..settings }))
             .collect();
         let fleet = Fleet::with(settings).await;
         let (jakarta, surabaya) = ([fleet.callers(1)], [fleet.callers(2)]);
@@ -240,10 +240,81 @@
 #[test]
 fn a_vm_told_to_stop_completes_a_stream_that_lasts_longer_than_its_deadline() {
     smol::block_on(async {
-        let setup = Setup::start_with_deadline(2000).await;
+        let setup = Setup::start_with(|settings| Settings { deadline_ms: 2000, ..settings }).await;
         assert!(setup.stream().await.await, "a stream without a stop was cut off");
         let stream = setup.stream().await;
         setup.fleet.vms[0].ask_to_stop();
         assert!(stream.await, "the stream in flight was cut off");
     });
 }
+
+/// Guards against a stopping VM that closes the connection of a stream at its end without a word.
+#[test]
+fn a_stream_in_flight_at_the_end_of_a_stop_ends_with_an_error_event() {
+    smol::block_on(async {
+        let change = |settings| Settings { stop_grace_ms: 2000, ..settings };
+        let mut setup = Setup::start_with(change).await;
+        let (vm, started_before) = (setup.fleet.callers(0), setup.near.0.started());
+        let stream = smol::spawn(async move {
+            let prompt = "word ".repeat(STREAM_WORDS);
+            Caller::new(CUSTOMER_KEY).chat(vm, "planner", &prompt, true).await
+        });
+        eventually("the target runs it", async || setup.near.0.started() > started_before).await;
+        assert_eq!(setup.fleet.vms[0].terminate(), Some(0));
+        let reply = stream.await.expect("the head of a stream");
+        assert_eq!((reply.status, reply.whole), (200, false), "{}", reply.body_text());
+        assert!(reply.body_text().contains("event: error\n"), "{}", reply.body_text());
+    });
+}
+
+/// Guards against a stopping VM that closes connections at its end without an answer.
+#[test]
+fn a_request_at_a_target_at_the_end_of_a_stop_gets_an_answer_that_promises_nothing() {
+    smol::block_on(async {
+        let settings = deployment(&samples(), &[("jakarta", 1)]);
+        let change = |settings| Settings { stop_grace_ms: 2000, ..settings };
+        let mut fleet = Fleet::with(settings.into_iter().map(change).collect()).await;
+        let vm = fleet.callers(0);
+        let pace = Pace { first: PATIENCE, ..SLOW_PACE };
+        let (engine, _reporter) = targets::engine("slow", "jakarta", "planner", &[vm], pace).await;
+        let asked = smol::spawn(async move {
+            loop {
+                // The VM does not know the target at first.
+                match ask(vm).await {
+                    Ok(reply) if reply.status == 503 => {
+                        Timer::after(Duration::from_millis(50)).await
+                    }
+                    answer => return answer,
+                };
+            }
+        });
+        eventually("the target runs it", async || engine.started() > 0).await;
+        assert_eq!(fleet.vms[0].terminate(), Some(0));
+        let reply = asked.await.expect("an answer");
+        assert_eq!((reply.status, reply.outcome()), (502, "unknown"), "{}", reply.body_text());
+    });
+}
+
+/// Guards against a stopping VM that closes the connection on a request whose body is not whole at its
+/// end, so that the caller cannot know that it did not run.
+#[test]
+fn a_request_whose_body_is_not_whole_at_the_end_of_a_stop_is_refused() {
+    smol::block_on(async {
+        let change = |settings| Settings { stop_grace_ms: 2000, ..settings };
+        let mut setup = Setup::start_with(change).await;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer \
+             {CUSTOMER_KEY}\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n{{"
+        );
+        let mut connection = TcpStream::connect(setup.fleet.callers(0)).await.unwrap();
+        connection.write_all(head.as_bytes()).await.unwrap();
+        // The head is read before the VM stops.
+        assert_eq!(ask(setup.fleet.callers(0)).await.unwrap().status, 200);
+        assert_eq!(setup.fleet.vms[0].terminate(), Some(0));
+        let mut response = Vec::new();
+        within(PATIENCE, connection.read_to_end(&mut response)).await.expect("closed").unwrap();
+        let response = String::from_utf8_lossy(&response).to_lowercase();
+        assert!(response.starts_with("http/1.1 503 "), "{response}");
+        assert!(response.contains("\"stopping\""), "{response}");
+    });
+}
