Write what is queued on links before a VM that stops closes them

An answer whose end, abort or last chunk was still queued when a VM closed its links never came: the other VM took it for cut, or told its caller that the request may have run.

Cause, of the class "taken and not waited for": Hub::close ended the driver of each connection at its next step, with frames in its queues and perhaps a part of one written, and nothing could be awaited before the process exited. Bytes that were received and not read also reset the connection, which loses what the other end has not read yet.

Change: Hub::close is async. Connections take no further frames, write those that are queued, end their write side, and read on until the other end has closed, 0.1 s at most; no connection is opened any more. 0.1 s, as a gateway has 0.15 s left after its last answers.

Evidence: link a_hub_that_closes_writes_what_is_queued failed before (exchange 35 of 50: "Closed" instead of its end), passes now, with and without unread bytes.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -478,7 +478,7 @@
         let left_handovers = in_flight();
         gateway.end_handover_grace();
         let _ = within(HANDOVER_FLUSH_TIMEOUT, in_flight_receiver.recv()).await;
-        gateway.hub.close();
+        gateway.hub.close().await;
         let took = gateway.clock.now().saturating_duration_since(stopped_at);
         event::path::STOPPED.emit(
             &gateway.logger,
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use smol::channel::{Receiver, Sender};
+use smol::{
+    channel::{Receiver, Sender},
+    future::or,
+};
 
 use super::{
     CHUNK_OVERHEAD_BYTES, CreditWindow, Error, Exchange, Liveness, MAX_CHUNK_BYTES, Settings,
@@ -47,6 +50,17 @@
     pub(super) bulk_frames: Receiver<Frame>,
 }
 
+impl Queues {
+    /// Waits for the next frame; `None` once both queues are closed and empty.
+    pub(super) async fn next(&self) -> Option<Frame> {
+        let first = or(self.small_frames.recv(), self.bulk_frames.recv()).await;
+        match first.or_else(|_| self.small_frames.try_recv()) {
+            Ok(frame) => Some(frame),
+            Err(_) => self.bulk_frames.recv().await.ok(),
+        }
+    }
+}
+
 /// A connection's part of the state of an exchange.
 #[derive(Debug)]
 pub(super) struct ExchangeState {
--- a/src/link/driver.rs
+++ b/src/link/driver.rs
@@ -1,6 +1,6 @@
-use std::{io, sync::Arc, time::Instant};
+use std::{io, pin::pin, sync::Arc, time::Instant};
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{SinkExt, StreamExt, future::join};
 use prost::{Message, bytes::Bytes};
 use smol::{
     Timer,
@@ -84,7 +84,9 @@
         Ok((connection, driver))
     }
 
-    /// Carries frames until the connection fails, is silent for too long, or `closing` is closed.
+    /// Carries frames until the connection fails, is silent for too long, or `closing` is closed. In
+    /// the last case, takes no further frames, writes those that are queued, and waits until the other
+    /// end has closed as well.
     pub(super) async fn run(
         self,
         inbound: Sender<Inbound>,
@@ -92,7 +94,7 @@
         traffic: Arc<Traffic>,
     ) -> Result<(), Error> {
         let Self { socket, queues, connection, settings, peer_hello, role } = self;
-        let (sink, source) = socket.split();
+        let (sink, mut source) = socket.split();
         let reader = Reader {
             connection: &connection,
             peer_hello: &peer_hello,
@@ -104,11 +106,20 @@
             let _ = closing.recv().await;
             Ok(())
         };
-        let read = reader.run(source);
-        let write = write(sink, queues, &connection, &traffic);
-        let monitor = monitor_liveness(&connection, settings, role);
-        let result = stopped.or(or(read, or(write, monitor))).await;
+        let mut write = pin!(write(sink, queues, &connection, &traffic));
+        let result = {
+            let read = reader.run(&mut source);
+            let monitor = monitor_liveness(&connection, settings, role);
+            stopped.or(or(read, or(write.as_mut(), monitor))).await
+        };
         connection.close();
+        if result.is_ok() {
+            // Bytes that were received and not read would reset the connection, and the other end
+            // could lose what was written.
+            let discard = async { while let Some(Ok(_)) = source.next().await {} };
+            let close = join(write, discard);
+            let _ = within(settings.silence_timeout, close).await;
+        }
         result
     }
 }
@@ -121,6 +132,7 @@
     }
 }
 
+/// Writes the frames of both queues until these are closed and empty, and then ends the stream.
 async fn write(
     mut sink: FrameSink,
     queues: Queues,
@@ -128,8 +140,10 @@
     traffic: &Traffic,
 ) -> Result<(), Error> {
     loop {
-        let frame = or(queues.small_frames.recv(), queues.bulk_frames.recv()).await;
-        let frame = frame.map_err(|_| Error::Closed)?;
+        let Some(frame) = queues.next().await else {
+            let _ = sink.close().await;
+            return Err(Error::Closed);
+        };
         sink.send(encode(&frame)).await.map_err(|_| Error::Closed)?;
         traffic.count(&frame);
         connection.liveness().record_sent(Instant::now());
@@ -174,7 +188,7 @@
 }
 
 impl Reader<'_> {
-    async fn run(mut self, mut source: FrameSource) -> Result<(), Error> {
+    async fn run(mut self, source: &mut FrameSource) -> Result<(), Error> {
         while let Some(bytes) = source.next().await {
             let bytes = bytes.map_err(|cause| match cause.kind() {
                 io::ErrorKind::InvalidData => Error::Protocol("a frame beyond the size limit"),
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::HashMap,
+    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{
@@ -30,6 +31,8 @@
 
 /// How often opening an exchange is attempted if the connection ends meanwhile.
 const MAX_OPEN_ATTEMPTS: usize = 3;
+/// How long connections may take to write what is queued once the hub closes.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// All connections of one VM to other VMs.
 #[derive(Debug)]
@@ -43,6 +46,10 @@
     expected_vms: Mutex<HashMap<SocketAddr, id::Vm>>,
     close_sender: Sender<()>,
     closing: Receiver<()>,
+    /// Cloned for each connection; `None` once the hub closes.
+    connection_guard: Mutex<Option<Sender<Infallible>>>,
+    /// Closes when no connection holds a guard any more.
+    connections_ended: Receiver<Infallible>,
     traffic: Arc<Traffic>,
 }
 
@@ -69,6 +76,7 @@
         logger: Logger,
     ) -> Arc<Self> {
         let (close_sender, closing) = smol::channel::bounded(1);
+        let (connection_guard, connections_ended) = smol::channel::bounded(1);
         Arc::new(Self {
             hello,
             settings,
@@ -79,6 +87,8 @@
             expected_vms: Mutex::default(),
             close_sender,
             closing,
+            connection_guard: Mutex::new(Some(connection_guard)),
+            connections_ended,
             traffic: Arc::default(),
         })
     }
@@ -112,9 +122,12 @@
         &self.traffic
     }
 
-    /// Closes all connections.
-    pub fn close(&self) {
+    /// Closes all connections, and returns once they have ended: each writes what is queued, and waits
+    /// until the other end has read it, for a short time at most. No connection is opened any more.
+    pub async fn close(&self) {
+        drop(lock(&self.connection_guard).take());
         self.close_sender.close();
+        let _ = within(CLOSE_TIMEOUT, self.connections_ended.recv()).await;
     }
 
     /// Sends a message without a reply, and dials `to` first if no connection is open.
@@ -210,6 +223,9 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<Arc<Connection>, Error> {
+        if self.close_sender.is_closed() {
+            return Err(Error::Unreachable(to, io::Error::other("this VM closes its links")));
+        }
         let slot = self.slot(to);
         let mut current = slot.connection.lock().await;
         if let Some(connection) = current.as_ref().filter(|connection| connection.is_open()) {
@@ -265,10 +281,12 @@
     }
 
     fn run(&self, driver: Driver) {
+        let Some(guard) = lock(&self.connection_guard).clone() else { return };
         let logger = self.logger.clone();
         let other = driver.peer_hello.vm.clone();
         let run = driver.run(self.inbound.clone(), self.closing.clone(), Arc::clone(&self.traffic));
         let run = async move {
+            let _guard = guard;
             let event = match run.await {
                 Err(Error::Silent) => event::links::SILENT,
                 Err(Error::Protocol(what)) => {
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -327,7 +327,7 @@
 
     /// Stops at once, like a crash: requests in flight are cut off.
     pub async fn stop(self) {
-        self.vm.hub.close();
+        self.vm.hub.close().await;
         self.server.cancel().await;
         for task in self.tasks {
             task.cancel().await;
@@ -354,7 +354,7 @@
         }
         let time_left = flush_ends_at.saturating_duration_since(vm.clock.now());
         let _ = within(time_left, requests_ended.recv()).await;
-        vm.hub.close();
+        vm.hub.close().await;
         for task in tasks {
             task.cancel().await;
         }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use pomelogate::{
     link::{Error, Exchange, Hub, Inbound, Liveness, LivenessAction, Settings},
-    wire::{Body, Chunk, Frame, Handover, Hello, Topic},
+    wire::{Abort, Body, Chunk, End, Frame, Handover, Hello, Topic},
 };
 use prost::{Message, bytes::Bytes};
 use smol::{
@@ -497,3 +497,43 @@
     }
     assert!(urgent_heartbeats > 0);
 }
+
+// Guards against an answer whose end was queued and never came, as the VM that sent it closed its
+// links and exited: the other VM took it for cut, or for a request that may have run.
+#[test]
+fn a_hub_that_closes_writes_what_is_queued() {
+    const EXCHANGES: usize = 50;
+    let chunk = || Body::Chunk(Chunk { bytes: Bytes::from(vec![7; 16 * 1024]) });
+    // Bytes that the closing end has not read would reset its connection.
+    for both_send in [false, true] {
+        smol::block_on(async {
+            let (dialer, acceptor) = (start_vm("dialer").await, start_vm("acceptor").await);
+            let (mut ours, mut theirs) = (Vec::new(), Vec::new());
+            for _ in 0..EXCHANGES {
+                let ends = open_exchange(&dialer, &acceptor, acceptor.address).await;
+                ours.push(ends.0);
+                theirs.push(ends.1);
+            }
+            for (place, exchange) in theirs.iter_mut().enumerate() {
+                exchange.send(chunk()).await.unwrap();
+                let last =
+                    if place % 2 == 0 { Body::End(End {}) } else { Body::Abort(Abort::default()) };
+                exchange.send(last).await.unwrap();
+            }
+            if both_send {
+                for exchange in &mut ours {
+                    exchange.send(chunk()).await.unwrap();
+                }
+            }
+            acceptor.hub.close().await;
+            theirs.into_iter().for_each(Exchange::finish);
+            for (place, exchange) in ours.iter_mut().enumerate() {
+                let first = within("a chunk", exchange.receive()).await;
+                assert!(matches!(first, Ok(Body::Chunk(_))), "{place}: {first:?}");
+                let last = within("the end", exchange.receive()).await;
+                let is_last = matches!(last, Ok(Body::End(_) | Body::Abort(_)));
+                assert!(is_last, "{place}: {last:?}");
+            }
+        });
+    }
+}
