Never lose the cancellation of a dropped exchange

Cause: Exchange::drop queued its cancellation with try_send, which drops it where the queue of small frames is full, for instance when many callers leave together.

Change: a cancellation that finds the queue full waits for a place in a task of its own. There is at most one for each exchange.

Evidence: link every_dropped_exchange_is_cancelled_however_short_the_queue (50 exchanges dropped together, a queue of one frame) failed before (a cancellation never came within 30 s), passes now.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -8,7 +8,7 @@
 };
 
 use smol::{
-    channel::{Receiver, Sender},
+    channel::{Receiver, Sender, TrySendError},
     future::or,
 };
 
@@ -186,6 +186,17 @@
         let _ = self.queue_for(&frame).try_send(frame);
     }
 
+    /// Queues a frame that must not be lost, after this returns if the queue is full.
+    pub(super) fn write_detached(self: &Arc<Self>, frame: Frame) {
+        if let Err(TrySendError::Full(frame)) = self.queue_for(&frame).try_send(frame) {
+            let connection = Arc::clone(self);
+            smol::spawn(async move {
+                let _ = connection.write(frame).await;
+            })
+            .detach();
+        }
+    }
+
     pub(super) fn remove_exchange(&self, exchange_id: u64) {
         self.exchanges().remove(&exchange_id);
     }
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -115,7 +115,7 @@
     fn drop(&mut self) {
         self.connection.remove_exchange(self.id);
         if !self.ended {
-            self.connection.try_write(Frame::new(self.id, Body::Cancel(End {})));
+            self.connection.write_detached(Frame::new(self.id, Body::Cancel(End {})));
         }
     }
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -537,3 +537,26 @@
         });
     }
 }
+
+// Guards against a VM that works on for callers who have left: the cancellations of exchanges that
+// were dropped together were lost where the queue was full.
+#[test]
+fn every_dropped_exchange_is_cancelled_however_short_the_queue() {
+    const EXCHANGES: usize = 50;
+    smol::block_on(async {
+        let settings = Settings { max_queued_frames: 1, ..Settings::default() };
+        let (dialer, acceptor) =
+            (start_vm_with("dialer", settings).await, start_vm_with("acceptor", settings).await);
+        let (mut ours, mut theirs) = (Vec::new(), Vec::new());
+        for _ in 0..EXCHANGES {
+            let ends = open_exchange(&dialer, &acceptor, acceptor.address).await;
+            ours.push(ends.0);
+            theirs.push(ends.1);
+        }
+        drop(ours);
+        for (place, exchange) in theirs.iter_mut().enumerate() {
+            let body = within("the cancellation", exchange.receive()).await;
+            assert!(matches!(body, Ok(Body::Cancel(_))), "{place}: {body:?}");
+        }
+    });
+}
