--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use smol::channel::{Receiver, Sender};
+use smol::{
+    channel::{Receiver, Sender, TrySendError},
+    future::or,
+};
 
 use super::{
     CHUNK_OVERHEAD_BYTES, CreditWindow, Error, Exchange, Liveness, MAX_CHUNK_BYTES, Settings,
@@ -47,6 +50,17 @@
     pub(super) bulk_frames: Receiver<Frame>,
 }
 
+impl Queues {
+    /// Waits for the next frame; `None` once both queues are closed and empty.
+    pub(super) async fn next(&self) -> Option<Frame> {
+        let first = or(self.small_frames.recv(), self.bulk_frames.recv()).await;
+        match first.or_else(|_| self.small_frames.try_recv()) {
+            Ok(frame) => Some(frame),
+            Err(_) => self.bulk_frames.recv().await.ok(),
+        }
+    }
+}
+
 /// A connection's part of the state of an exchange.
 #[derive(Debug)]
 pub(super) struct ExchangeState {
@@ -172,6 +186,17 @@
         let _ = self.queue_for(&frame).try_send(frame);
     }
 
+    /// Queues a frame that must not be lost, after this returns if the queue is full.
+    pub(super) fn write_detached(self: &Arc<Self>, frame: Frame) {
+        if let Err(TrySendError::Full(frame)) = self.queue_for(&frame).try_send(frame) {
+            let connection = Arc::clone(self);
+            smol::spawn(async move {
+                let _ = connection.write(frame).await;
+            })
+            .detach();
+        }
+    }
+
     pub(super) fn remove_exchange(&self, exchange_id: u64) {
         self.exchanges().remove(&exchange_id);
     }
