--- a/src/path/target_response.rs
+++ b/src/path/target_response.rs
@@ -19,6 +19,7 @@
     permit: Option<Permit>,
     on_end: Option<EndCallback>,
     abort: Option<AbortSignal>,
+    on_abort: Option<AbortCallback>,
 }
 
 /// A part of the body of a response.
@@ -32,6 +33,9 @@
     Abort(String),
 }
 
+/// Called when the body is cut short, with the cause.
+struct AbortCallback(Box<dyn FnOnce(&str) + Send>);
+
 /// Cuts the body short when its channel closes.
 #[derive(Debug)]
 struct AbortSignal {
@@ -42,6 +46,12 @@
 /// Called when the body ends, with whether it is complete.
 struct EndCallback(Box<dyn FnOnce(bool) + Send>);
 
+impl fmt::Debug for AbortCallback {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("AbortCallback")
+    }
+}
+
 impl fmt::Debug for EndCallback {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Watch")
@@ -52,7 +62,16 @@
     /// Creates a response whose body comes through the channel `body`. The last part of a complete
     /// body is [`BodyPart::End`].
     pub fn new(head: ResponseHead, hops: Vec<String>, body: Receiver<BodyPart>) -> Self {
-        Self { head, hops, body, body_bytes: 0, permit: None, on_end: None, abort: None }
+        Self {
+            head,
+            hops,
+            body,
+            body_bytes: 0,
+            permit: None,
+            on_end: None,
+            abort: None,
+            on_abort: None,
+        }
     }
 
     /// Adds the permit of the request. When the body ends, the permit is given back with an estimate
@@ -69,6 +88,12 @@
         Self { on_end: Some(EndCallback(Box::new(callback))), ..self }
     }
 
+    /// Calls `callback` with the cause if the body is cut short.
+    #[must_use]
+    pub fn on_abort(self, callback: impl FnOnce(&str) + Send + 'static) -> Self {
+        Self { on_abort: Some(AbortCallback(Box::new(callback))), ..self }
+    }
+
     /// Cuts the body short with `cause` when `signal` closes before its end. Callbacks are then
     /// dropped without a call, as the target did not fail.
     #[must_use]
@@ -100,6 +125,11 @@
                 if let Some(EndCallback(callback)) = self.on_end.take() {
                     callback(part == BodyPart::End);
                 }
+                if let (BodyPart::Abort(cause), Some(AbortCallback(callback))) =
+                    (&part, self.on_abort.take())
+                {
+                    callback(cause);
+                }
             }
         }
         part
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -1,16 +1,20 @@
 //! Hand-over of requests between VMs: sends a request to a VM of another region, and serves those
 //! that other VMs hand over.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::{Either, select};
 use hyper::{Method, body::Bytes};
 use smol::channel::Sender;
 
-use super::{Vm, serve::stopping_refusal};
+use super::{Vm, handover_end::HandoverEnd, serve::stopping_refusal};
 use crate::{
     clock::within,
-    id,
+    event, id,
     link::Exchange,
     outcome::{Outcome, Reason, Refusal, UnknownOutcome},
     path::{self, Admitted, BodyPart, Class, Resolved, TargetResponse},
@@ -30,6 +34,14 @@
 /// How long the other VM may take to confirm that it read the end of an answer.
 const END_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A request that another VM handed over.
+#[derive(Debug)]
+struct ReceivedHandover {
+    request: id::Request,
+    from: id::Vm,
+    received_at: Instant,
+}
+
 impl Vm {
     /// Whether the request may be handed over to another region.
     pub(super) fn may_hand_over(&self, request: &path::Request<Admitted>) -> bool {
@@ -78,28 +90,67 @@
     /// Serves a request that another VM handed over. Serving stops when that VM closes the exchange.
     pub(super) async fn serve_handover(
         self: Arc<Self>,
-        _from: id::Vm,
+        from: id::Vm,
         region: id::Region,
         handover: Handover,
         mut exchange: Exchange,
     ) {
-        let _busy = self.in_flight_guard();
-        let start = self.clock.now();
-        let (request, customer) = (handover.request_id.clone(), handover.customer.clone());
+        let received = ReceivedHandover {
+            request: id::Request::from(handover.request_id.as_str()),
+            from,
+            received_at: self.clock.now(),
+        };
+        // The process may exit at once, as it no longer waits for what begins now.
+        let Some(_in_flight) = self.in_flight_guard() else {
+            return self.refuse_handover(received, exchange, stopping_refusal()).await;
+        };
+        let customer = id::Customer::from(handover.customer.as_str());
         let body_limit = self.settings.body_limit;
         let time_left = Duration::from_millis(handover.deadline_ms);
-        let Some(Some(body)) = within(time_left, exchange.collect(body_limit)).await else {
-            return;
+        let body = within(time_left, exchange.collect(body_limit));
+        let body = match self.until_grace_ends(body).await {
+            Some(Some(Some(body))) => body,
+            Some(_) => {
+                return self.refuse_handover(received, exchange, incomplete_body()).await;
+            }
+            None => return self.refuse_handover(received, exchange, stopping_refusal()).await,
         };
         let work = self.process_handover(&region, handover, body);
         let serving = pin!(self.outcome_within_grace(work));
         let outcome = match select(serving, pin!(exchange.receive())).await {
             Either::Left((outcome, _)) => outcome,
-            Either::Right(_) => return,
+            Either::Right((frame, _)) => {
+                return self.log_handover_end(&received, &HandoverEnd::of_frame(&frame));
+            }
         };
-        let way = self.received_handover_way(request.into(), customer.into(), &outcome);
-        let was_complete = send_outcome(exchange, outcome).await;
-        self.record_handover_end(way, start, was_complete);
+        let way = self.received_handover_way(received.request.clone(), customer, &outcome);
+        let end = send_outcome(exchange, outcome).await;
+        self.record_handover_end(way, received.received_at, end.is_complete());
+        self.log_handover_end(&received, &end);
+    }
+
+    async fn refuse_handover(
+        &self,
+        received: ReceivedHandover,
+        exchange: Exchange,
+        refusal: Refusal,
+    ) {
+        let end = send_outcome(exchange, Outcome::Refused(refusal)).await;
+        self.log_handover_end(&received, &end);
+    }
+
+    fn log_handover_end(&self, received: &ReceivedHandover, end: &HandoverEnd) {
+        let took = self.clock.now().saturating_duration_since(received.received_at);
+        event::path::TAKEN_OVER.emit(
+            &self.logger,
+            &[
+                ("request", &received.request),
+                ("from", &received.from),
+                ("outcome", end),
+                ("stopping", &self.is_stopping()),
+                ("took_ms", &took.as_millis()),
+            ],
+        );
     }
 
     async fn process_handover(
@@ -196,18 +247,18 @@
     }
 }
 
-/// Sends the outcome to the VM that handed the request over. Stops when that VM closes the
-/// exchange. Returns whether the whole outcome was sent.
-async fn send_outcome(mut exchange: Exchange, outcome: Outcome<TargetResponse>) -> bool {
+/// Sends the outcome to the VM that handed the request over. Stops when that VM closes the exchange.
+async fn send_outcome(mut exchange: Exchange, outcome: Outcome<TargetResponse>) -> HandoverEnd {
     let mut answer = match outcome {
         Outcome::Answered(answer) => answer,
         Outcome::Refused(refusal) => {
             let _ = exchange.send(Body::Abort(refusal_abort(&refusal))).await;
-            return true;
+            return HandoverEnd::Refused(refusal.detail);
         }
         Outcome::Unknown(cause) => {
+            let detail = cause.detail.clone();
             let _ = exchange.send(Body::Abort(unknown_abort(cause))).await;
-            return true;
+            return HandoverEnd::Unknown(detail);
         }
     };
     let mut head = std::mem::take(&mut answer.head);
@@ -215,31 +266,38 @@
         name: path::WAY.to_owned(),
         value: answer.hops.join(" > ").into_bytes(),
     });
-    if exchange.send(Body::ResponseHead(head)).await.is_err() {
-        return false;
+    if let Err(cause) = exchange.send(Body::ResponseHead(head)).await {
+        return HandoverEnd::of_error(&cause);
     }
     loop {
         let part = match select(pin!(answer.next()), pin!(exchange.receive())).await {
             Either::Left((part, _)) => part,
-            Either::Right(_) => return false,
+            Either::Right((frame, _)) => return HandoverEnd::of_frame(&frame),
         };
-        let is_last = !matches!(part, BodyPart::Chunk(_));
-        let is_complete = part == BodyPart::End;
-        let body = match part {
-            BodyPart::Chunk(bytes) => Body::Chunk(Chunk { bytes }),
-            BodyPart::End => Body::End(End {}),
-            BodyPart::Abort(cause) => Body::Abort(unknown_abort(cause.into())),
+        let (body, broken) = match part {
+            BodyPart::Chunk(bytes) => {
+                if let Err(cause) = exchange.send(Body::Chunk(Chunk { bytes })).await {
+                    return HandoverEnd::of_error(&cause);
+                }
+                continue;
+            }
+            BodyPart::End => (Body::End(End {}), None),
+            BodyPart::Abort(cause) => {
+                (Body::Abort(unknown_abort(cause.clone().into())), Some(cause))
+            }
         };
-        if exchange.send(body).await.is_err() {
-            return false;
+        if let Err(cause) = exchange.send(body).await {
+            return HandoverEnd::of_error(&cause);
         }
-        if is_last {
-            // Without this wait, a VM that stops could close its links before the other VM has read
-            // the end.
-            let _ = within(END_READ_TIMEOUT, exchange.receive()).await;
-            exchange.finish();
-            return is_complete;
+        let way = answer.hops.join(" > ");
+        if let Some(cause) = broken {
+            return HandoverEnd::BrokenOff { way, cause };
         }
+        // Without this wait, a VM that stops could close its links before the other VM has read the
+        // end. An abort is not confirmed.
+        let end_read = within(END_READ_TIMEOUT, exchange.receive()).await.is_some();
+        exchange.finish();
+        return HandoverEnd::Answered { way, end_read };
     }
 }
 
@@ -354,6 +412,10 @@
     })
 }
 
+fn incomplete_body() -> Refusal {
+    Refusal::new(Reason::Malformed, "the body did not come whole from the other VM", "try again")
+}
+
 fn malformed_handover() -> Refusal {
     Refusal::new(
         Reason::Malformed,
--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -44,7 +44,7 @@
         event::path::REQUEST
             .emit(&self.logger, &[("request", &id), ("outcome", &OutcomeName(&outcome))]);
         let mut response = match outcome {
-            Outcome::Answered(answer) => path::relay(&id, answer),
+            Outcome::Answered(answer) => path::relay(&id, self.log_abort(&id, answer)),
             Outcome::Refused(refusal) => path::refusal_response(&id, &refusal),
             Outcome::Unknown(cause) => path::unknown_outcome_response(&id, &cause),
         };
@@ -55,6 +55,14 @@
         response
     }
 
+    /// Logs why the body of `answer` was cut short, if it is.
+    fn log_abort(&self, id: &id::Request, answer: TargetResponse) -> TargetResponse {
+        let (logger, id) = (self.logger.clone(), id.clone());
+        answer.on_abort(move |cause| {
+            event::path::BROKEN_OFF.emit(&logger, &[("request", &id), ("cause", &cause)]);
+        })
+    }
+
     async fn admit_and_serve(
         self: &Arc<Self>,
         id: id::Request,
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -7,10 +7,13 @@
 use hyper::Method;
 use pomelogate::{
     clock::within,
-    id, list,
+    id,
+    link::{self, Hub},
+    list,
     settings::Settings,
     standin::{Caller, Engine, Pace, Reporter, deployment, with_disks},
     vm::Directory,
+    wire::{Abort, Body, Handover, Hello},
 };
 use smol::{
     Timer,
@@ -318,3 +321,60 @@
         assert!(response.contains("\"stopping\""), "{response}");
     });
 }
+
+/// Guards against a VM that drops a hand-over whose body is not whole, be it late or cut by a stop: the
+/// other VM then told its caller that the request may have run.
+#[test]
+fn a_handed_over_request_whose_body_is_not_whole_is_refused_as_one_that_did_not_run() {
+    smol::block_on(async {
+        let change = |settings| Settings { stop_grace_ms: 2000, ..settings };
+        let mut setup = Setup::start_with(change).await;
+        let hello = Hello { vm: "other".into(), region: "bandung".into(), ..Hello::default() };
+        let (inbound, _messages) = smol::channel::bounded(64);
+        let hub = Hub::new(hello, link::Settings::default(), inbound);
+        let links = setup.fleet.vms[2].settings.links;
+        let begin = async |deadline_ms| {
+            let handover = Handover { deadline_ms, ..Handover::default() };
+            hub.hand_over(links, handover).await.expect("a link")
+        };
+        let mut late = begin(300).await;
+        let got = within(PATIENCE, late.receive()).await.expect("an answer");
+        let refused = matches!(&got, Ok(Body::Abort(Abort { did_not_run: true, .. })));
+        assert!(refused, "{got:?}");
+        let mut cut = begin(60_000).await;
+        assert_eq!(setup.fleet.vms[2].terminate(), Some(0));
+        let got = within(PATIENCE, cut.receive()).await.expect("an answer");
+        let Ok(Body::Abort(abort)) = got else { panic!("{got:?}") };
+        assert_eq!((abort.did_not_run, abort.reason.as_str()), (true, "\"stopping\""));
+    });
+}
+
+/// Guards against a stream that is cut as one of the two VMs that it crosses is told to stop, or both.
+#[test]
+fn a_stream_that_was_handed_over_is_whole_whichever_of_its_vms_is_told_to_stop() {
+    const CALLERS_VM: usize = 3;
+    const SERVING_VM: usize = 2;
+    for stopped in [&[SERVING_VM][..], &[CALLERS_VM], &[SERVING_VM, CALLERS_VM]] {
+        smol::block_on(async {
+            let change = |settings| Settings { deadline_ms: 2000, ..settings };
+            let setup = Setup::start_with(change).await;
+            setup.stop(&["announce", "target", "near"]).await;
+            let (vm, started_before) = (setup.fleet.callers(CALLERS_VM), setup.far.0.started());
+            let stream = smol::spawn(async move {
+                let prompt = "word ".repeat(STREAM_WORDS);
+                Caller::new(CUSTOMER_KEY).chat(vm, "planner", &prompt, true).await.unwrap()
+            });
+            eventually("the other region's target runs it", async || {
+                setup.far.0.started() > started_before
+            })
+            .await;
+            for place in stopped {
+                setup.fleet.vms[*place].ask_to_stop();
+            }
+            let reply = stream.await;
+            assert!(reply.way().contains(" > surabaya-1 > far"), "{}", reply.way());
+            let is_whole = reply.whole && reply.body_text().trim_end().ends_with("data: [DONE]");
+            assert!(is_whole, "{stopped:?}: {}", reply.body_text());
+        });
+    }
+}
