Read the body of a request that a stopping VM refuses, on the path of models

A caller that was still sending its body to a VM under a stop got a reset instead of the 503 that names another VM.

Cause, of the class "a close with unread bytes loses what was written": admit_request returned before the body was read, and hyper closes the connection after the response.

Change: what still comes of the body of a refused request is read and discarded (http::discard), for at most 5 s. It holds for every refusal before the body is read, whatever its reason.

Evidence: planned_stops a_caller_that_is_still_sending_its_body_gets_the_refusal_of_a_stop failed before ("Broken pipe" at the second of 32 pieces), passes now.

--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -7,8 +7,9 @@
 
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Bytes, Incoming},
+    body::{Body as _, Bytes, Incoming},
     header::{CONNECTION, HeaderValue},
+    http::request::Parts,
 };
 use smol::Timer;
 
@@ -26,6 +27,8 @@
 };
 
 const MAX_ATTEMPTS_PER_VM: u32 = 3;
+/// How long the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a batch request waits before it looks for a target again.
 const BATCH_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a crash suspect waits before it looks again for a target that runs no other suspect.
@@ -68,23 +71,27 @@
         id: id::Request,
         request: Request<Incoming>,
     ) -> (Outcome<TargetResponse>, Duration) {
-        let admitted = self.until_grace_ends(self.admit_request(id, request)).await;
+        let (head, mut body) = request.into_parts();
+        let admitted = self.until_grace_ends(self.admit_request(id, head, &mut body)).await;
         match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
             Ok(request) => {
                 let admission_wait = request.stage.queue_time;
                 let outcome = self.outcome_within_grace(self.serve_admitted(request)).await;
                 (outcome, admission_wait)
             }
-            Err(refusal) => (Outcome::Refused(refusal), Duration::ZERO),
+            Err(refusal) => {
+                discard_rest(body);
+                (Outcome::Refused(refusal), Duration::ZERO)
+            }
         }
     }
 
     async fn admit_request(
         &self,
         id: id::Request,
-        request: Request<Incoming>,
+        head: Parts,
+        body: &mut Incoming,
     ) -> Result<path::Request<Admitted>, Refusal> {
-        let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         if self.is_stopping() {
             return Err(self.add_redirect(stopping_refusal(), &[], &path));
@@ -137,11 +144,10 @@
         }
     }
 
-    async fn read_body(&self, mut body: Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
+    async fn read_body(&self, body: &mut Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
         let limit = self.settings.body_limit;
-        let read = within(time_left, http::collect(&mut body, limit))
-            .await
-            .ok_or_else(deadline_refusal)?;
+        let read =
+            within(time_left, http::collect(body, limit)).await.ok_or_else(deadline_refusal)?;
         read.map_err(|incomplete| match incomplete {
             CollectError::TooLarge => Refusal::new(
                 Reason::TooLarge,
@@ -276,6 +282,13 @@
     }
 }
 
+/// Reads what still comes of the body of a refused request, so that its caller gets the refusal.
+fn discard_rest(body: Incoming) {
+    if !body.is_end_stream() {
+        smol::spawn(within(DISCARD_TIMEOUT, http::discard(body))).detach();
+    }
+}
+
 /// Returns `answer` with a callback at its end, which completes the attempt, or checks whether the
 /// target died if the answer broke off.
 fn watch_completion(answer: TargetResponse, attempt: TargetAttempt) -> TargetResponse {
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -378,3 +378,31 @@
         });
     }
 }
+
+/// Guards against a refusal that its caller does not get: a connection that is closed while its body
+/// still arrives is reset.
+#[test]
+fn a_caller_that_is_still_sending_its_body_gets_the_refusal_of_a_stop() {
+    const PIECE: [u8; 64 * 1024] = [b' '; 64 * 1024];
+    const PIECES: usize = 32;
+    smol::block_on(async {
+        let setup = Setup::start().await;
+        setup.stop(&["announce", "vm", "jakarta-1"]).await;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer \
+             {CUSTOMER_KEY}\r\ncontent-length: {}\r\n\r\n",
+            PIECES * PIECE.len()
+        );
+        let mut connection = TcpStream::connect(setup.fleet.callers(0)).await.unwrap();
+        connection.write_all(head.as_bytes()).await.unwrap();
+        for piece in 0..PIECES {
+            Timer::after(Duration::from_millis(10)).await;
+            let written = connection.write_all(&PIECE).await;
+            assert!(written.is_ok(), "piece {piece}: {written:?}");
+        }
+        let mut response = Vec::new();
+        within(PATIENCE, connection.read_to_end(&mut response)).await.expect("closed").unwrap();
+        let response = String::from_utf8_lossy(&response).to_lowercase();
+        assert!(response.starts_with("http/1.1 503 "), "{response}");
+    });
+}
