--- a/src/vm/serve.rs
+++ b/src/vm/serve.rs
@@ -7,8 +7,9 @@
 
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Bytes, Incoming},
+    body::{Body as _, Bytes, Incoming},
     header::{CONNECTION, HeaderValue},
+    http::request::Parts,
 };
 use smol::Timer;
 
@@ -26,6 +27,8 @@
 };
 
 const MAX_ATTEMPTS_PER_VM: u32 = 3;
+/// How long the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a batch request waits before it looks for a target again.
 const BATCH_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a crash suspect waits before it looks again for a target that runs no other suspect.
@@ -44,7 +47,7 @@
         event::path::REQUEST
             .emit(&self.logger, &[("request", &id), ("outcome", &OutcomeName(&outcome))]);
         let mut response = match outcome {
-            Outcome::Answered(answer) => path::relay(&id, answer),
+            Outcome::Answered(answer) => path::relay(&id, self.log_abort(&id, answer)),
             Outcome::Refused(refusal) => path::refusal_response(&id, &refusal),
             Outcome::Unknown(cause) => path::unknown_outcome_response(&id, &cause),
         };
@@ -55,28 +58,40 @@
         response
     }
 
+    /// Logs why the body of `answer` was cut short, if it is.
+    fn log_abort(&self, id: &id::Request, answer: TargetResponse) -> TargetResponse {
+        let (logger, id) = (self.logger.clone(), id.clone());
+        answer.on_abort(move |cause| {
+            event::path::BROKEN_OFF.emit(&logger, &[("request", &id), ("cause", &cause)]);
+        })
+    }
+
     async fn admit_and_serve(
         self: &Arc<Self>,
         id: id::Request,
         request: Request<Incoming>,
     ) -> (Outcome<TargetResponse>, Duration) {
-        let admitted = self.until_grace_ends(self.admit_request(id, request)).await;
+        let (head, mut body) = request.into_parts();
+        let admitted = self.until_grace_ends(self.admit_request(id, head, &mut body)).await;
         match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
             Ok(request) => {
                 let admission_wait = request.stage.queue_time;
                 let outcome = self.outcome_within_grace(self.serve_admitted(request)).await;
                 (outcome, admission_wait)
             }
-            Err(refusal) => (Outcome::Refused(refusal), Duration::ZERO),
+            Err(refusal) => {
+                discard_rest(body);
+                (Outcome::Refused(refusal), Duration::ZERO)
+            }
         }
     }
 
     async fn admit_request(
         &self,
         id: id::Request,
-        request: Request<Incoming>,
+        head: Parts,
+        body: &mut Incoming,
     ) -> Result<path::Request<Admitted>, Refusal> {
-        let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         if self.is_stopping() {
             return Err(self.add_redirect(stopping_refusal(), &[], &path));
@@ -129,11 +144,10 @@
         }
     }
 
-    async fn read_body(&self, mut body: Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
+    async fn read_body(&self, body: &mut Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
         let limit = self.settings.body_limit;
-        let read = within(time_left, http::collect(&mut body, limit))
-            .await
-            .ok_or_else(deadline_refusal)?;
+        let read =
+            within(time_left, http::collect(body, limit)).await.ok_or_else(deadline_refusal)?;
         read.map_err(|incomplete| match incomplete {
             CollectError::TooLarge => Refusal::new(
                 Reason::TooLarge,
@@ -268,6 +282,13 @@
     }
 }
 
+/// Reads what still comes of the body of a refused request, so that its caller gets the refusal.
+fn discard_rest(body: Incoming) {
+    if !body.is_end_stream() {
+        smol::spawn(within(DISCARD_TIMEOUT, http::discard(body))).detach();
+    }
+}
+
 /// Returns `answer` with a callback at its end, which completes the attempt, or checks whether the
 /// target died if the answer broke off.
 fn watch_completion(answer: TargetResponse, attempt: TargetAttempt) -> TargetResponse {
