Let a displaced engine that goes on return to its address

It went on to check in, and each check-in was answered 200 without an effect.

Cause: the way back opens once all records that keep an engine out are silent. One of them is the engine's own, gone and replaced, and an announcement counts as one of a record if it is of the same run and not older. So the engine renewed its own end with each announcement by which it asked to return. The class: a record is taken for the word of whoever it is about.

Change: TakeOver::received decides on it, as Withdraw::received does on withdrawals. What a target says with a number above that of its end need not be silent, unless it was withdrawn. All others that hold the address still have to be, so that a successor that goes on keeps it; late announcements still have to go on for 10 s.

Remaining: until the 10 s are over the engine is out, also for an entry whose service no list of routes names.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -160,19 +160,13 @@
     ) -> Option<TakeOver> {
         let blocking: Vec<TargetRecord> =
             group.read(|registry| registry.blocking(record).cloned().collect());
-        let withdrawn = |known: &TargetRecord| {
-            known.target == record.target && known.is_withdrawn(record.incarnation)
-        };
-        if blocking.is_empty() || blocking.iter().any(withdrawn) {
-            return None;
-        }
-        let is_alive = lock(&self.contests).record(record, now);
-        let heartbeats = self.heartbeats();
-        if !is_alive || !blocking.iter().all(|known| heartbeats.is_silent(known, now)) {
-            return None;
-        }
-        drop(heartbeats);
-        let displaced = blocking.iter().map(TargetRecord::version).collect();
+        let take_over = TakeOver::received(
+            record,
+            &blocking,
+            &mut lock(&self.contests),
+            &self.heartbeats(),
+            now,
+        )?;
         let names: Vec<&str> = blocking.iter().map(|known| known.target.as_str()).collect();
         event::registry::TAKEN_OVER.emit(
             &self.logger,
@@ -183,7 +177,7 @@
                 ("displaced", &names.join(" ")),
             ],
         );
-        Some(TakeOver { record: record.clone(), displaced })
+        Some(take_over)
     }
 
     /// Logs, at a bounded rate, an announcement that names no target. Returns the cause, shortened.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -24,6 +24,7 @@
 mod membership_controller;
 mod mirror;
 mod state_machine;
+mod take_over;
 mod target_record;
 mod update;
 mod version_ends;
--- a/src/registry/target_record.rs
+++ b/src/registry/target_record.rs
@@ -76,6 +76,14 @@
         known.target == self.target && (known.incarnation > self.incarnation || late || withdrawn)
     }
 
+    /// Whether the target of this record has said it after another one took over its address.
+    pub(super) fn is_after_displacement(&self, known: &Self) -> bool {
+        (&known.target, known.incarnation) == (&self.target, self.incarnation)
+            && known.state() == State::Gone
+            && !known.is_withdrawn(self.incarnation)
+            && known.sequence < self.sequence
+    }
+
     /// Whether this incarnation of the target has been withdrawn, so that it never returns.
     pub fn is_withdrawn(&self, incarnation: u64) -> bool {
         let is_known_incarnation = self.incarnation == incarnation
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -379,6 +379,101 @@
     }
 }
 
+/// What replicas have heard, and how one of them decides on the announcements that it receives.
+struct Replica {
+    heartbeats: HeartbeatTable,
+    contests: ContestTracker,
+}
+
+impl Replica {
+    fn new() -> Self {
+        let heartbeats = HeartbeatTable::new(Duration::from_secs(3));
+        Self { heartbeats, contests: ContestTracker::default() }
+    }
+
+    fn announce(&mut self, registry: &mut Registry, record: &TargetRecord, now: Instant) -> Reply {
+        let announcement = Announcement {
+            target: record.target.as_str().into(),
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            service: record.service.as_str().into(),
+            address: record.address.parse().expect("an address"),
+            zone: record.zone.as_str().into(),
+            slots: record.slots,
+            leaving: record.state() == State::Leaving,
+            cold_remaining: Duration::from_millis(record.cold_remaining_ms),
+            software_version: record.software_version.as_str().into(),
+        };
+        self.heartbeats.record_announcement(&announcement, now);
+        let blocking: Vec<_> = registry.state_machine.blocking(record).cloned().collect();
+        let (contests, heartbeats) = (&mut self.contests, &self.heartbeats);
+        let take_over = TakeOver::received(record, &blocking, contests, heartbeats, now);
+        let operation = take_over.map_or(Operation::Announce(record.clone()), Operation::TakeOver);
+        registry.apply(operation)
+    }
+}
+
+/// A target that one announcement of another writer had displaced never came back: its own record,
+/// gone by then, counted as renewed by the announcements that it kept out.
+#[test]
+fn a_displaced_target_returns_while_it_goes_on_and_nobody_else_does() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let (mut registry, mut replica) = (Registry::new(), Replica::new());
+    replica.announce(&mut registry, &record("sound", 100, 1, 8080, false), start);
+    replica.announce(&mut registry, &record("odd", 900, 1, 8080, false), start);
+    assert_eq!(registry.state("sound"), State::Gone);
+    for sequence in 2..=14_u32 {
+        let now = start + second * (sequence - 1);
+        let said = record("sound", 100, sequence.into(), 8080, false);
+        replica.announce(&mut registry, &said, now);
+    }
+    assert_eq!((registry.state("sound"), registry.state("odd")), (State::Ready, State::Gone));
+}
+
+/// The way back for a displaced target must not be one for the late announcements of a target that
+/// has ended.
+#[test]
+fn a_displaced_target_does_not_return_while_its_successor_goes_on_or_once_it_was_withdrawn() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let (mut registry, mut replica) = (Registry::new(), Replica::new());
+    replica.announce(&mut registry, &record("ended", 100, 1, 8080, false), start);
+    replica.announce(&mut registry, &record("successor", 900, 1, 8080, false), start);
+    for sequence in 2..=40_u32 {
+        let now = start + second * (sequence - 1);
+        let number = sequence.into();
+        replica.announce(&mut registry, &record("successor", 900, number, 8080, false), now);
+        let late = record("ended", 100, number, 8080, false);
+        assert_eq!(replica.announce(&mut registry, &late, now), Reply::Stands);
+    }
+    assert_eq!(registry.state("successor"), State::Ready);
+    let withdraw = Withdraw { target: "ended".to_owned(), incarnation: 100, started_by_ms: 0 };
+    registry.apply(Operation::Withdraw(withdraw));
+    for sequence in 41..=80_u32 {
+        let now = start + second * (sequence - 1);
+        let late = record("ended", 100, sequence.into(), 8080, false);
+        assert_eq!(replica.announce(&mut registry, &late, now), Reply::Stands);
+    }
+    assert_eq!(registry.state("ended"), State::Gone);
+}
+
+/// A copy of an announcement from before the displacement proves nothing.
+#[test]
+fn an_earlier_number_does_not_bring_a_displaced_target_back() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let (mut registry, mut replica) = (Registry::new(), Replica::new());
+    replica.announce(&mut registry, &record("ended", 100, 50, 8080, true), start);
+    replica.announce(&mut registry, &record("successor", 900, 1, 8080, false), start);
+    for sequence in 1..=20_u32 {
+        let now = start + second * sequence;
+        replica.announce(&mut registry, &record("ended", 100, 50, 8080, true), now);
+        let late = record("ended", 100, sequence.into(), 8080, false);
+        assert_eq!(replica.announce(&mut registry, &late, now), Reply::Stands);
+    }
+}
+
 #[test]
 fn a_delayed_take_over_undoes_no_later_change() {
     let mut registry = Registry::new();
