--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -383,7 +383,7 @@
 /// still arrives is reset.
 #[test]
 fn a_caller_that_is_still_sending_its_body_gets_the_refusal_of_a_stop() {
-    const PIECE: [u8; 64 * 1024] = [b' '; 64 * 1024];
+    static PIECE: [u8; 64 * 1024] = [b' '; 64 * 1024];
     const PIECES: usize = 32;
     smol::block_on(async {
         let setup = Setup::start().await;
