Read why a hand-over is refused before its body is sent, on the path of models

A hand-over with a body above the window of a link (256 KiB) that was refused before its body was read: the sender of a VM on the path of models took the end of its credit for "may have run" (502), with the refusal in its queue.

Cause, of the class "an end that one side has told and the other doesn't take up": request_answer gave up at the first frame that could not be sent.

Change: where the other VM cancelled or aborted the exchange, its next frame is read and says why.

Evidence: link an_aborted_exchange_ends_a_sender_that_waits_for_credit guards and what is read after it; it failed before (the sender had not ended after 30 s), passes now. No test shows the path of models itself.

--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::within,
     event, id,
-    link::Exchange,
+    link::{self, Exchange},
     outcome::{Outcome, Reason, Refusal, UnknownOutcome},
     path::{self, Admitted, BodyPart, Class, Resolved, TargetResponse},
     settings::Peer,
@@ -294,24 +294,28 @@
             return HandoverEnd::BrokenOff { way, cause };
         }
         // Without this wait, a VM that stops could close its links before the other VM has read the
-        // end. An abort is not confirmed.
+        // end, and would not say whether it has.
         let end_read = within(END_READ_TIMEOUT, exchange.receive()).await.is_some();
         exchange.finish();
         return HandoverEnd::Answered { way, end_read };
     }
 }
 
-/// Sends the request's body and waits for the head of the answer.
-async fn request_answer(mut exchange: Exchange, body: Bytes) -> Outcome<TargetResponse> {
+async fn send_body(exchange: &mut Exchange, body: &Bytes) -> Result<(), link::Error> {
     for start in (0..body.len()).step_by(BODY_CHUNK_BYTES) {
         let end = (start + BODY_CHUNK_BYTES).min(body.len());
         let chunk = Chunk { bytes: body.slice(start..end) };
-        if let Err(cause) = exchange.send(Body::Chunk(chunk)).await {
-            return Outcome::Unknown(cause.to_string().into());
-        }
+        exchange.send(Body::Chunk(chunk)).await?;
     }
-    if let Err(cause) = exchange.send(Body::End(End {})).await {
-        return Outcome::Unknown(cause.to_string().into());
+    exchange.send(Body::End(End {})).await
+}
+
+/// Sends the request's body and waits for the head of the answer.
+async fn request_answer(mut exchange: Exchange, body: Bytes) -> Outcome<TargetResponse> {
+    match send_body(&mut exchange, &body).await {
+        // The other VM needs no more of the body; its next frame says why.
+        Ok(()) | Err(link::Error::Cancelled) => {}
+        Err(cause) => return Outcome::Unknown(cause.to_string().into()),
     }
     match exchange.receive().await {
         Ok(Body::ResponseHead(head)) => Outcome::Answered(receive_answer(head, exchange)),
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -560,3 +560,25 @@
         }
     });
 }
+
+// Guards against a refusal that its sender reads late or never: it waited for credit, which the other
+// VM grants no more once it has aborted the exchange.
+#[test]
+fn an_aborted_exchange_ends_a_sender_that_waits_for_credit() {
+    smol::block_on(async {
+        let (dialer, acceptor) = (start_vm("dialer").await, start_vm("acceptor").await);
+        let (mut ours, mut theirs) = open_exchange(&dialer, &acceptor, acceptor.address).await;
+        let body = Bytes::from(vec![7; BODY_BYTES]);
+        let sent = smol::spawn(async move {
+            let result = ours.send(Body::Chunk(Chunk { bytes: body })).await;
+            (result, ours)
+        });
+        // The window is used up long before the body ends.
+        Timer::after(Duration::from_millis(200)).await;
+        theirs.send(Body::Abort(Abort::default())).await.unwrap();
+        let (result, mut ours) = within("the end of the sender", sent).await;
+        assert!(result.is_err(), "{result:?}");
+        let body = within("the abort", ours.receive()).await;
+        assert!(matches!(body, Ok(Body::Abort(_))), "{body:?}");
+    });
+}
