--- a/src/gateway/warmth_check.rs
+++ b/src/gateway/warmth_check.rs
@@ -78,8 +78,8 @@
             lease.connection.head.start();
             let response = lease.connection.sender.try_send_request(request).await.ok()?;
             lease.connection.head.complete();
-            let (head, body) = response.into_parts();
-            http::collect(body, MAX_BODY_BYTES).await.ok()?;
+            let (head, mut body) = response.into_parts();
+            http::collect(&mut body, MAX_BODY_BYTES).await.ok()?;
             let keep_alive = KeepAlive::from_headers(&head.headers);
             lease.release(&keep_alive, self.clock.now());
             (head.status == StatusCode::OK).then_some(head.headers)
