--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -25,6 +25,7 @@
     clock::within,
     event, id,
     link::{self, Exchange},
+    outcome::HandoverEnd,
     registry::VmInfo,
     route::DeliveryMode,
     wire::{Abort, Body, Chunk, End, Handover, Header, Need, ResponseHead},
@@ -60,66 +61,6 @@
     pub(super) received_at: Instant,
 }
 
-/// How the work on a request that another VM handed over ended.
-#[derive(Debug)]
-pub(super) enum HandoverEnd {
-    /// The request did not run; the text says why.
-    Refused(String),
-    /// The request may have run, and there is no response; the text says why.
-    Unknown(String),
-    /// The whole response was sent.
-    Answered {
-        /// The target.
-        source: String,
-        /// Whether the other VM has read the end.
-        end_read: bool,
-    },
-    /// The response ended early.
-    BrokenOff {
-        /// The target.
-        source: String,
-        /// Why it ended early.
-        cause: String,
-    },
-    /// The other VM cancelled the request, as its caller left or its time ran out.
-    Cancelled,
-    /// The link to the other VM ended.
-    LinkEnded(String),
-}
-
-impl HandoverEnd {
-    /// The end by a frame that the other VM sent instead of reading on.
-    fn of_frame(frame: &Result<Body, link::Error>) -> Self {
-        match frame {
-            Ok(_) => Self::Cancelled,
-            Err(cause) => Self::of_error(cause),
-        }
-    }
-
-    fn of_error(cause: &link::Error) -> Self {
-        match cause {
-            link::Error::Cancelled => Self::Cancelled,
-            cause => Self::LinkEnded(cause.to_string()),
-        }
-    }
-}
-
-impl std::fmt::Display for HandoverEnd {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Refused(detail) => write!(f, "refused: {detail}"),
-            Self::Unknown(cause) => write!(f, "unknown: {cause}"),
-            Self::Answered { source, end_read: true } => write!(f, "answered by {source}"),
-            Self::Answered { source, end_read: false } => {
-                write!(f, "answered by {source}, and its end was not read")
-            }
-            Self::BrokenOff { source, cause } => write!(f, "broken off at {source}: {cause}"),
-            Self::Cancelled => write!(f, "cancelled by the other VM"),
-            Self::LinkEnded(cause) => write!(f, "the link ended: {cause}"),
-        }
-    }
-}
-
 impl Gateway {
     /// Hands the request to a VM in another region; returns an outcome if no other attempt may
     /// follow.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -5,7 +5,7 @@
 use super::{
     attempt::AttemptOutcome,
     balancer::Pick,
-    handover::{HandoverEnd, ReceivedHandover},
+    handover::ReceivedHandover,
     outcome::{Outcome, Refusal, ResponseBody, TargetResponse},
     routed_request::RoutedRequest,
     server::Gateway,
@@ -15,6 +15,7 @@
     figure::Page,
     http::Delimiter,
     id,
+    outcome::HandoverEnd,
     registry::{BlockedRequests, Target, VmInfo},
     throttle::{Answer, Change, Limit, Pause},
 };
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -3,10 +3,12 @@
 //! Every component that may fail a request uses these types. A request is reported as not having run
 //! only if that is certain: before its first byte is written to a target.
 
+mod handover_end;
 mod reason;
 mod refusal;
 mod unknown_outcome;
 
+pub(crate) use self::handover_end::HandoverEnd;
 pub use self::{reason::Reason, refusal::Refusal, unknown_outcome::UnknownOutcome};
 
 /// The outcome of a request or of one attempt to run it.
--- a/src/vm/handover_end.rs
+++ b/src/outcome/handover_end.rs
@@ -4,22 +4,22 @@
 
 /// How the work on a request that another VM handed over ended.
 #[derive(Debug)]
-pub(super) enum HandoverEnd {
+pub(crate) enum HandoverEnd {
     /// The request did not run; the text says why.
     Refused(String),
     /// The request may have run, and there is no answer; the text says why.
     Unknown(String),
     /// The whole answer was sent.
     Answered {
-        /// The VMs that the request crossed, and the target.
-        way: String,
+        /// The target, or the way to it.
+        source: String,
         /// Whether the other VM has read the end.
         end_read: bool,
     },
     /// The answer ended early.
     BrokenOff {
-        /// The VMs that the request crossed, and the target.
-        way: String,
+        /// The target, or the way to it.
+        source: String,
         /// Why it ended early.
         cause: String,
     },
@@ -31,14 +31,14 @@
 
 impl HandoverEnd {
     /// The end by a frame that the other VM sent instead of reading on.
-    pub(super) fn of_frame(frame: &Result<Body, link::Error>) -> Self {
+    pub(crate) fn of_frame(frame: &Result<Body, link::Error>) -> Self {
         match frame {
             Ok(_) => Self::Cancelled,
             Err(cause) => Self::of_error(cause),
         }
     }
 
-    pub(super) fn of_error(cause: &link::Error) -> Self {
+    pub(crate) fn of_error(cause: &link::Error) -> Self {
         match cause {
             link::Error::Cancelled => Self::Cancelled,
             cause => Self::LinkEnded(cause.to_string()),
@@ -46,7 +46,7 @@
     }
 
     /// Whether the whole outcome was sent.
-    pub(super) fn is_complete(&self) -> bool {
+    pub(crate) fn is_complete(&self) -> bool {
         matches!(self, Self::Refused(_) | Self::Unknown(_) | Self::Answered { .. })
     }
 }
@@ -56,11 +56,11 @@
         match self {
             Self::Refused(detail) => write!(f, "refused: {detail}"),
             Self::Unknown(cause) => write!(f, "unknown: {cause}"),
-            Self::Answered { way, end_read: true } => write!(f, "answered by {way}"),
-            Self::Answered { way, end_read: false } => {
-                write!(f, "answered by {way}, and its end was not read")
+            Self::Answered { source, end_read: true } => write!(f, "answered by {source}"),
+            Self::Answered { source, end_read: false } => {
+                write!(f, "answered by {source}, and its end was not read")
             }
-            Self::BrokenOff { way, cause } => write!(f, "broken off at {way}: {cause}"),
+            Self::BrokenOff { source, cause } => write!(f, "broken off at {source}: {cause}"),
             Self::Cancelled => write!(f, "cancelled by the other VM"),
             Self::LinkEnded(cause) => write!(f, "the link ended: {cause}"),
         }
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -9,7 +9,6 @@
 mod gossip;
 mod grace;
 mod handover;
-mod handover_end;
 mod http_routes;
 mod inbound;
 mod lists;
--- a/src/vm/handover.rs
+++ b/src/vm/handover.rs
@@ -11,12 +11,12 @@
 use hyper::{Method, body::Bytes};
 use smol::channel::Sender;
 
-use super::{Vm, handover_end::HandoverEnd, serve::stopping_refusal};
+use super::{Vm, serve::stopping_refusal};
 use crate::{
     clock::within,
     event, id,
     link::{self, Exchange},
-    outcome::{Outcome, Reason, Refusal, UnknownOutcome},
+    outcome::{HandoverEnd, Outcome, Reason, Refusal, UnknownOutcome},
     path::{self, Admitted, BodyPart, Class, Resolved, TargetResponse},
     settings::Peer,
     target::Need,
@@ -289,15 +289,15 @@
         if let Err(cause) = exchange.send(body).await {
             return HandoverEnd::of_error(&cause);
         }
-        let way = answer.hops.join(" > ");
+        let source = answer.hops.join(" > ");
         if let Some(cause) = broken {
-            return HandoverEnd::BrokenOff { way, cause };
+            return HandoverEnd::BrokenOff { source, cause };
         }
         // Without this wait, a VM that stops could close its links before the other VM has read the
         // end, and would not say whether it has.
         let end_read = within(END_READ_TIMEOUT, exchange.receive()).await.is_some();
         exchange.finish();
-        return HandoverEnd::Answered { way, end_read };
+        return HandoverEnd::Answered { source, end_read };
     }
 }
 
