--- a/tests/link.rs
+++ b/tests/link.rs
@@ -140,8 +140,8 @@
     });
 }
 
-// Guards against a VM that keeps the work of a request whose caller has left: the sender of its answer
-// waited for credit, which the other VM grants no more once it has cancelled the exchange.
+/// Guards against a VM that keeps the work of a request whose caller has left: the sender of its answer
+/// waited for credit, which the other VM grants no more once it has cancelled the exchange.
 #[test]
 fn a_cancelled_exchange_ends_a_sender_that_waits_for_credit() {
     smol::block_on(async {
@@ -498,8 +498,8 @@
     assert!(urgent_heartbeats > 0);
 }
 
-// Guards against an answer whose end was queued and never came, as the VM that sent it closed its
-// links and exited: the other VM took it for cut, or for a request that may have run.
+/// Guards against an answer whose end was queued and never came, as the VM that sent it closed its
+/// links and exited: the other VM took it for cut, or for a request that may have run.
 #[test]
 fn a_hub_that_closes_writes_what_is_queued() {
     const EXCHANGES: usize = 50;
@@ -538,8 +538,8 @@
     }
 }
 
-// Guards against a VM that works on for callers who have left: the cancellations of exchanges that
-// were dropped together were lost where the queue was full.
+/// Guards against a VM that works on for callers who have left: the cancellations of exchanges that
+/// were dropped together were lost where the queue was full.
 #[test]
 fn every_dropped_exchange_is_cancelled_however_short_the_queue() {
     const EXCHANGES: usize = 50;
@@ -561,8 +561,8 @@
     });
 }
 
-// Guards against a refusal that its sender reads late or never: it waited for credit, which the other
-// VM grants no more once it has aborted the exchange.
+/// Guards against a refusal that its sender reads late or never: it waited for credit, which the other
+/// VM grants no more once it has aborted the exchange.
 #[test]
 fn an_aborted_exchange_ends_a_sender_that_waits_for_credit() {
     smol::block_on(async {
