--- a/src/emulator/peak/place.rs
+++ b/src/emulator/peak/place.rs
@@ -77,7 +77,6 @@
             cold_requests_per_sec: 0.0,
             cache_capacity_tokens: self.site.pace.memory.into(),
             may_be_outdated: false,
-            lacks_news: false,
             peers: &state.peers,
         };
         let pick = state.board.choose(query, now);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,7 +38,6 @@
 mod suspension_detector;
 mod target_tracker;
 mod version_binding;
-mod warmth_check;
 
 pub use self::{
     admission::{Admission, AdmissionQuery, Decision, ObjectiveMiss, RemoteLoad},
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -71,9 +71,6 @@
     pub cache_capacity_tokens: u64,
     /// Whether any target may have become cold without this VM having heard of it.
     pub may_be_outdated: bool,
-    /// Whether no replica has told for a while which targets are cold, so that only those count as
-    /// warm that said so themselves.
-    pub lacks_news: bool,
 }
 
 /// The parts of a prompt that a VM sent to a target.
@@ -376,38 +373,6 @@
         self.tracker(target, now).record_response(failed, now);
     }
 
-    /// Whether a target should be asked now for how long it is cold, which counts as a request to it.
-    /// One is asked once in an `interval`, one that is cold not before it is warm, and one that has a
-    /// limit or asked for a pause as these permit.
-    pub fn takes_warmth_check(
-        &mut self,
-        target: &Target,
-        peers: &throttle::Peers,
-        interval: Duration,
-        now: Instant,
-    ) -> bool {
-        let (id, incarnation) = (&target.target, target.incarnation);
-        let is_permitted =
-            self.throttle.permission(id, incarnation, peers, now) == Permission::Granted;
-        let is_due = is_permitted && self.tracker(target, now).takes_warmth_check(interval, now);
-        if is_due {
-            self.throttle.record_sent(id, incarnation);
-        }
-        is_due
-    }
-
-    /// Records that a target answered that it is cold for `cold_for`, zero if it is warm. That it is
-    /// warm holds for `valid_for`.
-    pub fn record_warmth(
-        &mut self,
-        target: &Target,
-        cold_for: Duration,
-        valid_for: Duration,
-        now: Instant,
-    ) {
-        self.tracker(target, now).record_warmth(cold_for, valid_for, now);
-    }
-
     /// Records that no process listened at a target's address.
     pub fn record_refused_connection(&mut self, target: &Target, now: Instant) {
         self.tracker(target, now).record_refused_connection(now);
@@ -488,7 +453,6 @@
 
     fn may_be_cold(&mut self, target: &Target, query: TargetQuery<'_>, now: Instant) -> bool {
         query.may_be_outdated
-            || query.lacks_news && !self.tracker(target, now).is_warm_by_own_word(now)
             || target.cold_until > now
             || self.tracker(target, now).may_have_restarted(now)
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -261,13 +261,9 @@
             cold_requests_per_sec: service
                 .as_ref()
                 .map_or(0.0, |service| service.cold_requests_per_sec),
-            cache_capacity_tokens: service
-                .as_ref()
-                .map_or(0, |service| service.cache_capacity_tokens),
+            cache_capacity_tokens: service.map_or(0, |service| service.cache_capacity_tokens),
             peers: &peers,
             may_be_outdated: self.check_for_suspension(),
-            lacks_news: mirror.lacks_news(now)
-                && service.as_ref().is_some_and(|service| service.health_path.is_some()),
         };
         let pick = self.balancer().choose(target_query, now);
         let local_only = request.handed_over || only_target.is_some();
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -9,10 +9,6 @@
     pub timeout_ms: HeaderName,
     /// The target that the request is meant for; any other target must not run it.
     pub expected_target: HeaderName,
-    /// The target that wrote the response to a health check.
-    pub target: HeaderName,
-    /// In the response to a health check: the milliseconds for which the target remains cold.
-    pub cold_ms: HeaderName,
     /// The load of a target: running requests, waiting requests, slots.
     pub load: HeaderName,
     /// The requests a second that a target takes from all VMs together.
--- a/src/gateway/load_sharing.rs
+++ b/src/gateway/load_sharing.rs
@@ -83,7 +83,6 @@
             let other_vms = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
             Timer::after(share_interval(other_vms)).await;
             self.check_for_suspension();
-            self.check_targets_without_news();
             let message = self.load_message();
             if message == last_message && message.is_empty() {
                 continue;
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -31,9 +31,7 @@
             let replicas = self.replicas();
             let vm = &replicas[index % replicas.len()];
             // A replica waits for changes, and there may be none since a suspension.
-            let lacks_news = self.mirror().lacks_news(self.clock.now());
-            let may_be_outdated = self.check_for_suspension() || lacks_news;
-            let wait = if may_be_outdated { Duration::ZERO } else { LONG_POLL_WAIT };
+            let wait = if self.check_for_suspension() { Duration::ZERO } else { LONG_POLL_WAIT };
             let polled = self.poll_replica(vm, wait).await;
             let is_fresh = matches!(polled, Some(true));
             if is_fresh {
--- a/src/gateway/target_tracker.rs
+++ b/src/gateway/target_tracker.rs
@@ -95,10 +95,6 @@
     last_stream_gap_at: Option<Instant>,
     /// When the target was last heard from, or got a request while it had none.
     silent_since: Instant,
-    /// Until when the target is warm by what it answered itself.
-    warm_until: Option<Instant>,
-    /// When it may be asked again for how long it is cold.
-    next_warmth_check: Option<Instant>,
 }
 
 impl TargetTracker {
@@ -119,8 +115,6 @@
             recent_sends: Vec::new(),
             last_stream_gap_at: None,
             silent_since: now,
-            warm_until: None,
-            next_warmth_check: None,
         }
     }
 
@@ -251,29 +245,6 @@
             || self.restarted_until.is_some_and(|until| until > now)
     }
 
-    /// Whether the target has said itself that it is warm, and that is recent.
-    pub(super) fn is_warm_by_own_word(&self, now: Instant) -> bool {
-        self.warm_until.is_some_and(|until| until > now)
-    }
-
-    pub(super) fn takes_warmth_check(&mut self, interval: Duration, now: Instant) -> bool {
-        let is_due = self.next_warmth_check.is_none_or(|at| at <= now);
-        if is_due {
-            self.next_warmth_check = now.checked_add(interval);
-        }
-        is_due
-    }
-
-    pub(super) fn record_warmth(&mut self, cold_for: Duration, valid_for: Duration, now: Instant) {
-        if cold_for.is_zero() {
-            self.warm_until = now.checked_add(valid_for);
-            return;
-        }
-        self.warm_until = None;
-        let warm_at = now.checked_add(cold_for);
-        self.next_warmth_check = self.next_warmth_check.max(warm_at);
-    }
-
     pub(super) fn failure_ratio(&self) -> f64 {
         self.failure_ratio
     }
--- a/src/registry/mirror.rs
+++ b/src/registry/mirror.rs
@@ -10,12 +10,6 @@
 };
 use crate::{http::is_connectable, id};
 
-/// Replicas answer within a second if nothing changes, and the way takes a tenth of one at most.
-const NEWS_OVERDUE: Duration = Duration::from_millis(1300);
-/// By now a replica that was asked has not answered. The time since `NEWS_OVERDUE` lets targets answer
-/// before it matters.
-const NEWS_LOST: Duration = Duration::from_millis(1600);
-
 /// Time after the end of a zone's drain for which its targets count as cold. They may have become
 /// cold during the drain and say so only in their next announcement. Covers two announcements.
 const COLD_AFTER_DRAIN: Duration = Duration::from_millis(2500);
@@ -77,7 +71,6 @@
     vms_digest: u64,
     loads: Vec<RegionLoad>,
     loads_received_at: Option<Instant>,
-    updated_at: Option<Instant>,
 }
 
 impl Mirror {
@@ -106,24 +99,9 @@
         self.loads_received_at
     }
 
-    /// Whether updates are overdue, so that targets should be asked whether they have become cold.
-    pub fn is_without_news(&self, now: Instant) -> bool {
-        self.has_been_silent_for(NEWS_OVERDUE, now)
-    }
-
-    /// Whether no update has come for so long that no replica may have told that a target is cold.
-    pub fn lacks_news(&self, now: Instant) -> bool {
-        self.has_been_silent_for(NEWS_LOST, now)
-    }
-
-    fn has_been_silent_for(&self, limit: Duration, now: Instant) -> bool {
-        self.updated_at.is_some_and(|at| now.saturating_duration_since(at) >= limit)
-    }
-
     /// Applies an update that was received at `now`. Returns `false` if the update's index is lower
     /// than the mirror's; only VMs, loads and what was heard of targets are taken from such an update.
     pub fn apply(&mut self, update: Update, now: Instant) -> bool {
-        self.updated_at = self.updated_at.max(Some(now));
         let accept_loads = update.fresh || self.vms.is_empty();
         if let Some(vm_changes) = update.vm_changes {
             self.apply_vm_changes(vm_changes, update.fresh);
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -15,6 +15,4 @@
     pub cold_period: Duration,
     /// The size of one target's prompt cache; zero for a plain service.
     pub cache_capacity_tokens: u64,
-    /// Where its targets answer health checks; `None` if they answer none.
-    pub health_path: Option<String>,
 }
