Read on after closing a caller's connection

A caller whose request was refused before it was read whole (a head that is too long, a malformed request line) often got a reset instead of the refusal: the server closed a connection with unread bytes in it, which resets it and discards what was written.

The server closes its own end first now, and reads until the other end is closed as well, for a second at most. A stop still drops what is left at its end.

caller_whose_request_is_refused_unread_gets_the_refusal failed before (broken pipe), refused_callers_do_not_hold_a_stop_up guards the bound.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, pin::pin, time::Duration};
+use std::{convert::Infallible, net::Shutdown, pin::pin, time::Duration};
 
 use futures_util::{
     FutureExt,
@@ -15,12 +15,13 @@
 use smol::{
     Timer,
     channel::{Receiver, Sender},
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream},
 };
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::Body;
-use crate::event;
+use crate::{clock::within, event};
 
 /// How long a stopping server still accepts connections and keeps idle ones open. A request that
 /// crosses the stop is answered, and its response closes the connection.
@@ -28,6 +29,10 @@
 /// How long a connection with unread bytes is given to read them before it is looked at again.
 const UNREAD_BYTES_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long a connection that this end has closed is read on. Unread bytes reset it, and its caller
+/// may not see the last response then.
+const CLOSE_LINGER: Duration = Duration::from_secs(1);
+
 /// The delay after a connection could not be accepted, in which others may end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -140,7 +145,12 @@
             }
         };
         is_failing = false;
-        let work = serve_connection(stream, limits(), stopped.clone(), handler.clone());
+        let socket = stream.clone();
+        let connection = serve_connection(stream, limits(), stopped.clone(), handler.clone());
+        let work = async move {
+            connection.await;
+            let _ = within(CLOSE_LINGER, read_to_close(socket)).await;
+        };
         smol::spawn(run_connection(work, server_dropped.clone(), connection_guard.clone()))
             .detach();
     }
@@ -200,6 +210,13 @@
     let _ = connection.await;
 }
 
+/// Closes this end of a connection, and reads until the other end is closed as well.
+async fn read_to_close(mut socket: TcpStream) {
+    let _ = socket.shutdown(Shutdown::Write);
+    let mut discarded = [0; 4096];
+    while matches!(socket.read(&mut discarded).await, Ok(1..)) {}
+}
+
 /// Whether bytes have been received and not read.
 fn has_unread_bytes(socket: &TcpStream) -> bool {
     let mut byte = [0];
--- a/tests/http_faults.rs
+++ b/tests/http_faults.rs
@@ -136,6 +136,55 @@
     (address, stop, server)
 }
 
+/// Sends `request` in one go, then `more` a little later, and returns the whole answer.
+async fn refusal_of(address: SocketAddr, request: &[u8], more: &[u8]) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(request).await?;
+    Timer::after(Duration::from_millis(20)).await;
+    stream.write_all(more).await?;
+    // A reset that is on its way overtakes an answer that has not been read.
+    Timer::after(Duration::from_millis(20)).await;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+/// Guards against a connection that is closed with unread bytes: it is reset, and its caller never
+/// sees why the request was refused.
+#[test]
+fn caller_whose_request_is_refused_unread_gets_the_refusal() {
+    block_on(async {
+        let (address, _stop, _server) = start_server(Duration::ZERO).await;
+        let endless_head = [b"GET / HTTP/1.1\r\nx-long: ".as_slice(), &[b'a'; 256 * 1024]].concat();
+        let malformed = [b"GET / HTTP/9.9\r\n\r\n".as_slice(), &[b'a'; 256 * 1024]].concat();
+        for (request, status) in [(&endless_head, "431"), (&malformed, "400")] {
+            for _ in 0..20 {
+                let answer = refusal_of(address, request, b"aaa").await.expect("no reset");
+                assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer:?}");
+            }
+        }
+    });
+}
+
+/// Guards against callers who keep a refused connection open, or send on for ever.
+#[test]
+fn refused_callers_do_not_hold_a_stop_up() {
+    block_on(async {
+        let (address, stop, server) = start_server(Duration::ZERO).await;
+        let mut silent = TcpStream::connect(address).await.expect("a connection");
+        silent.write_all(b"GET / HTTP/9.9\r\n\r\n").await.expect("it is sent");
+        let mut endless = TcpStream::connect(address).await.expect("a connection");
+        let sender =
+            smol::spawn(
+                async move { while endless.write_all(&[b'a'; 64 * 1024]).await.is_ok() {} },
+            );
+        Timer::after(Duration::from_millis(100)).await;
+        stop.stop();
+        within(Duration::from_secs(3), server).await.expect("the server ends");
+        within(Duration::from_secs(3), sender).await.expect("the connection is closed");
+    });
+}
+
 /// What callers saw.
 #[derive(Debug, Default)]
 struct Tally {
