Test that a refused caller who sends on keeps nobody else waiting

A review suspected that reading on after a close takes all of the server's time while a caller sends faster than it is read. So the test guards a bound that holds.

--- a/tests/http_faults.rs
+++ b/tests/http_faults.rs
@@ -1,6 +1,7 @@
 //! Targets whose responses never begin, and servers that are stopped while callers send requests.
 
 use std::{
+    io::Write as _,
     net::SocketAddr,
     sync::{
         Arc,
@@ -185,6 +186,34 @@
     });
 }
 
+/// Guards against a refused caller that sends faster than it is read, and so takes all of the server's time.
+#[test]
+fn refused_caller_that_sends_on_keeps_nobody_else_waiting() {
+    block_on(async {
+        let (address, _stop, _server) = start_server(Duration::ZERO).await;
+        let flood = move || {
+            let mut stream = std::net::TcpStream::connect(address).expect("a connection");
+            let start = Instant::now();
+            let mut written = stream.write_all(b"GET / HTTP/9.9\r\n\r\n");
+            while written.is_ok() && start.elapsed() < TIMEOUT {
+                written = stream.write_all(&[b'a'; 256 * 1024]);
+            }
+            start.elapsed()
+        };
+        let floods: Vec<_> = (0..4).map(|_| std::thread::spawn(flood)).collect();
+        Timer::after(Duration::from_millis(200)).await;
+        for _ in 0..10 {
+            let (result, took) = ask(address).await;
+            assert_eq!(result, Ok(StatusCode::OK));
+            assert!(took < Duration::from_millis(500), "{took:?}");
+        }
+        for flood in floods {
+            let flooded = flood.join().expect("the flood ends");
+            assert!(flooded < Duration::from_secs(3), "{flooded:?}");
+        }
+    });
+}
+
 /// What callers saw.
 #[derive(Debug, Default)]
 struct Tally {
