--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -52,11 +52,11 @@
 /// Like [`EXIT_RESERVE`], for the requests of other VMs. The callers of those don't depend on the
 /// connections of this VM, so that less has to be closed.
 const HANDOVER_EXIT_RESERVE: Duration = Duration::from_millis(300);
+/// The part of that reserve for telling other VMs that their requests did not end in time.
+const HANDOVER_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Streams of other VMs that may outlast this VM are given back after this part of the grace: short ones
 /// have ended by then, and there is time for the rest of the others elsewhere.
 const GIVE_BACK_DIVISOR: u32 = 2;
-/// The part of that reserve for telling other VMs that their requests did not end in time.
-const HANDOVER_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Added to the buffer of a connection beyond the largest allowed head, so that a head of exactly
 /// that size fits and the buffer is never smaller than the HTTP server requires.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 8 * 1024;
@@ -118,7 +118,7 @@
     /// Dropped in the middle of the grace, which closes `give_back_receiver`.
     pub(super) give_back_sender: Mutex<Option<Sender<Infallible>>>,
     pub(super) give_back_receiver: Receiver<Infallible>,
-    /// Dropped at that time, which closes `handover_grace_receiver`.
+    /// Dropped at `handovers_end_at`, which closes `handover_grace_receiver`.
     pub(super) handover_grace_sender: Mutex<Option<Sender<Infallible>>>,
     pub(super) handover_grace_receiver: Receiver<Infallible>,
     /// Dropped when the VM begins to stop, which closes `stop_receiver`.
