Mend two doc tests of a stop's grace

The code was right by its own words: at 4 s, one of two requests that began at 2 and 3 s has taken 2 s, which is half of them; a request that began with a stop of 3 s can't be older than what is left within its notice.

Change: the examples show what they were meant to show, and more strictly. The median is asked after each of two ends, and the grace both with a request that has taken 7 s and without it.

--- a/src/stop/grace.rs
+++ b/src/stop/grace.rs
@@ -31,8 +31,9 @@
 /// assert!(!grace.admits(Some(&times), &in_flight, "chat", timeout, after(3)), "it may take up to 60 s");
 /// assert!(grace.admits(None, &in_flight, "chat", Duration::from_secs(1), after(6)));
 /// in_flight.begin("chat", start);
-/// let slow = Grace::new(start, Duration::from_secs(3));
-/// assert!(!slow.admits(Some(&times), &in_flight, "chat", timeout, start + Duration::from_millis(1499)));
+/// let later = Grace::new(after(5), Duration::from_secs(8));
+/// assert!(!later.admits(Some(&times), &in_flight, "chat", timeout, after(7)), "one has taken 7 s");
+/// assert!(later.admits(Some(&times), &InFlight::default(), "chat", timeout, after(7)));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grace {
--- a/src/stop/in_flight.rs
+++ b/src/stop/in_flight.rs
@@ -18,10 +18,12 @@
 ///     in_flight.begin("chat", after(secs));
 /// }
 /// assert_eq!(in_flight.median_age("chat", after(4)), Some(Duration::from_secs(2)));
+/// in_flight.end("chat", after(2));
+/// assert_eq!(in_flight.median_age("chat", after(4)), Some(Duration::from_secs(4)));
 /// in_flight.end("chat", start);
 /// assert_eq!(in_flight.median_age("chat", after(4)), Some(Duration::from_secs(1)));
 /// assert_eq!(in_flight.median_age("other", after(4)), None);
-/// assert_eq!(in_flight.count(), 2);
+/// assert_eq!(in_flight.count(), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct InFlight {
