--- /dev/null
+++ b/review/harness-2/cases.rs
@@ -0,0 +1,250 @@
+//! The cases.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::{
+    at,
+    engine::{Crash, Engine, POISON, POISON_OF_CALLER, Run},
+    fleet::Fleet,
+    has_trouble, net, note, sleep_ms,
+};
+
+const HOST: &str = "kbn.example";
+/// The route of bookings, as on the small site: unsafe, at most 2.5 s, at one engine.
+const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"r-book","host":"kbn.example","path-prefix":"/book/","type":"unsafe","timeout-ms":2500,"target-latency-ms":300,"priority":2,"service":"job-svc","max-attempts":1,"sticky":false,"resumable":false,"gap-aim-ms":0,"allowed-regions":[]}],
+ "services":[{"name":"job-svc","health-path":"/health","max-connections":110,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+
+/// The same with two callers, each with a key, and a route of reads that any number of engines may run.
+const CONFIG_WITH_CALLERS: &str = r#"{"version":7,"routes":[
+ {"name":"r-book","host":"kbn.example","path-prefix":"/book/","type":"unsafe","timeout-ms":2500,"target-latency-ms":300,"priority":2,"service":"job-svc","max-attempts":1,"sticky":false,"resumable":false,"gap-aim-ms":0,"allowed-regions":[],"public":true},
+ {"name":"r-status","host":"kbn.example","path-prefix":"/status/","type":"safe","timeout-ms":2500,"target-latency-ms":300,"priority":2,"service":"job-svc","max-attempts":1,"sticky":false,"resumable":false,"gap-aim-ms":0,"allowed-regions":[]}],
+ "services":[{"name":"job-svc","health-path":"/health","max-connections":110,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}],
+ "tenants":[{"name":"north","api-keys":["key-of-north"]},{"name":"south","api-keys":["key-of-south"]}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+
+/// `stable-window-ms`, and a little more.
+const STABLE_MS: u64 = 5_600;
+
+/// Runs a case; `Ok(true)` where its rule held.
+pub fn run(case: &str) -> Result<bool, String> {
+    match case {
+        "silent-crash" => silent_crash(),
+        "forgotten-block" => forgotten_block(),
+        "other-caller" => other_caller(),
+        _ => Err(format!("no such case: {case}")),
+    }
+}
+
+struct Scene {
+    fleet: Fleet,
+    engines: Vec<Arc<Engine>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    fronts: Vec<(String, SocketAddr)>,
+}
+
+impl Scene {
+    /// The machines, two engines in each region, and a config; returns once every machine serves.
+    fn open(crash: Crash) -> Result<Self, String> {
+        Self::open_with(crash, CONFIG)
+    }
+
+    fn open_with(crash: Crash, config: &str) -> Result<Self, String> {
+        let fleet = Fleet::start()?;
+        fleet.order("PUT", "/-/config", config)?;
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let zones = ["jkt-a", "jkt-a", "sby-a", "sby-a", "bdg-a", "bdg-a"];
+        let engine = |(number, zone): (usize, &&'static str)| {
+            let ip = Ipv4Addr::new(127, fleet.net[0], fleet.net[1], 41 + number as u8);
+            Engine::start(&format!("i-{number}"), ip, zone, "job-svc", fleet.controls(), crash, &runs)
+        };
+        let engines = zones.iter().enumerate().map(engine).collect();
+        let fronts = fleet.edges().iter().map(|edge| (edge.name.clone(), edge.front())).collect();
+        let scene = Self { fleet, engines, runs, fronts };
+        for (name, front) in scene.fronts.clone() {
+            let mut is_served = false;
+            for turn in 0..80 {
+                let answer = scene.book(front, "/book/sound", &format!("first-{name}-{turn}"), b"crew 7");
+                if answer.is_ok_and(|answer| answer.status == 200) {
+                    is_served = true;
+                    break;
+                }
+                sleep_ms(250);
+            }
+            if !is_served {
+                return Err(format!("{name} never served"));
+            }
+        }
+        note("every machine serves");
+        Ok(scene)
+    }
+
+    fn book(&self, front: SocketAddr, path: &str, attempt: &str, body: &[u8]) -> Result<net::Answer, String> {
+        let headers = [("Host", HOST), ("Attempt-Id", attempt), ("Request-Timeout-Ms", "5000")];
+        let answer = net::call(front, "POST", path, &headers, body, Duration::from_millis(5200));
+        match &answer {
+            Ok(answer) => note(&format!("{attempt} to {front}: {} {}", answer.status, if answer.status == 200 { String::new() } else { answer.text() })),
+            Err(cause) => note(&format!("{attempt} to {front}: no answer: {cause}")),
+        }
+        answer
+    }
+
+    /// Sends the crashing request once more, through one machine; whether an engine ran it.
+    fn try_poison(&self, front: usize, attempt: &str) -> bool {
+        let (name, address) = &self.fronts[front % self.fronts.len()];
+        note(&format!("the client sends {attempt} (POST {POISON}) to {name}"));
+        let _ = self.book(*address, POISON, attempt, b"crew 13");
+        self.runs.lock().unwrap().iter().any(|run| run.attempt == attempt)
+    }
+
+    /// Sound requests are served by every machine.
+    fn serves(&self, round: usize) -> Result<(), String> {
+        for (name, front) in &self.fronts {
+            let mut is_served = false;
+            for turn in 0..20 {
+                if self.book(*front, "/book/sound", &format!("sound-{round}-{name}-{turn}"), b"crew 7").is_ok_and(|answer| answer.status == 200) {
+                    is_served = true;
+                    break;
+                }
+                sleep_ms(200);
+            }
+            if !is_served {
+                return Err(format!("{name} serves no sound request"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A request at which engines fall silent goes on to reach engines.
+fn silent_crash() -> Result<bool, String> {
+    let crash = match std::env::var("CRASH").as_deref() {
+        _ if !has_trouble() => Crash::Never,
+        Ok("ends") => Crash::Ends,
+        _ => Crash::Silent,
+    };
+    let scene = Scene::open(crash)?;
+    let mut crashed = 0;
+    for turn in 0..6 {
+        if crashed == 3 {
+            break;
+        }
+        crashed += usize::from(scene.try_poison(turn, &format!("poison-{turn}")));
+        sleep_ms(2500);
+    }
+    note(&format!("{crashed} engines have run the request so far"));
+    // All engines are back, and the machines have been left alone for the stable window.
+    sleep_ms(STABLE_MS);
+    scene.serves(1)?;
+    let counted_from = at();
+    let mut reached = 0;
+    for turn in 0..6 {
+        reached += usize::from(scene.try_poison(turn, &format!("again-{turn}")));
+        sleep_ms(2500);
+    }
+    note(&format!("since {counted_from:.3}, over 5 s after the third crash: 6 retries, {reached} reached an engine; the rule allows 3"));
+    judge(crash, crashed, reached, &scene)
+}
+
+/// A request that crashes engines reaches them again once the machines of the core were restarted in turn.
+fn forgotten_block() -> Result<bool, String> {
+    let scene = Scene::open(Crash::Ends)?;
+    let mut crashed = 0;
+    for turn in 0..8 {
+        if crashed == 3 {
+            break;
+        }
+        // Through the machine of one region after the other.
+        crashed += usize::from(scene.try_poison([0, 2, 3][turn % 3], &format!("poison-{turn}")));
+        sleep_ms(3000);
+    }
+    note(&format!("{crashed} engines have run the request so far"));
+    sleep_ms(STABLE_MS);
+    scene.serves(0)?;
+    let mut reached = 0;
+    for (index, core) in scene.fleet.cores().iter().enumerate() {
+        if has_trouble() {
+            core.restart()?;
+        }
+        // The core has been left alone for the stable window.
+        sleep_ms(STABLE_MS + 400);
+        // Through each machine twice.
+        for turn in 0..2 * scene.fronts.len() {
+            let has_reached = scene.try_poison(turn, &format!("again-{index}-{turn}"));
+            reached += usize::from(has_reached);
+            if has_reached {
+                sleep_ms(1200);
+            }
+        }
+        note(&format!("{reached} retries have reached an engine; the rule allows 3"));
+        if reached > 3 {
+            break;
+        }
+    }
+    scene.serves(9)?;
+    judge(Crash::Ends, crashed, reached, &scene)
+}
+
+/// What one caller's request crashes is forgotten as another caller's request for the same path is served.
+fn other_caller() -> Result<bool, String> {
+    let crash = if has_trouble() { Crash::Ends } else { Crash::Never };
+    let has_other = std::env::var("OTHER").map_or(true, |value| value != "0");
+    let scene = Scene::open_with(crash, CONFIG_WITH_CALLERS)?;
+    let read = |turn: usize, attempt: &str, caller: &str| -> bool {
+        let (name, front) = &scene.fronts[turn % scene.fronts.len()];
+        let key = format!("Bearer key-of-{caller}");
+        let headers = [("Host", HOST), ("Attempt-Id", attempt), ("Authorization", &key), ("Request-Timeout-Ms", "5000")];
+        note(&format!("{caller} sends {attempt} (GET {}) to {name}", POISON_OF_CALLER.0));
+        match net::call(*front, "GET", POISON_OF_CALLER.0, &headers, b"", Duration::from_millis(5200)) {
+            Ok(answer) => note(&format!("{attempt}: {} {}", answer.status, answer.text())),
+            Err(cause) => note(&format!("{attempt}: no answer: {cause}")),
+        }
+        scene.runs.lock().unwrap().iter().any(|run| run.attempt == attempt)
+    };
+    // The other caller reads through every machine between two requests of the first one.
+    let others = |round: usize| {
+        for turn in 0..scene.fronts.len() {
+            if has_other {
+                read(turn, &format!("south-{round}-{turn}"), "south");
+            }
+            sleep_ms(200);
+        }
+    };
+    let mut crashed = 0;
+    for turn in 0..8 {
+        if crashed == 3 {
+            break;
+        }
+        crashed += usize::from(read(turn, &format!("north-{turn}"), "north"));
+        sleep_ms(2600);
+        others(turn);
+    }
+    note(&format!("{crashed} engines have run the request so far"));
+    sleep_ms(STABLE_MS);
+    let counted_from = at();
+    let mut reached = 0;
+    for turn in 0..8 {
+        reached += usize::from(read(turn, &format!("north-again-{turn}"), "north"));
+        sleep_ms(2600);
+        others(100 + turn);
+    }
+    note(&format!("since {counted_from:.3}, over 5 s after the third crash: 8 retries, {reached} reached an engine; the rule allows 3"));
+    judge(crash, crashed, reached, &scene)
+}
+
+fn judge(crash: Crash, crashed: usize, reached: usize, scene: &Scene) -> Result<bool, String> {
+    note(&format!("{} engines took part", scene.engines.len()));
+    if crash == Crash::Never {
+        // The request crashes nothing, so that the rule does not bind it.
+        return Ok(true);
+    }
+    if crashed < 3 {
+        return Err("the request did not crash three engines".to_owned());
+    }
+    Ok(reached <= 3)
+}
--- /dev/null
+++ b/review/harness-2/fleet.rs
@@ -0,0 +1,213 @@
+//! The machines: processes of the deploy file's program, and the operator who sends them a config.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::{net, note, sleep_ms};
+
+const PROGRAM: &str = "target/release/pomelogate-node";
+const LINKS: u16 = 17_660;
+const CONTROL: u16 = 18_146;
+const DIRECTORY: u16 = 18_143;
+const FRONT: u16 = 18_144;
+const READY: u16 = 18_140;
+pub const ENGINE: u16 = 18_080;
+
+/// The places of a small deployment: zone, region, machines of the core, machines for clients.
+pub const PLACES: [(&str, &str, usize, usize); 3] =
+    [("jkt-a", "jkt", 2, 2), ("sby-a", "sby", 2, 1), ("bdg-a", "bdg", 1, 1)];
+
+static CHILDREN: Mutex<Vec<(u32, Arc<Mutex<Child>>)>> = Mutex::new(Vec::new());
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends every process that this case started, and removes its folder.
+pub fn end_all() {
+    let children = std::mem::take(&mut *CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner()));
+    for (_, child) in children {
+        let mut child = child.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    if let Some(folder) = FOLDER.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take() {
+        let _ = fs::remove_dir_all(folder);
+    }
+}
+
+/// One machine.
+pub struct Machine {
+    pub name: String,
+    pub ip: Ipv4Addr,
+    pub is_core: bool,
+    settings: String,
+    file: PathBuf,
+    child: Mutex<Option<Arc<Mutex<Child>>>>,
+}
+
+/// All machines of a deployment.
+pub struct Fleet {
+    pub machines: Vec<Arc<Machine>>,
+    pub net: [u8; 2],
+}
+
+fn is_free(ip: Ipv4Addr) -> bool {
+    [LINKS, CONTROL, DIRECTORY, FRONT, READY, ENGINE, 9464].iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+}
+
+impl Fleet {
+    /// Starts all machines for the first time.
+    pub fn start() -> Result<Self, String> {
+        if !std::path::Path::new(PROGRAM).exists() {
+            return Err(format!("{PROGRAM} is missing; build it first"));
+        }
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("review-2-{process}"));
+        fs::create_dir_all(&folder).map_err(|cause| cause.to_string())?;
+        *FOLDER.lock().unwrap() = Some(folder.clone());
+        let start = (process % 60) as u8;
+        let net = (0..60u8)
+            .map(|turn| [65 + (start + turn) % 60, (process >> 6) as u8])
+            .find(|net| (1..=60).all(|last| is_free(Ipv4Addr::new(127, net[0], net[1], last))))
+            .ok_or("no free addresses")?;
+        let ip = |last: usize| Ipv4Addr::new(127, net[0], net[1], last as u8);
+        let mut plan = Vec::new();
+        for (zone, region, cores, _) in PLACES {
+            plan.extend((1..=cores).map(|number| (format!("core-{zone}-{number}"), zone, region, true)));
+        }
+        for (zone, region, _, edges) in PLACES {
+            plan.extend((1..=edges).map(|number| (format!("edge-{zone}-{number}"), zone, region, false)));
+        }
+        // One seed in each region.
+        let seeds: Vec<String> = [1, 3, 5].iter().map(|last| format!("\"{}:{CONTROL}\"", ip(*last))).collect();
+        let seeds = seeds.join(", ");
+        let mut machines = Vec::new();
+        for (index, (name, zone, region, is_core)) in plan.into_iter().enumerate() {
+            let ip = ip(index + 1);
+            let listen = if is_core {
+                let data = folder.join(&name);
+                fs::create_dir_all(&data).map_err(|cause| cause.to_string())?;
+                format!(
+                    "\"control\": \"{ip}:{CONTROL}\", \"directory\": \"{ip}:{DIRECTORY}\", \"data\": \"{}\",",
+                    data.display()
+                )
+            } else {
+                format!("\"callers\": \"{ip}:{FRONT}\", \"health\": \"{ip}:{READY}\",")
+            };
+            let machine = if is_core {
+                "\"cpu_share\": 0.6, \"memory_mb\": 256, \"link_mbps\": 1000.0, \"max_fds\": 4096"
+            } else {
+                "\"cpu_share\": 0.25, \"memory_mb\": 260, \"link_mbps\": 1000.0, \"max_fds\": 4100"
+            };
+            // The deploy file's template, filled in as for a small site.
+            let settings = format!(
+                "{{\"name\": \"{name}\", \"address\": \"{ip}\", \"region\": \"{region}\", \"zone\": \"{zone}\",
+ \"regions\": {{\"jkt-a\": \"jkt\", \"sby-a\": \"sby\", \"bdg-a\": \"bdg\"}}, \"links_port\": {LINKS}, {listen}
+ \"seeds\": [{seeds}], \"first_start\": FIRST_START, \"figures_port\": 9464, \"announce_ms\": 1200,
+ \"bounds\": {{\"grace_s\": 8, \"retry_ratio\": 0.2, \"retry_slack\": 56, \"retry_window_s\": 10, \"directory_ms\": 2000}},
+ \"machine\": {{{machine}, \"weight\": 0}}}}"
+            );
+            let file = folder.join(format!("{name}.json"));
+            let machine = Machine { name, ip, is_core, settings, file, child: Mutex::new(None) };
+            machine.start(true)?;
+            machines.push(Arc::new(machine));
+        }
+        Ok(Self { machines, net })
+    }
+
+    pub fn cores(&self) -> Vec<Arc<Machine>> {
+        self.machines.iter().filter(|machine| machine.is_core).cloned().collect()
+    }
+
+    pub fn edges(&self) -> Vec<Arc<Machine>> {
+        self.machines.iter().filter(|machine| !machine.is_core).cloned().collect()
+    }
+
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.cores().iter().map(|machine| machine.control()).collect()
+    }
+
+    /// Sends an order to one node of the core after the other until one confirms it.
+    pub fn order(&self, method: &str, path: &str, body: &str) -> Result<(), String> {
+        for turn in 0..60 {
+            let controls = self.controls();
+            let to = controls[turn % controls.len()];
+            let answer = net::call(to, method, path, &[("Content-Type", "application/json")], body.as_bytes(), Duration::from_secs(1));
+            match answer {
+                Ok(answer) if answer.status == 200 => {
+                    note(&format!("the operator's {method} {path} was confirmed by {to}"));
+                    return Ok(());
+                }
+                Ok(answer) if (400..500).contains(&answer.status) && answer.status != 408 && answer.status != 429 => {
+                    return Err(format!("{method} {path}: {} {}", answer.status, answer.text()));
+                }
+                _ => sleep_ms(250),
+            }
+        }
+        Err(format!("{method} {path} was never confirmed"))
+    }
+}
+
+impl Machine {
+    pub fn control(&self) -> SocketAddr {
+        (self.ip, CONTROL).into()
+    }
+
+    pub fn front(&self) -> SocketAddr {
+        (self.ip, FRONT).into()
+    }
+
+    /// Starts the process as the platform does.
+    pub fn start(&self, first: bool) -> Result<(), String> {
+        let settings = self.settings.replace("FIRST_START", if first { "true" } else { "false" });
+        fs::write(&self.file, settings).map_err(|cause| cause.to_string())?;
+        let log = match std::env::var("LOGS") {
+            Ok(folder) => {
+                let path = PathBuf::from(folder).join(format!("{}.log", self.name));
+                fs::File::options().create(true).append(true).open(path).map_or_else(|_| Stdio::null(), Stdio::from)
+            }
+            Err(_) => Stdio::null(),
+        };
+        let child = Command::new(PROGRAM)
+            .env("POMELOGATE_BOOT", &self.file)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|cause| cause.to_string())?;
+        let id = child.id();
+        let child = Arc::new(Mutex::new(child));
+        CHILDREN.lock().unwrap().push((id, Arc::clone(&child)));
+        *self.child.lock().unwrap() = Some(child);
+        note(&format!("{} starts", self.name));
+        Ok(())
+    }
+
+    /// Sends a signal by its name, as `kill` does, to the process of this machine.
+    pub fn signal(&self, signal: &str) {
+        let Some(child) = self.child.lock().unwrap().clone() else { return };
+        let id = child.lock().unwrap().id();
+        note(&format!("SIG{signal} to {}", self.name));
+        let _ = Command::new("kill").args([format!("-{signal}"), id.to_string()]).status();
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&self) {
+        if let Some(child) = self.child.lock().unwrap().take() {
+            let _ = child.lock().unwrap().wait();
+            note(&format!("{} has ended", self.name));
+        }
+    }
+
+    /// Stops the process with SIGTERM, and starts it again.
+    pub fn restart(&self) -> Result<(), String> {
+        self.signal("TERM");
+        self.wait();
+        sleep_ms(300);
+        self.start(false)
+    }
+}
