Review case: a machine of the core that is lost in the first start keeps the group from being complete for ever

Fault, a script: no config confirmed in 60 s, nothing served. The machine is no seed and is replaced by an empty one; it was admitted after it had gone, and stays a learner.

--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -3,13 +3,13 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
     at,
     engine::{Crash, Engine, POISON, POISON_OF_CALLER, Run},
-    fleet::Fleet,
+    fleet::{Fleet, Machine, SPARE},
     has_trouble, net, note, sleep_ms,
 };
 
@@ -37,6 +37,12 @@
         "silent-crash" => silent_crash(),
         "forgotten-block" => forgotten_block(),
         "other-caller" => other_caller(),
+        // The machine is a seed. It is the first to start, and is lost before the others start.
+        "lost-seed" => first_start("core-bdg-a-1", &[("core-bdg-a-1", 0)], 250, 200),
+        // The machine is no seed. It is the last to start, and is lost 0.12 s later.
+        "lost-learner" => {
+            first_start("core-jkt-a-2", &[("core-jkt-a-1", 200), ("core-jkt-a-2", 280)], 0, 400)
+        }
         _ => Err(format!("no such case: {case}")),
     }
 }
@@ -55,7 +61,10 @@
     }
 
     fn open_with(crash: Crash, config: &str) -> Result<Self, String> {
-        let fleet = Fleet::start()?;
+        Self::open_on(Fleet::start()?, crash, config)
+    }
+
+    fn open_on(fleet: Fleet, crash: Crash, config: &str) -> Result<Self, String> {
         fleet.order("PUT", "/-/config", config)?;
         let runs = Arc::new(Mutex::new(Vec::new()));
         let zones = ["jkt-a", "jkt-a", "sby-a", "sby-a", "bdg-a", "bdg-a"];
@@ -237,6 +246,68 @@
     judge(crash, crashed, reached, &scene)
 }
 
+/// A machine of the core is lost for good as the system starts for the first time, and replaced by an empty one at
+/// another address. All machines start within 0.3 s of each other, in an order that the case gives; those that it
+/// does not name start at `rest_ms`.
+fn first_start(lost: &str, order: &[(&str, u64)], rest_ms: u64, lost_at_ms: u64) -> Result<bool, String> {
+    let fleet = Fleet::prepare()?;
+    let mut plan: Vec<(u64, Arc<Machine>)> = Vec::new();
+    for machine in fleet.machines.iter().filter(|machine| !machine.is_spare) {
+        let at = order.iter().find(|(name, _)| *name == machine.name).map_or(rest_ms, |(_, at)| *at);
+        plan.push((at, Arc::clone(machine)));
+    }
+    plan.sort_by_key(|(at, _)| *at);
+    let find = |name: &str| fleet.machines.iter().find(|machine| machine.name == name).cloned().ok_or("no such machine");
+    let (lost, spare) = (find(lost)?, find(SPARE)?);
+    let began = Instant::now();
+    let wait_until = |millis: u64| std::thread::sleep(Duration::from_millis(millis).saturating_sub(began.elapsed()));
+    let mut is_lost = false;
+    for (at, machine) in plan {
+        if has_trouble() && !is_lost && lost_at_ms < at {
+            wait_until(lost_at_ms);
+            lost.kill();
+            is_lost = true;
+        }
+        wait_until(at);
+        machine.start(true)?;
+    }
+    if has_trouble() && !is_lost {
+        wait_until(lost_at_ms);
+        lost.kill();
+    }
+    if has_trouble() {
+        // An empty machine takes its place 2 s later at another address, and all settings name living seeds.
+        wait_until(lost_at_ms + 2000);
+        let seeds: Vec<SocketAddr> = fleet.controls().into_iter().take(3).collect();
+        note(&format!("the seeds are {seeds:?} from now on"));
+        for machine in fleet.machines.iter().filter(|machine| machine.runs()) {
+            machine.write_settings(&seeds, false)?;
+            machine.signal("HUP");
+        }
+        spare.write_settings(&seeds, false)?;
+        spare.start(false)?;
+    }
+    // `catch-up-s` 4 and `recover-s` 12 are over after 16 s; the operator goes on for over a minute.
+    let config = fleet.order("PUT", "/-/config", CONFIG);
+    note(&format!("the config: {config:?}"));
+    if let Err(cause) = config {
+        for core in fleet.cores() {
+            let read = net::call(core.control(), "GET", "/-/config", &[], b"", Duration::from_secs(2));
+            note(&format!("{} answers a read with {:?}", core.name, read.map(|answer| (answer.status, answer.text()))));
+        }
+        for edge in fleet.edges() {
+            let headers = [("Host", HOST), ("Attempt-Id", "last"), ("Request-Timeout-Ms", "5000")];
+            let answer = net::call(edge.front(), "POST", "/book/sound", &headers, b"crew 7", Duration::from_secs(5));
+            note(&format!("{} answers a client with {:?}", edge.name, answer.map(|answer| (answer.status, answer.text()))));
+        }
+        note(&format!("{cause}: nothing can be served"));
+        return Ok(false);
+    }
+    let scene = Scene::open_on(fleet, Crash::Never, CONFIG)?;
+    scene.serves(1)?;
+    Ok(true)
+}
+
 fn judge(crash: Crash, crashed: usize, reached: usize, scene: &Scene) -> Result<bool, String> {
     note(&format!("{} engines took part", scene.engines.len()));
     if crash == Crash::Never {
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -23,6 +23,9 @@
 pub const PLACES: [(&str, &str, usize, usize); 3] =
     [("jkt-a", "jkt", 2, 2), ("sby-a", "sby", 2, 1), ("bdg-a", "bdg", 1, 1)];
 
+/// The machine that may take the place of another one of the core.
+pub const SPARE: &str = "core-bdg-a-2";
+
 static CHILDREN: Mutex<Vec<(u32, Arc<Mutex<Child>>)>> = Mutex::new(Vec::new());
 static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
@@ -44,6 +47,8 @@
     pub name: String,
     pub ip: Ipv4Addr,
     pub is_core: bool,
+    pub is_spare: bool,
+    seeds: Mutex<Vec<SocketAddr>>,
     settings: String,
     file: PathBuf,
     child: Mutex<Option<Arc<Mutex<Child>>>>,
@@ -62,6 +67,15 @@
 impl Fleet {
     /// Starts all machines for the first time.
     pub fn start() -> Result<Self, String> {
+        let fleet = Self::prepare()?;
+        for machine in fleet.machines.iter().filter(|machine| !machine.is_spare) {
+            machine.start(true)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Writes the settings of all machines, and of one more of the core that may take another's place.
+    pub fn prepare() -> Result<Self, String> {
         if !std::path::Path::new(PROGRAM).exists() {
             return Err(format!("{PROGRAM} is missing; build it first"));
         }
@@ -82,9 +96,9 @@
         for (zone, region, _, edges) in PLACES {
             plan.extend((1..=edges).map(|number| (format!("edge-{zone}-{number}"), zone, region, false)));
         }
+        plan.push((SPARE.to_owned(), "bdg-a", "bdg", true));
         // One seed in each region.
-        let seeds: Vec<String> = [1, 3, 5].iter().map(|last| format!("\"{}:{CONTROL}\"", ip(*last))).collect();
-        let seeds = seeds.join(", ");
+        let seeds: Vec<SocketAddr> = [1, 3, 5].iter().map(|last| (ip(*last), CONTROL).into()).collect();
         let mut machines = Vec::new();
         for (index, (name, zone, region, is_core)) in plan.into_iter().enumerate() {
             let ip = ip(index + 1);
@@ -107,20 +121,21 @@
             let settings = format!(
                 "{{\"name\": \"{name}\", \"address\": \"{ip}\", \"region\": \"{region}\", \"zone\": \"{zone}\",
  \"regions\": {{\"jkt-a\": \"jkt\", \"sby-a\": \"sby\", \"bdg-a\": \"bdg\"}}, \"links_port\": {LINKS}, {listen}
- \"seeds\": [{seeds}], \"first_start\": FIRST_START, \"figures_port\": 9464, \"announce_ms\": 1200,
+ \"seeds\": [SEEDS], \"first_start\": FIRST_START, \"figures_port\": 9464, \"announce_ms\": 1200,
  \"bounds\": {{\"grace_s\": 8, \"retry_ratio\": 0.2, \"retry_slack\": 56, \"retry_window_s\": 10, \"directory_ms\": 2000}},
  \"machine\": {{{machine}, \"weight\": 0}}}}"
             );
             let file = folder.join(format!("{name}.json"));
-            let machine = Machine { name, ip, is_core, settings, file, child: Mutex::new(None) };
-            machine.start(true)?;
+            let is_spare = name == SPARE;
+            let seeds = Mutex::new(seeds.clone());
+            let machine = Machine { name, ip, is_core, is_spare, seeds, settings, file, child: Mutex::new(None) };
             machines.push(Arc::new(machine));
         }
         Ok(Self { machines, net })
     }
 
     pub fn cores(&self) -> Vec<Arc<Machine>> {
-        self.machines.iter().filter(|machine| machine.is_core).cloned().collect()
+        self.machines.iter().filter(|machine| machine.is_core && machine.runs()).cloned().collect()
     }
 
     pub fn edges(&self) -> Vec<Arc<Machine>> {
@@ -133,7 +148,11 @@
 
     /// Sends an order to one node of the core after the other until one confirms it.
     pub fn order(&self, method: &str, path: &str, body: &str) -> Result<(), String> {
-        for turn in 0..60 {
+        let until = std::time::Instant::now() + Duration::from_secs(60);
+        for turn in 0.. {
+            if std::time::Instant::now() > until {
+                break;
+            }
             let controls = self.controls();
             let to = controls[turn % controls.len()];
             let answer = net::call(to, method, path, &[("Content-Type", "application/json")], body.as_bytes(), Duration::from_secs(1));
@@ -148,7 +167,7 @@
                 _ => sleep_ms(250),
             }
         }
-        Err(format!("{method} {path} was never confirmed"))
+        Err(format!("{method} {path} was not confirmed within 60 s"))
     }
 }
 
@@ -161,10 +180,24 @@
         (self.ip, FRONT).into()
     }
 
+    /// Whether the process has been started and not ended by the case.
+    pub fn runs(&self) -> bool {
+        self.child.lock().unwrap().is_some()
+    }
+
+    /// Writes the settings file with these seeds.
+    pub fn write_settings(&self, seeds: &[SocketAddr], first: bool) -> Result<(), String> {
+        *self.seeds.lock().unwrap() = seeds.to_vec();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let settings = self.settings.replace("SEEDS", &seeds.join(", "));
+        let settings = settings.replace("FIRST_START", if first { "true" } else { "false" });
+        fs::write(&self.file, settings).map_err(|cause| cause.to_string())
+    }
+
     /// Starts the process as the platform does.
     pub fn start(&self, first: bool) -> Result<(), String> {
-        let settings = self.settings.replace("FIRST_START", if first { "true" } else { "false" });
-        fs::write(&self.file, settings).map_err(|cause| cause.to_string())?;
+        let seeds = self.seeds.lock().unwrap().clone();
+        self.write_settings(&seeds, first)?;
         let log = match std::env::var("LOGS") {
             Ok(folder) => {
                 let path = PathBuf::from(folder).join(format!("{}.log", self.name));
@@ -203,6 +236,12 @@
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        self.signal("KILL");
+        self.wait();
+    }
+
     /// Stops the process with SIGTERM, and starts it again.
     pub fn restart(&self) -> Result<(), String> {
         self.signal("TERM");
