--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/drive review/harness-2/drive.rs
+rustc --edition 2024 -O -o target/review-2/drive review/harness-2/drive.rs
--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -39,6 +39,7 @@
         "other-caller" => other_caller(),
         // The machine is a seed. It is the first to start, and is lost before the others start.
         "lost-seed" => first_start("core-bdg-a-1", &[("core-bdg-a-1", 0)], 250, 200),
+        "cut-streams" => cut_streams(),
         "lost-learner" => lost_learner(),
         _ => Err(format!("no such case: {case}")),
     }
@@ -320,6 +321,121 @@
     Ok(true)
 }
 
+/// A route of streams that may be resumed, bound to one home region.
+const CONFIG_OF_STREAMS: &str = r#"{"version":7,"routes":[
+ {"name":"r-chat","host":"kbn.example","path-prefix":"/chat/","type":"streaming","timeout-ms":10000,"target-latency-ms":600,"priority":0,"service":"pomelo-llm","max-attempts":2,"sticky":true,"resumable":true,"gap-aim-ms":600,"allowed-regions":["bdg"]}],
+ "services":[{"name":"pomelo-llm","health-path":"/health","max-connections":370,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":2.9,"engine":{"slots":64,"kv-capacity-tokens":238853,"token-kv-bytes":163840,"models":[{"name":"m"}]}}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+
+/// `grace-s`, in seconds.
+const GRACE: f64 = 8.0;
+
+/// What became of one stream.
+struct Stream {
+    attempt: String,
+    sent: f64,
+    ended: f64,
+    is_whole: bool,
+}
+
+/// Streams that are handed over to their home region are cut as the machines are stopped in turn.
+fn cut_streams() -> Result<bool, String> {
+    let fleet = Fleet::start()?;
+    fleet.order("PUT", "/-/config", CONFIG_OF_STREAMS)?;
+    let runs = Arc::new(Mutex::new(Vec::new()));
+    let engines: Vec<_> = (0..2u8)
+        .map(|number| {
+            let ip = Ipv4Addr::new(127, fleet.net[0], fleet.net[1], 41 + number);
+            Engine::start(&format!("i-{number}"), ip, "bdg-a", "pomelo-llm", fleet.controls(), Crash::Never, &runs)
+        })
+        .collect();
+    let find = |name: &str| fleet.machines.iter().find(|machine| machine.name == name).cloned().ok_or("no such machine");
+    let (first, second, asked) = (find("edge-bdg-a-1")?, find("edge-bdg-a-2")?, find("edge-jkt-a-1")?);
+    let ask = |front: SocketAddr, path: &str, attempt: &str| {
+        let headers = [
+            ("Host", HOST),
+            ("Attempt-Id", attempt),
+            ("Model", "m"),
+            ("Token-Usage", "826,700"),
+            ("Prompt-Prefix", "5c1e07a2:119,91bd3f06:79,e4402b7d:628"),
+            ("Request-Timeout-Ms", "10000"),
+        ];
+        net::call(front, "POST", path, &headers, b"crew 7 asks", Duration::from_secs(12))
+    };
+    // All machines that take part serve.
+    for machine in [&first, &second, &asked] {
+        let mut is_served = false;
+        for turn in 0..60 {
+            let answer = ask(machine.front(), "/chat/2", &format!("first-{}-{turn}", machine.name));
+            if answer.is_ok_and(|answer| answer.status == 200 && answer.whole) {
+                is_served = true;
+                break;
+            }
+            sleep_ms(250);
+        }
+        if !is_served {
+            return Err(format!("{} never served", machine.name));
+        }
+    }
+    // No disruption for `stable-window-ms` before.
+    sleep_ms(STABLE_MS);
+    let mut clients = Vec::new();
+    for number in 0..8 {
+        let front = asked.front();
+        clients.push(std::thread::spawn(move || {
+            let attempt = format!("stream-{number}");
+            let headers = [
+                ("Host", HOST),
+                ("Attempt-Id", attempt.as_str()),
+                ("Model", "m"),
+                ("Token-Usage", "826,700"),
+                ("Prompt-Prefix", "5c1e07a2:119,91bd3f06:79,e4402b7d:628"),
+                ("Request-Timeout-Ms", "10000"),
+            ];
+            let sent = at();
+            note(&format!("the client sends {attempt}"));
+            // 86 events, one each 0.1 s.
+            let answer = net::call(front, "POST", "/chat/86", &headers, b"crew 7 asks", Duration::from_secs(12));
+            let (is_whole, what) = match &answer {
+                Ok(answer) => {
+                    let events = answer.text().matches("data: ").count();
+                    let is_whole = answer.status == 200 && answer.whole && events == 86;
+                    (is_whole, format!("{}, {events} events, whole: {}", answer.status, answer.whole))
+                }
+                Err(cause) => (false, cause.clone()),
+            };
+            let ended = at();
+            note(&format!("{attempt} ends after {:.3} s: {what}", ended - sent));
+            Stream { attempt, sent, ended, is_whole }
+        }));
+    }
+    sleep_ms(300);
+    let mut told = f64::INFINITY;
+    if has_trouble() {
+        // One at a time, each 1.0 s.
+        first.signal("TERM");
+        sleep_ms(1000);
+        second.signal("TERM");
+        sleep_ms(1000);
+        told = at();
+        asked.signal("TERM");
+    }
+    let streams: Vec<Stream> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let lost = streams.iter().filter(|stream| {
+        let was_due = stream.ended < stream.sent + 10.0;
+        // An engine that is still at work in the last sixth of the grace excuses the cut.
+        let is_excused = stream.ended >= told + GRACE * 5.0 / 6.0;
+        !stream.is_whole && was_due && !is_excused && stream.sent < told + 3.0
+    });
+    let lost: Vec<&str> = lost.map(|stream| stream.attempt.as_str()).collect();
+    let whole = streams.iter().filter(|stream| stream.is_whole).count();
+    note(&format!("{} streams, {whole} whole, {} lost {lost:?}; {} engines", streams.len(), lost.len(), engines.len()));
+    if streams.len() != 8 {
+        return Err("not all clients came back".to_owned());
+    }
+    Ok(lost.is_empty())
+}
+
 fn judge(crash: Crash, crashed: usize, reached: usize, scene: &Scene) -> Result<bool, String> {
     note(&format!("{} engines took part", scene.engines.len()));
     if crash == Crash::Never {
--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -191,6 +191,28 @@
                 }
                 return;
             }
+            if let Some(events) = path.strip_prefix("/chat/").and_then(|events| events.parse::<u64>().ok()) {
+                let first = find("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0u64) + 1;
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {id}.{attempt}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                let mut is_open = writer.write_all(head.as_bytes()).is_ok();
+                for number in first..=events {
+                    let event = format!("id: {number}\ndata: piece {number}\n\n");
+                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                    is_open = is_open && !self.is_over(life) && writer.write_all(chunk.as_bytes()).is_ok();
+                    if !is_open {
+                        note(&format!("{id}: the channel of {attempt} was closed before event {number} of {events}"));
+                        return;
+                    }
+                    sleep_ms(100);
+                }
+                if writer.write_all(b"0\r\n\r\n").is_err() {
+                    return;
+                }
+                note(&format!("{id} has ended the run of {attempt}"));
+                continue;
+            }
             sleep_ms(15);
             if !reply("200 OK", &format!("Response-Signature: {id}.{attempt}\r\nInstance-Load: 1,0,6\r\n"), "done") {
                 return;
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -21,7 +21,7 @@
 
 /// The places of a small deployment: zone, region, machines of the core, machines for clients.
 pub const PLACES: [(&str, &str, usize, usize); 3] =
-    [("jkt-a", "jkt", 2, 2), ("sby-a", "sby", 2, 1), ("bdg-a", "bdg", 1, 1)];
+    [("jkt-a", "jkt", 2, 2), ("sby-a", "sby", 2, 1), ("bdg-a", "bdg", 1, 2)];
 
 /// The machine that may take the place of another one of the core.
 pub const SPARE: &str = "core-bdg-a-2";
@@ -58,6 +58,7 @@
 pub struct Fleet {
     pub machines: Vec<Arc<Machine>>,
     pub net: [u8; 2],
+    folder: PathBuf,
 }
 
 fn is_free(ip: Ipv4Addr) -> bool {
@@ -99,39 +100,58 @@
         plan.push((SPARE.to_owned(), "bdg-a", "bdg", true));
         // One seed in each region.
         let seeds: Vec<SocketAddr> = [1, 3, 5].iter().map(|last| (ip(*last), CONTROL).into()).collect();
-        let mut machines = Vec::new();
+        let mut fleet = Self { machines: Vec::new(), net, folder };
         for (index, (name, zone, region, is_core)) in plan.into_iter().enumerate() {
-            let ip = ip(index + 1);
-            let listen = if is_core {
-                let data = folder.join(&name);
-                fs::create_dir_all(&data).map_err(|cause| cause.to_string())?;
-                format!(
-                    "\"control\": \"{ip}:{CONTROL}\", \"directory\": \"{ip}:{DIRECTORY}\", \"data\": \"{}\",",
-                    data.display()
-                )
-            } else {
-                format!("\"callers\": \"{ip}:{FRONT}\", \"health\": \"{ip}:{READY}\",")
-            };
-            let machine = if is_core {
-                "\"cpu_share\": 0.6, \"memory_mb\": 256, \"link_mbps\": 1000.0, \"max_fds\": 4096"
-            } else {
-                "\"cpu_share\": 0.25, \"memory_mb\": 260, \"link_mbps\": 1000.0, \"max_fds\": 4100"
-            };
-            // The deploy file's template, filled in as for a small site.
-            let settings = format!(
-                "{{\"name\": \"{name}\", \"address\": \"{ip}\", \"region\": \"{region}\", \"zone\": \"{zone}\",
+            fleet.add(&name, index + 1, zone, region, is_core, &seeds)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Adds a machine with the deploy file's template, filled in as for a small site; it does not run yet.
+    pub fn add(
+        &mut self,
+        name: &str,
+        last: usize,
+        zone: &'static str,
+        region: &'static str,
+        is_core: bool,
+        seeds: &[SocketAddr],
+    ) -> Result<Arc<Machine>, String> {
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last as u8);
+        let listen = if is_core {
+            let data = self.folder.join(name);
+            fs::create_dir_all(&data).map_err(|cause| cause.to_string())?;
+            format!(
+                "\"control\": \"{ip}:{CONTROL}\", \"directory\": \"{ip}:{DIRECTORY}\", \"data\": \"{}\",",
+                data.display()
+            )
+        } else {
+            format!("\"callers\": \"{ip}:{FRONT}\", \"health\": \"{ip}:{READY}\",")
+        };
+        let machine = if is_core {
+            "\"cpu_share\": 0.6, \"memory_mb\": 256, \"link_mbps\": 1000.0, \"max_fds\": 4096"
+        } else {
+            "\"cpu_share\": 0.25, \"memory_mb\": 260, \"link_mbps\": 1000.0, \"max_fds\": 4100"
+        };
+        let settings = format!(
+            "{{\"name\": \"{name}\", \"address\": \"{ip}\", \"region\": \"{region}\", \"zone\": \"{zone}\",
  \"regions\": {{\"jkt-a\": \"jkt\", \"sby-a\": \"sby\", \"bdg-a\": \"bdg\"}}, \"links_port\": {LINKS}, {listen}
  \"seeds\": [SEEDS], \"first_start\": FIRST_START, \"figures_port\": 9464, \"announce_ms\": 1200,
  \"bounds\": {{\"grace_s\": 8, \"retry_ratio\": 0.2, \"retry_slack\": 56, \"retry_window_s\": 10, \"directory_ms\": 2000}},
  \"machine\": {{{machine}, \"weight\": 0}}}}"
-            );
-            let file = folder.join(format!("{name}.json"));
-            let is_spare = name == SPARE;
-            let seeds = Mutex::new(seeds.clone());
-            let machine = Machine { name, ip, is_core, is_spare, seeds, settings, file, child: Mutex::new(None) };
-            machines.push(Arc::new(machine));
-        }
-        Ok(Self { machines, net })
+        );
+        let machine = Arc::new(Machine {
+            name: name.to_owned(),
+            ip,
+            is_core,
+            is_spare: name == SPARE,
+            seeds: Mutex::new(seeds.to_vec()),
+            settings,
+            file: self.folder.join(format!("{name}.json")),
+            child: Mutex::new(None),
+        });
+        self.machines.push(Arc::clone(&machine));
+        Ok(machine)
     }
 
     pub fn cores(&self) -> Vec<Arc<Machine>> {
@@ -225,7 +245,7 @@
         let Some(child) = self.child.lock().unwrap().clone() else { return };
         let id = child.lock().unwrap().id();
         note(&format!("SIG{signal} to {}", self.name));
-        let _ = Command::new("kill").args([format!("-{signal}"), id.to_string()]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {id}")]).status();
     }
 
     /// Waits for the end of the process.
